fix(placement): bridge gaps by the neighbours and move one chain at a time

Endpoints that gave layers up loaded no new ones until the streams on them had ended, and two chains did so at once; late facts from reports then undid newer ones, so that the owner ordered again and again (268 orders refused), and an order that already held was counted.

Neighbours now stretch over a gap down to 30,000 tokens without giving anything up; where that does not do, one chain at a time is laid out again, cutting off what it gives up, and begun streams wait up to 1.7 s for a path. An endpoint's layers only grow from one order to the next. Empty endpoints relieve stretched ones. Ruled out: the store and the owner, which was in time.

--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -9,7 +9,7 @@
   isStalled,
   pickPath,
   planRanges,
-  type StageEndpoint,
+  type PlannedEndpoint,
   type StageModel,
   type StagePath,
 } from '@zinniaspindle/decisions';
@@ -33,16 +33,20 @@
   kind: keyof typeof kinds,
   dataCentre: string,
   held?: LayerRange,
-): StageEndpoint {
+): PlannedEndpoint {
   const address = `${id}:1`;
-  return {id, address, dataCentre, slots: 134, ...kinds[kind], held};
+  return {
+    ...{id, address, dataCentre, slots: 134, isLoading: false},
+    ...kinds[kind],
+    held,
+  };
 }
 
 function makeCentre(
   name: string,
   counts: Readonly<Record<keyof typeof kinds, number>>,
-): StageEndpoint[] {
-  const endpoints: StageEndpoint[] = [];
+): PlannedEndpoint[] {
+  const endpoints: PlannedEndpoint[] = [];
   for (const kind of Object.keys(kinds) as Array<keyof typeof kinds>) {
     for (let i = 0; i < counts[kind]; i += 1) {
       endpoints.push(makeEndpoint(`${name}-${kind}-${i}`, kind, name));
@@ -52,7 +56,7 @@
 }
 
 /** The endpoints of one of today's deployments. */
-function makeFleet(): StageEndpoint[] {
+function makeFleet(): PlannedEndpoint[] {
   return [
     ...makeCentre('a', {a100s: 3, l4: 3, t4: 5}),
     ...makeCentre('b', {a100s: 1, l4: 5, t4: 8}),
@@ -60,14 +64,17 @@
   ];
 }
 
-function applyPlan(endpoints: readonly StageEndpoint[]): StageEndpoint[] {
+function applyPlan(endpoints: readonly PlannedEndpoint[]): PlannedEndpoint[] {
   const plan = planRanges(endpoints, model);
-  return endpoints.map(one => ({...one, held: plan.get(one.id) ?? one.held}));
+  return endpoints.map(one => ({
+    ...one,
+    held: plan.get(one.id)?.range ?? one.held,
+  }));
 }
 
 function countMoved(
-  before: readonly StageEndpoint[],
-  after: readonly StageEndpoint[],
+  before: readonly PlannedEndpoint[],
+  after: readonly PlannedEndpoint[],
 ): number {
   let moved = 0;
   for (const one of after) {
@@ -197,3 +204,42 @@
 test('a path without streams is never stalled', () => {
   assert.equal(isStalled(createPathWatch(), 1_000_000), false);
 });
+
+test('most losses are bridged without taking layers from anyone', () => {
+  const fleet = applyPlan(makeFleet());
+  let bridged = 0;
+  for (const lost of fleet) {
+    const left = fleet.filter(({id}) => id !== lost.id);
+    const repaired = applyPlan(left);
+    const hasGivenUp = repaired.some((one, index) => {
+      const was = left[index]!.held!;
+      return one.held!.first > was.first || one.held!.end < was.end;
+    });
+    if (!hasGivenUp) bridged += 1;
+  }
+  assert.ok(bridged > fleet.length / 2, `${bridged} of ${fleet.length}`);
+});
+
+test('an empty endpoint relieves a stretched one, which then gives up', () => {
+  const fleet = applyPlan(makeFleet());
+  const lost = fleet.find(({id}) => id === 'a-t4-1')!;
+  const repaired = applyPlan(fleet.filter(one => one !== lost));
+  const spare = makeEndpoint('a-spare', 'l4', 'a');
+  const relieved = applyPlan([...repaired, spare]);
+  assert.ok(relieved.at(-1)!.held !== undefined);
+  const settled = applyPlan(relieved);
+  const before = findPaths(repaired, model).map(one => one.capacityTokens);
+  const after = findPaths(settled, model).map(one => one.capacityTokens);
+  assert.ok(Math.min(...after) > Math.min(...before));
+  const centre = settled.filter(one => one.dataCentre === 'a');
+  assert.equal(findGap(centre, model.layerCount), -1);
+});
+
+test('nothing is given up while the relief still loads', () => {
+  const fleet = applyPlan(makeFleet());
+  const lost = fleet.find(({id}) => id === 'a-t4-1')!;
+  const repaired = applyPlan(fleet.filter(one => one !== lost));
+  const spare = {...makeEndpoint('a-spare', 'l4', 'a'), isLoading: true};
+  const relieved = applyPlan([...repaired, spare]);
+  assert.deepEqual(applyPlan(relieved), relieved);
+});
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -1,14 +1,17 @@
 import {countLayers, type LayerRange} from '@zinniaspindle/shared';
 import {countFittingLayers} from './memory.js';
-import type {StageModel, StageEndpoint} from './stage_types.js';
+import {planBridge, planRelief} from './plan_bridge.js';
+import type {StageEndpoint, StageModel} from './stage_types.js';
 
 /** How ranges are planned. */
 export interface RangeOptions {
   /** Request tokens that each chain should hold room for. */
   readonly goalTokens: number;
+  /** Request tokens that the neighbours of a gap may be stretched down to. */
+  readonly bridgeTokens: number;
   /**
-   * Request tokens that endpoints near a loss may be stretched down to. Fewer
-   * mean that fewer endpoints move their ranges, and the gap closes sooner.
+   * Request tokens that endpoints may be stretched down to where ranges move.
+   * Fewer mean that fewer endpoints move, and the gap closes sooner.
    */
   readonly repairTokens: number;
   /** Request tokens below which a data centre gets no chain of its own. */
@@ -17,41 +20,76 @@
 
 /**
  * Sizes a chain for the load of two chains out of three: 43 streams a second
- * of 900 tokens for 3 s are 116,000 tokens (site files).
+ * of 900 tokens for 3 s are 116,000 tokens (site files). A chain of 45,000
+ * tokens still carries its own third, one of 30,000 a quarter of all.
  */
 export const defaultRangeOptions: RangeOptions = {
   goalTokens: 120_000,
-  repairTokens: 70_000,
+  bridgeTokens: 30_000,
+  repairTokens: 45_000,
   leastTokens: 30_000,
 };
 
-/** The range that each endpoint should hold; others keep what they hold. */
-export type RangePlan = ReadonlyMap<string, LayerRange>;
+/** An endpoint as the plan sees it. */
+export interface PlannedEndpoint extends StageEndpoint {
+  /** Whether it is still loading what it should hold. */
+  readonly isLoading: boolean;
+}
+
+/** The range that an endpoint should hold. */
+export interface PlannedRange {
+  readonly range: LayerRange;
+  /** Its chain is broken: requests on layers that it gives up are not waited for. */
+  readonly isUrgent: boolean;
+}
+
+/** The wanted ranges by endpoint; others keep what they hold. */
+export type RangePlan = ReadonlyMap<string, PlannedRange>;
+
+/** More endpoints than a bridged gap needs are loading while ranges move. */
+const movedEndpoints = 3;
 
 interface Member {
-  readonly endpoint: StageEndpoint;
+  readonly endpoint: PlannedEndpoint;
   size: number;
   cap: number;
 }
 
 /**
- * Plans a whole chain in each group of endpoints that can hold one. A group
- * that covers all layers is left alone, so that only losses move layers.
+ * Plans a whole chain in each group of endpoints that can hold one. Losses
+ * are bridged by the neighbours of the gap where they have room; else the
+ * ranges near it move. Endpoints without layers relieve the fullest ones.
  */
 export function planRanges(
-  endpoints: readonly StageEndpoint[],
+  endpoints: readonly PlannedEndpoint[],
   model: StageModel,
   options: RangeOptions = defaultRangeOptions,
 ): RangePlan {
-  const plan = new Map<string, LayerRange>();
-  for (const group of buildGroups(endpoints, model, options)) {
-    for (const [id, range] of planGroup(group, model, options)) {
-      plan.set(id, range);
-    }
+  const plan = new Map<string, PlannedRange>();
+  const groups = buildGroups(endpoints, model, options);
+  // One chain at a time moves its ranges, so that the others can take its
+  // requests; on the first start all do.
+  let isMoving = groups.some(group => isRelaid(group, model));
+  for (const group of groups) {
+    const isFirst = group.every(({held}) => held === undefined);
+    const mayMove = isFirst || isRelaid(group, model) || !isMoving;
+    const {ranges, isMove} = planGroup(group, mayMove, model, options);
+    if (isMove && !isFirst) isMoving = true;
+    for (const [id, range] of ranges) plan.set(id, range);
   }
   return plan;
 }
 
+/** Tells whether a whole chain is still loading its ranges. */
+function isRelaid(
+  group: readonly PlannedEndpoint[],
+  model: StageModel,
+): boolean {
+  let loading = 0;
+  for (const {isLoading} of group) if (isLoading) loading += 1;
+  return loading >= movedEndpoints && findGap(group, model.layerCount) === -1;
+}
+
 /** Finds the first layer that no endpoint of a group holds; -1 for none. */
 export function findGap(
   endpoints: readonly StageEndpoint[],
@@ -65,7 +103,9 @@
   return reached >= layerCount ? -1 : reached;
 }
 
-function sortHolders(endpoints: readonly StageEndpoint[]): StageEndpoint[] {
+function sortHolders<Endpoint extends StageEndpoint>(
+  endpoints: readonly Endpoint[],
+): Endpoint[] {
   const holders = endpoints.filter(({held}) => held !== undefined);
   return holders.sort(
     (a, b) =>
@@ -77,18 +117,18 @@
 
 /** Joins data centres that cannot hold a chain alone into one group. */
 function buildGroups(
-  endpoints: readonly StageEndpoint[],
+  endpoints: readonly PlannedEndpoint[],
   model: StageModel,
   options: RangeOptions,
-): StageEndpoint[][] {
-  const centres = new Map<string, StageEndpoint[]>();
+): PlannedEndpoint[][] {
+  const centres = new Map<string, PlannedEndpoint[]>();
   for (const endpoint of endpoints) {
     const members = centres.get(endpoint.dataCentre) ?? [];
     members.push(endpoint);
     centres.set(endpoint.dataCentre, members);
   }
-  const groups: StageEndpoint[][] = [];
-  const rest: StageEndpoint[] = [];
+  const groups: PlannedEndpoint[][] = [];
+  const rest: PlannedEndpoint[] = [];
   for (const members of centres.values()) {
     if (canHoldChain(members, model, options)) groups.push(members);
     else rest.push(...members);
@@ -113,17 +153,40 @@
   return fitting >= model.layerCount;
 }
 
+/** What a group's endpoints should hold, and whether held layers move. */
+interface GroupPlan {
+  readonly ranges: RangePlan;
+  readonly isMove: boolean;
+}
+
 function planGroup(
-  group: readonly StageEndpoint[],
+  group: readonly PlannedEndpoint[],
+  mayMove: boolean,
   model: StageModel,
   options: RangeOptions,
-): RangePlan {
+): GroupPlan {
   const gap = findGap(group, model.layerCount);
-  if (gap === -1) return listHeld(group);
+  if (gap === -1) {
+    return {ranges: planRelief(group, model, options), isMove: false};
+  }
+  const bridge = planBridge(group, model, options);
+  if (bridge !== undefined) return {ranges: bridge, isMove: false};
+  if (!mayMove) return {ranges: new Map(), isMove: false};
+  return {ranges: planAnew(group, gap, model, options), isMove: true};
+}
+
+/** Lays all ranges out again, moving those near the gap first. */
+function planAnew(
+  group: readonly PlannedEndpoint[],
+  gap: number,
+  model: StageModel,
+  options: RangeOptions,
+): RangePlan {
   const isFresh = group.every(({held}) => held === undefined);
   const goal = isFresh ? options.goalTokens : options.repairTokens;
   const tokens = findTokens(group, model, goal);
-  const members = sortMembers(group, gap).map(endpoint => ({
+  const ordered = isFresh ? mixSizes(group) : sortMembers(group, gap);
+  const members = ordered.map(endpoint => ({
     endpoint,
     size: endpoint.held === undefined ? 0 : countLayers(endpoint.held),
     cap: countFittingLayers(endpoint, tokens, model),
@@ -135,12 +198,6 @@
   return buildPlan(members, model.layerCount);
 }
 
-function listHeld(group: readonly StageEndpoint[]): RangePlan {
-  const plan = new Map<string, LayerRange>();
-  for (const {id, held} of group) if (held !== undefined) plan.set(id, held);
-  return plan;
-}
-
 /** Finds the most tokens, up to a goal, beside which all layers fit. */
 function findTokens(
   group: readonly StageEndpoint[],
@@ -171,9 +228,9 @@
 
 /** Sorts holders along the layers, with the empty ones at the gap. */
 function sortMembers(
-  group: readonly StageEndpoint[],
+  group: readonly PlannedEndpoint[],
   gap: number,
-): StageEndpoint[] {
+): PlannedEndpoint[] {
   const holders = sortHolders(group);
   const empty = group.filter(({held}) => held === undefined);
   empty.sort((a, b) => (a.id < b.id ? -1 : 1));
@@ -245,12 +302,36 @@
 }
 
 function buildPlan(members: readonly Member[], layerCount: number): RangePlan {
-  const plan = new Map<string, LayerRange>();
+  const plan = new Map<string, PlannedRange>();
   let first = 0;
   for (const {endpoint, size} of members) {
     const end = Math.min(first + size, layerCount);
-    if (end > first) plan.set(endpoint.id, {first, end});
+    if (end > first) {
+      plan.set(endpoint.id, {range: {first, end}, isUrgent: true});
+    }
     first = end;
   }
   return plan;
 }
+
+/**
+ * Spreads large endpoints evenly among small ones: a large neighbour can
+ * bridge the loss of a small endpoint at once.
+ */
+function mixSizes(group: readonly PlannedEndpoint[]): PlannedEndpoint[] {
+  const sorted = [...group].sort(
+    (a, b) => b.sizeMegabytes - a.sizeMegabytes || (a.id < b.id ? -1 : 1),
+  );
+  const smallest = sorted.at(-1)!.sizeMegabytes;
+  const large = sorted.filter(one => one.sizeMegabytes > smallest);
+  const small = sorted.filter(one => one.sizeMegabytes === smallest);
+  const mixed: PlannedEndpoint[] = [];
+  let placed = 0;
+  for (const [index, one] of large.entries()) {
+    mixed.push(one);
+    const wanted = Math.floor(((index + 1) * small.length) / large.length);
+    mixed.push(...small.slice(placed, wanted));
+    placed = wanted;
+  }
+  return [...mixed, ...small.slice(placed)];
+}
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -35,6 +35,8 @@
   /** Orders accepted since its start, as far as it was asked. */
   orderCount: number;
   held: LayerRange | undefined;
+  /** When an order was last begun, as far as it was told. */
+  orderedAt: Instant;
   /** When held was last learned from the endpoint itself. */
   askedAt: Instant;
   pending: PendingRange | undefined;
@@ -57,6 +59,7 @@
     bornAt: entry.bornAt,
     orderCount: 0,
     held: entry.held,
+    orderedAt: -Infinity,
     askedAt: -Infinity,
     pending: undefined,
     suspectUntil: 0,
@@ -80,6 +83,16 @@
   return a?.first === b?.first && a?.end === b?.end;
 }
 
+/** Tells whether a range has all layers of another. */
+export function hasAllLayers(
+  range: LayerRange | undefined,
+  other: LayerRange | undefined,
+): boolean {
+  if (other === undefined) return true;
+  if (range === undefined) return false;
+  return range.first <= other.first && range.end >= other.end;
+}
+
 /** Computes the layers that both ranges have. */
 export function computeOverlap(
   a: LayerRange,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -4,20 +4,23 @@
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
-import type {StageEndpoint} from '@zinniaspindle/decisions';
+import type {PlannedEndpoint, StageEndpoint} from '@zinniaspindle/decisions';
 import type {WriteEvent} from '../log/event_log.js';
 import type {EndpointEntry, ServiceModel} from '../ports/index.js';
 import {
   computeOverlap,
   createEndpointState,
   formatHeld,
+  hasAllLayers,
   isSameRange,
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
 
-/** Endpoints write to the list every 1.2 s; an entry may be that old. */
-const listLagMilliseconds = 1500;
+/** The list lags by a beat of 1.2 s and by the outages of the store. */
+const listLagMilliseconds = 5000;
+/** Reports show the state of some hundred ms before. */
+const reportLagMilliseconds = 800;
 /** Layers that load take up to 3.5 s each range, several times that if many load. */
 const pendingMilliseconds = 8000;
 
@@ -81,7 +84,7 @@
     }
     const isLagging =
       entry.bornAt === state.bornAt &&
-      now - state.askedAt < listLagMilliseconds;
+      now - Math.max(state.askedAt, state.orderedAt) < listLagMilliseconds;
     if (isLagging) return;
     const {id, bornAt, held} = entry;
     // A list entry does not tell how many orders its endpoint accepted.
@@ -117,6 +120,8 @@
     const state = this.states.get(facts.id);
     if (state === undefined) return false;
     state.askedAt = this.getNow();
+    const isRestart = facts.bornAt > state.bornAt;
+    if (!isRestart && this.isStale(state, facts)) return false;
     return this.applyFacts(facts);
   }
 
@@ -129,7 +134,15 @@
   ): void {
     const state = this.states.get(id);
     if (state === undefined || state.bornAt > bornAt) return;
-    state.orderCount = Math.max(state.orderCount, orderCount);
+    if (orderCount > state.orderCount || state.bornAt < bornAt) {
+      state.bornAt = bornAt;
+      state.orderCount = orderCount;
+      // What the order takes away is gone at once; the rest is yet to load.
+      if (state.held !== undefined) {
+        state.held = computeOverlap(state.held, range);
+      }
+    }
+    state.orderedAt = this.getNow();
     const until = this.getNow() + pendingMilliseconds;
     state.pending = {range, bornAt, until};
     this.revision += 1;
@@ -179,13 +192,15 @@
     service: string,
     model: ServiceModel,
     canHold: (state: EndpointState) => boolean,
-  ): StageEndpoint[] {
-    const stages: StageEndpoint[] = [];
+  ): PlannedEndpoint[] {
+    const stages: PlannedEndpoint[] = [];
     for (const state of this.list(service)) {
       if (state.entry.isDraining || !canHold(state)) continue;
-      const held = this.findPending(state)?.range ?? state.held;
+      const pending = this.findPending(state);
+      const held = pending?.range ?? state.held;
       const stage = buildStage(state, model, held);
-      if (stage !== undefined) stages.push(stage);
+      const isLoading = pending !== undefined;
+      if (stage !== undefined) stages.push({...stage, isLoading});
     }
     return stages;
   }
@@ -206,11 +221,21 @@
     return computeOverlap(state.held, pending.range);
   }
 
+  /**
+   * Tells whether facts are older than what is known. From one order to the
+   * next an endpoint's layers only grow, as they are loaded.
+   */
+  private isStale(state: EndpointState, facts: EndpointFacts): boolean {
+    const isRecent = this.getNow() - state.orderedAt < reportLagMilliseconds;
+    if (facts.orderCount < state.orderCount) return isRecent;
+    if (facts.orderCount > state.orderCount) return false;
+    return !hasAllLayers(facts.held, state.held);
+  }
+
   private applyFacts(facts: EndpointFacts): boolean {
     const state = this.states.get(facts.id)!;
     if (facts.bornAt < state.bornAt) return false;
     const isRestart = facts.bornAt > state.bornAt;
-    if (!isRestart && facts.orderCount < state.orderCount) return false;
     const isSame = isSameRange(state.held, facts.held);
     state.bornAt = facts.bornAt;
     state.orderCount = facts.orderCount;
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -1,6 +1,7 @@
 import {
   isLost,
   planRanges,
+  type PlannedRange,
   type RangePlan,
   type StageEndpoint,
 } from '@zinniaspindle/decisions';
@@ -100,20 +101,20 @@
     if ((this.busyUntil.get(stage.id) ?? 0) > now) return;
     const wanted = plan.get(stage.id);
     const pending = this.table.findPending(state);
-    if (pending !== undefined && isSameRange(pending.range, wanted)) {
+    if (pending !== undefined && isSameRange(pending.range, wanted?.range)) {
       this.busyUntil.set(stage.id, now + reportMilliseconds);
       void this.askReport(state);
       return;
     }
-    if (wanted === undefined || isSameRange(wanted, stage.held)) return;
-    if (!canFit(stage, wanted, model)) return;
+    if (wanted === undefined || isSameRange(wanted.range, stage.held)) return;
+    if (!canFit(stage, wanted.range, model)) return;
     this.busyUntil.set(stage.id, now + retryMilliseconds);
     void this.sendOrder(state, wanted, token);
   }
 
   private async sendOrder(
     state: EndpointState,
-    range: LayerRange,
+    {range, isUrgent}: PlannedRange,
     fencingToken: number,
   ): Promise<void> {
     const {id, address} = state.entry;
@@ -123,6 +124,7 @@
       address,
       endpointId: id,
       range,
+      cutsRequests: isUrgent,
       fencingToken,
       expectedOrderCount: orderCount,
     });
@@ -142,7 +144,7 @@
       expected: orderCount,
     });
     if (outcome.value === OrderOutcome.Fenced) this.ownership.handleFenced();
-    if (outcome.value !== OrderOutcome.Accepted) {
+    if (outcome.value !== OrderOutcome.Begun) {
       await this.askReport(state);
       this.busyUntil.delete(id);
       return;
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -38,6 +38,8 @@
   readonly address: string;
   readonly endpointId: string;
   readonly range: LayerRange;
+  /** Whether requests on layers that are given up are cut off. */
+  readonly cutsRequests: boolean;
   /** Rises with each owner of orders; an endpoint refuses lower ones. */
   readonly fencingToken: number;
   /** The order is refused unless the endpoint accepted this many before. */
@@ -46,8 +48,10 @@
 
 /** What became of an order. */
 export enum OrderOutcome {
-  /** It has begun or the state holds already. */
-  Accepted = 'accepted',
+  /** It has begun. */
+  Begun = 'begun',
+  /** The endpoint holds the range already; it did not count the order. */
+  Holds = 'holds',
   /** The endpoint's state differs from what was expected. */
   Conflict = 'conflict',
   /** A newer owner has given orders. */
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -15,6 +15,10 @@
 const retryAfterMilliseconds = 900;
 const retrySpreadMilliseconds = 600;
 
+/** Callers leave a stream after a gap of 2 s. */
+const resumeMilliseconds = 1700;
+const pollMilliseconds = 40;
+
 /** How one try on a path ended. */
 enum TryEnd {
   Done = 'done',
@@ -51,7 +55,8 @@
     serving.budgets.recordFresh(service.name);
     for (;;) {
       const tokens = this.predictTokens();
-      const path = serving.paths.pick(service.name, this.model, tokens);
+      const path = await this.findPath(tokens);
+      if (this.isAbandoned) return;
       if (path === undefined) break;
       const end = await this.runTry(path, tokens);
       if (this.isAbandoned || end === TryEnd.Done) return;
@@ -90,6 +95,18 @@
     this.cancelTry(TryEnd.Broken, 'path is silent');
   }
 
+  /** Finds a path; a stream that has begun waits for one for a while. */
+  private async findPath(tokens: number): Promise<StagePath | undefined> {
+    const {serving, service} = this.context;
+    const waitUntil = this.lastEventAt + resumeMilliseconds;
+    for (;;) {
+      const path = serving.paths.pick(service.name, this.model, tokens);
+      const isOver = !this.hasBegun || isPast(waitUntil, serving.getNow());
+      if (path !== undefined || isOver || this.isAbandoned) return path;
+      await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
+    }
+  }
+
   private predictTokens(): number {
     const {promptTokens, answerHint, maxAnswerTokens} = this.context.request;
     const usual = answerHint ?? this.model.usualAnswerTokens;
