--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -12,6 +12,7 @@
     attemptId: String(message.headers['x-id']),
     hasSeal: true,
     isNotRun: false,
+    endpointId: undefined,
     faultAddress: undefined,
     forwarded: [],
   }),
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -105,6 +105,11 @@
     this.writeEvent(GatewayEvent.EndpointRemoved, {endpoint: id});
   }
 
+  /** Takes an endpoint off whose address another one has; it has ended. */
+  removeReplaced(id: string): void {
+    this.removeEntry(id, this.getNow());
+  }
+
   /** Removes the endpoints whose removal was put off until now. */
   expireLapsed(): void {
     const now = this.getNow();
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -140,6 +140,10 @@
       expected: orderCount,
     });
     if (outcome.value === OrderOutcome.Fenced) this.ownership.handleFenced();
+    if (outcome.value === OrderOutcome.Misdirected) {
+      this.table.removeReplaced(id);
+      return;
+    }
     if (outcome.value !== OrderOutcome.Begun) {
       await this.askReport(state);
       this.busyUntil.delete(id);
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -56,7 +56,9 @@
   Conflict = 'conflict',
   /** A newer owner has given orders. */
   Fenced = 'fenced',
-  /** The endpoint cannot take it, or another has its address. */
+  /** Another endpoint has the address. */
+  Misdirected = 'misdirected',
+  /** The endpoint cannot take it. */
   Refused = 'refused',
 }
 
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -44,6 +44,8 @@
   readonly hasSeal: boolean;
   /** The endpoint states that it did not run the request and will not. */
   readonly isNotRun: boolean;
+  /** The endpoint that answered, where it says so. */
+  readonly endpointId: string | undefined;
   /** The endpoint that a path failed at, as host:port. */
   readonly faultAddress: string | undefined;
   readonly forwarded: RawHeaders;
--- a/packages/gateway/src/requests/plain_request.ts
+++ b/packages/gateway/src/requests/plain_request.ts
@@ -167,6 +167,11 @@
     }
     if (end === UpstreamEnd.Complete && answer!.isNotRun) {
       this.notRun += 1;
+      const {endpointId} = answer!;
+      const {id} = endpoint.entry;
+      if (endpointId !== undefined && endpointId !== id) {
+        serving.endpoints.removeReplaced(id);
+      }
       this.reportRetry(endpoint, `status ${answer!.status}`);
       return false;
     }
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -241,6 +241,12 @@
   private acceptNotRun(answer: EndpointAnswer): void {
     this.notRun += 1;
     const {serving} = this.context;
+    const {id} = this.ticket!.path.parts[0]!.endpoint;
+    if (answer.endpointId !== undefined && answer.endpointId !== id) {
+      serving.endpoints.removeReplaced(id);
+      this.finishTry?.(TryEnd.NotRun, `${answer.endpointId} has the address`);
+      return;
+    }
     const address =
       answer.faultAddress ?? this.ticket!.path.parts[0]!.endpoint.address;
     const fault = serving.endpoints.findAt(address);
