--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -4,14 +4,18 @@
   recordRefusal,
   type StagePath,
 } from '@zinniaspindle/decisions';
-import type {Instant} from '@zinniaspindle/shared';
+import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   EndpointErrorCode,
   type EndpointCalls,
   type EndpointReport,
 } from '../ports/index.js';
-import type {EndpointFacts, EndpointState} from './endpoint_state.js';
+import {
+  hasAllLayers,
+  type EndpointFacts,
+  type EndpointState,
+} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 
 /** What a failed or successful question to an endpoint is told to. */
@@ -88,9 +92,14 @@
 
   /**
    * Looks into a refusal: an endpoint that has room, carries out no order and
-   * refuses again is leaving or broken, though it answers questions.
+   * refuses again is leaving or broken, though it answers questions. One that
+   * no longer holds the layers it was asked for does neither.
    */
-  async checkRefusal(id: string, reason: string): Promise<void> {
+  async checkRefusal(
+    id: string,
+    reason: string,
+    layers: LayerRange | undefined,
+  ): Promise<void> {
     const state = this.table.find(id);
     if (state === undefined) return;
     const now = this.getNow();
@@ -106,9 +115,10 @@
       return;
     }
     this.acceptReport(state, report.value);
-    const {isBusy, memoryFill} = report.value;
+    const {isBusy, memoryFill, held} = report.value;
     const hasRoom = memoryFill < roomyFill && !isBusy;
-    if (!hasRoom || this.table.findPending(state) !== undefined) return;
+    if (!hasRoom || !hasAllLayers(held, layers)) return;
+    if (this.table.findPending(state) !== undefined) return;
     const askedAt = this.getNow();
     recordRefusal(state.doubt, askedAt);
     if (!isFailing(state.doubt, askedAt)) return;
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -216,7 +216,7 @@
     if (end === UpstreamEnd.NotSent) {
       this.notRun += 1;
       const first = this.ticket!.path.parts[0]!.endpoint.id;
-      void this.context.serving.probes.checkRefusal(first, detail);
+      void this.context.serving.probes.checkRefusal(first, detail, undefined);
       this.finishTry?.(TryEnd.NotRun, detail);
       return;
     }
@@ -252,7 +252,10 @@
     const fault = serving.endpoints.findAt(address);
     const reason = `status ${answer.status} at ${address}`;
     if (fault !== undefined) {
-      void serving.probes.checkRefusal(fault.entry.id, reason);
+      const part = this.ticket!.path.parts.find(
+        ({endpoint}) => endpoint.id === fault.entry.id,
+      );
+      void serving.probes.checkRefusal(fault.entry.id, reason, part?.layers);
     }
     this.finishTry?.(TryEnd.NotRun, reason);
   }
