--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -44,7 +44,12 @@
 }
 
 function makeRider() {
-  const rider = {stalls: 0, handleStall: () => undefined as void};
+  const rider = {
+    stalls: 0,
+    paused: false,
+    handleStall: () => undefined as void,
+    isPaused: () => rider.paused,
+  };
   rider.handleStall = () => {
     rider.stalls += 1;
   };
@@ -170,3 +175,16 @@
   loads.removePeer('vm-2');
   assert.equal(loads.computeLoad('a0').streams, 0);
 });
+
+test('a stream that its caller does not read is no silent path', () => {
+  const {clock, paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  const rider = makeRider();
+  paths.recordProgress(paths.reserve(path, 10, rider));
+  rider.paused = true;
+  clock.now += 5000;
+  assert.equal(paths.listStalled().length, 0);
+  rider.paused = false;
+  clock.now += 200;
+  assert.equal(paths.listStalled().length, 1);
+});
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -24,6 +24,8 @@
 export interface PathRider {
   /** Called once the path's streams have been silent for too long. */
   handleStall(): void;
+  /** Whether the stream is not read, since its caller is slow. */
+  isPaused(): boolean;
 }
 
 /** A request's place on a path, until it is released. */
@@ -169,6 +171,7 @@
         if (isPast(watch.avoidUntil, now)) this.watched.delete(key);
         continue;
       }
+      if (hasOnlyPaused(riders.values())) watch.progressAt = now;
       if (!isStalled(watch, now)) continue;
       watch.checkedAt = now;
       stalled.push(path);
@@ -223,3 +226,8 @@
     return watched;
   }
 }
+
+function hasOnlyPaused(riders: Iterable<PathRider>): boolean {
+  for (const rider of riders) if (!rider.isPaused()) return false;
+  return true;
+}
--- a/packages/gateway/src/requests/plain_request.ts
+++ b/packages/gateway/src/requests/plain_request.ts
@@ -9,8 +9,9 @@
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
+import {AnswerBuffer} from './answer_buffer.js';
 import {FailureReason, type OwnAnswer} from './failure.js';
-import {sendAnswer} from './send_answer.js';
+import {recordDone, sendAnswer} from './send_answer.js';
 import type {RequestContext} from './request_context.js';
 import {Upstream, UpstreamEnd} from './upstream.js';
 
@@ -27,7 +28,7 @@
   readonly end: UpstreamEnd;
   readonly detail: string;
   readonly answer: EndpointAnswer | undefined;
-  readonly body: Buffer;
+  readonly buffer: AnswerBuffer;
 }
 
 /** Serves a request of a plain service: one answer, sent once it is whole. */
@@ -122,11 +123,11 @@
     });
     return new Promise(resolve => {
       let answer: EndpointAnswer | undefined;
-      const chunks: Buffer[] = [];
+      const buffer = new AnswerBuffer(this.context);
       const closeTry = (end: UpstreamEnd, detail: string) => {
         clearTimeout(timer);
         endpoint.running -= 1;
-        resolve({end, detail, answer, body: Buffer.concat(chunks)});
+        resolve({end, detail, answer, buffer});
       };
       // A timer may fire a fraction of a millisecond early.
       const wait = Math.max(1, Math.ceil(tryDeadline - now) + 1);
@@ -147,7 +148,7 @@
         serving.codec,
         {
           handleAnswer: head => (answer = head),
-          handleChunk: chunk => chunks.push(chunk),
+          handleChunk: chunk => buffer.accept(answer!, chunk, upstream),
           handleEnd: closeTry,
         },
       );
@@ -176,6 +177,7 @@
       return false;
     }
     this.runs += 1;
+    if (result.buffer.isPassedOn) return this.closePassedOn(endpoint, result);
     if (end === UpstreamEnd.Broken) {
       this.reportFailure(endpoint, FailureCertainty.Suspected);
       if (!this.canRepeat()) return this.failUnknown(result.detail);
@@ -192,7 +194,28 @@
       return this.failUnknown(`status ${answer!.status} from the endpoint`);
     }
     recordSuccess(endpoint.breaker, serving.getNow());
-    sendAnswer(this.context, endpoint.entry.id, answer!, result.body);
+    sendAnswer(
+      this.context,
+      endpoint.entry.id,
+      answer!,
+      result.buffer.toBody(),
+    );
+    return true;
+  }
+
+  /** Ends an answer that the caller has the beginning of. */
+  private closePassedOn(endpoint: EndpointState, result: TryResult): boolean {
+    const {response, serving} = this.context;
+    if (result.end === UpstreamEnd.Complete) {
+      response.end();
+      serving.metrics.count(Counter.Answered);
+      recordDone(this.context, endpoint.entry.id, result.answer!.status);
+    } else {
+      // The broken connection tells the caller that the answer is not whole.
+      this.reportRetry(endpoint, result.detail);
+      response.destroy();
+      serving.metrics.count(Counter.Failed);
+    }
     return true;
   }
 
@@ -228,7 +251,7 @@
   private answerFailure(): void {
     const {failure, context} = this;
     if (failure !== undefined) {
-      sendAnswer(context, 'several', failure.answer!, failure.body);
+      sendAnswer(context, 'several', failure.answer!, failure.buffer.toBody());
       return;
     }
     context.refuse(this.chooseFailure());
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -40,6 +40,7 @@
   private finishTry: ((end: TryEnd, reason: string) => void) | undefined;
   private lastEventId: string | undefined;
   private hasBegun = false;
+  private isWaiting = false;
   private isAbandoned = false;
   private runs = 0;
   private notRun = 0;
@@ -117,6 +118,11 @@
     }
   }
 
+  /** Tells whether the caller is slower than the stream. */
+  isPaused(): boolean {
+    return this.isWaiting;
+  }
+
   private predictTokens(): number {
     const {promptTokens, answerHint, maxAnswerTokens} = this.context.request;
     const usual = answerHint ?? this.model.usualAnswerTokens;
@@ -210,8 +216,12 @@
     this.lastEventId = events.lastId ?? this.lastEventId;
     if (response.write(events.bytes)) return;
     const {upstream} = this;
+    this.isWaiting = true;
     upstream?.stopReading();
-    response.once('drain', () => upstream?.resumeReading());
+    response.once('drain', () => {
+      this.isWaiting = false;
+      upstream?.resumeReading();
+    });
   }
 
   private recordEvent(): void {
