feat(placement): hold several chains in a large data centre

Needed where a data centre has more endpoints than a path has parts: one chain over 37 endpoints of the grown site would have been refused. Which chain an endpoint is part of follows from what it holds; paths keep to one chain and share no endpoint.

--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -261,3 +261,40 @@
   assert.equal(isGivenUp(watch, 2800), false);
   assert.equal(isGivenUp(watch, 2801), true);
 });
+
+/** The endpoints of one of the deployments after it has grown. */
+function makeGrownFleet(): PlannedEndpoint[] {
+  return [
+    ...makeCentre('a', {a100s: 4, l4: 9, t4: 14}),
+    ...makeCentre('b', {a100s: 2, l4: 13, t4: 22}),
+    ...makeCentre('c', {a100s: 1, l4: 22, t4: 12}),
+  ];
+}
+
+test('a large data centre holds several chains', () => {
+  const paths = findPaths(applyPlan(makeGrownFleet()), model);
+  assert.equal(paths.length, 6);
+  for (const path of paths) {
+    assert.ok(path.parts.length <= 32, `${path.parts.length}`);
+    assert.ok(path.capacityTokens >= 100_000, `${path.capacityTokens}`);
+  }
+});
+
+test('the loss of any endpoint of many chains moves only its own', () => {
+  const fleet = applyPlan(makeGrownFleet());
+  for (const lost of fleet) {
+    const left = fleet.filter(({id}) => id !== lost.id);
+    const repaired = applyPlan(left);
+    const whole = findPaths(repaired, model).filter(
+      ({parts}) =>
+        new Set(parts.map(({endpoint}) => endpoint.dataCentre)).size === 1,
+    );
+    assert.equal(whole.length, 6, lost.id);
+    assert.ok(countMoved(left, repaired) <= 80, lost.id);
+  }
+});
+
+test('chains that stand are left alone', () => {
+  const fleet = applyPlan(makeGrownFleet());
+  assert.equal(countMoved(fleet, applyPlan(fleet)), 0);
+});
--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -15,6 +15,11 @@
    * 25 ms a crossing, on a pipe that all requests share (PLATFORM facts).
    */
   readonly crossingMilliseconds: number;
+  /**
+   * Added where ranges overlap, so that a path keeps to one chain and leaves
+   * the others whole; more than a faster endpoint can save.
+   */
+  readonly overlapMilliseconds: number;
   /** Parts that endpoints accept in one path. */
   readonly maxParts: number;
   /**
@@ -28,6 +33,7 @@
 export const defaultPathOptions: PathOptions = {
   hopMilliseconds: 0.1,
   crossingMilliseconds: 3,
+  overlapMilliseconds: 2,
   maxParts: 32,
   maxCrossingStreams: 24,
 };
@@ -40,9 +46,9 @@
 }
 
 /**
- * Finds a path for each data centre: within it where its endpoints hold all
- * layers, else the cheapest that starts in it. Endpoints must be fit for new
- * work.
+ * Finds the paths of each data centre: as many as its endpoints hold without
+ * sharing one, else the cheapest that starts in it. Endpoints must be fit for
+ * new work.
  */
 export function findPaths(
   endpoints: readonly StageEndpoint[],
@@ -53,15 +59,31 @@
   const centres = new Set(holders.map(({dataCentre}) => dataCentre));
   const paths: StagePath[] = [];
   for (const centre of [...centres].sort()) {
-    const near = holders.filter(({dataCentre}) => dataCentre === centre);
-    const path =
-      findPath(near, centre, model, options) ??
-      findPath(holders, centre, model, options);
-    if (path !== undefined) paths.push(path);
+    const near = findSeparatePaths(holders, centre, model, options);
+    const crossing =
+      near.length > 0 ? undefined : findPath(holders, centre, model, options);
+    paths.push(...near, ...(crossing === undefined ? [] : [crossing]));
   }
   return paths;
 }
 
+function findSeparatePaths(
+  holders: readonly StageEndpoint[],
+  centre: string,
+  model: StageModel,
+  options: PathOptions,
+): StagePath[] {
+  const paths: StagePath[] = [];
+  let left = holders.filter(({dataCentre}) => dataCentre === centre);
+  for (;;) {
+    const path = findPath(left, centre, model, options);
+    if (path === undefined) return paths;
+    paths.push(path);
+    const used = new Set(path.parts.map(({endpoint}) => endpoint));
+    left = left.filter(endpoint => !used.has(endpoint));
+  }
+}
+
 /**
  * Follows entries in ascending order of their layer. A part ends where its
  * endpoint's range ends or another range begins; ranges' ends only grow along
@@ -115,9 +137,10 @@
     const earliest = Math.max(held!.first, entry.layer + 1);
     for (const layer of earliest === end ? [end] : [earliest, end]) {
       const isNear = next.dataCentre === entry.endpoint.dataCentre;
-      const hop = isNear
-        ? options.hopMilliseconds
-        : options.crossingMilliseconds;
+      const isAdjacent = held!.first === end;
+      const hop =
+        (isNear ? options.hopMilliseconds : options.crossingMilliseconds) +
+        (isAdjacent ? 0 : options.overlapMilliseconds);
       const cost = closePart(entry, layer, model).cost + hop;
       const known = layers[layer]!.get(next.id);
       if (known !== undefined && known.cost <= cost) continue;
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -1,6 +1,7 @@
 import {countLayers, type LayerRange} from '@zinniaspindle/shared';
 import {countFittingLayers} from './memory.js';
 import {planBridge, planRelief} from './plan_bridge.js';
+import {buildChains} from './build_chains.js';
 import type {StageEndpoint, StageModel} from './stage_types.js';
 
 /** How ranges are planned. */
@@ -130,8 +131,11 @@
   const groups: PlannedEndpoint[][] = [];
   const rest: PlannedEndpoint[] = [];
   for (const members of centres.values()) {
-    if (canHoldChain(members, model, options)) groups.push(members);
-    else rest.push(...members);
+    if (canHoldChain(members, model, options)) {
+      groups.push(...buildChains(members, model, options));
+    } else {
+      rest.push(...members);
+    }
   }
   if (rest.length === 0) return groups;
   if (canHoldChain(rest, model, options) || groups.length === 0) {
