fix(gateway): move a request out of a queue once, tell a new VM what endpoints hold

A request without an event after 900 ms now tries another path, once. And a VM that started in an outage knew only the list's layers; peers now send what they asked.

--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -130,6 +130,15 @@
     return this.applyFacts(facts);
   }
 
+  /** Lists what endpoints that were given orders hold, as far as is known. */
+  listFacts(): EndpointFacts[] {
+    const facts: EndpointFacts[] = [];
+    for (const [id, {bornAt, orderCount, held}] of this.states) {
+      if (orderCount > 0) facts.push({id, bornAt, orderCount, held});
+    }
+    return facts;
+  }
+
   /** Notes an order that was given to an endpoint. */
   applyOrder(
     id: string,
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -124,6 +124,14 @@
       ageMilliseconds: Math.ceil(age),
       rows: state.listNewest().map(toRow),
     });
+    if (topic === Topic.Endpoints) this.sendFacts(peer);
+  }
+
+  /** The list lags, and stands still in an outage; what was asked is newer. */
+  private sendFacts(peer: Peer): void {
+    for (const facts of this.endpoints.listFacts()) {
+      this.sendTo(peer, {kind: PeerMessageKind.Facts, facts});
+    }
   }
 
   private acceptNewest(message: Newest): void {
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -19,6 +19,8 @@
 const resumedUrgency = 1;
 /** Share of the time to the first event for which a request waits for a path. */
 const waitedShare = 0.4;
+/** A request that waits this long in a queue goes elsewhere, once. */
+const firstEventMilliseconds = 900;
 /** Callers leave a stream after a gap of 2 s. */
 const resumeMilliseconds = 1700;
 const pollMilliseconds = 40;
@@ -41,6 +43,7 @@
   private lastEventId: string | undefined;
   private hasBegun = false;
   private isWaiting = false;
+  private hasMoved = false;
   private isAbandoned = false;
   private runs = 0;
   private notRun = 0;
@@ -158,7 +161,11 @@
       bodyBytes: body.length,
     });
     return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        this.cancelQueued(ticket);
+      }, firstEventMilliseconds);
       this.finishTry = (end, reason) => {
+        clearTimeout(timer);
         this.finishTry = undefined;
         serving.paths.release(ticket);
         if (end !== TryEnd.Done) this.reportRetry(first.id, reason);
@@ -184,6 +191,13 @@
     });
   }
 
+  /** Leaves a path on which others get events and this request gets none. */
+  private cancelQueued(ticket: PathTicket): void {
+    if (ticket.hasStarted || this.hasMoved || this.answer !== undefined) return;
+    this.hasMoved = true;
+    this.cancelTry(TryEnd.Broken, 'no first event in time');
+  }
+
   private cancelTry(end: TryEnd, reason: string): void {
     this.upstream?.cancel();
     this.finishTry?.(end, reason);
