--- a/packages/decisions/src/stages/plan_bridge.ts
+++ b/packages/decisions/src/stages/plan_bridge.ts
@@ -14,8 +14,9 @@
 type MutablePlan = Map<string, PlannedRange>;
 
 /**
- * Closes gaps without taking layers from anyone: an empty endpoint takes a
- * gap, or both neighbours stretch over it. Undefined when they lack the room.
+ * Closes gaps without taking layers from anyone: both neighbours stretch over
+ * them, and an empty endpoint takes the middle, so that all load little.
+ * Undefined when they lack the room.
  */
 export function planBridge(
   group: readonly PlannedEndpoint[],
@@ -29,15 +30,13 @@
   if (plan.size === 0) return undefined;
   const empty = group.filter(({held}) => held === undefined);
   for (const gap of listGaps(plan, model.layerCount)) {
-    const countFitting = (one: PlannedEndpoint) =>
-      countFittingLayers(one, options.bridgeTokens, model);
-    const index = empty.findIndex(one => countFitting(one) >= countLayers(gap));
-    if (index !== -1) {
-      const [spare] = empty.splice(index, 1);
-      plan.set(spare!.id, {range: gap, isUrgent: true});
-    } else if (!addStretch(plan, group, gap, model, options)) {
-      return undefined;
-    }
+    const [spare] = empty.splice(0, 1);
+    const left =
+      spare === undefined
+        ? gap
+        : addSpare(plan, group, spare, gap, model, options);
+    if (countLayers(left) === 0) continue;
+    if (!addStretch(plan, group, left, model, options)) return undefined;
   }
   return plan;
 }
@@ -67,16 +66,54 @@
     least = tokens;
     fullest = endpoint;
   }
+  if (fullest === undefined) return plan;
   const spare = group.find(({held}) => held === undefined);
-  if (spare === undefined || fullest === undefined) return plan;
+  if (spare === undefined) {
+    addNeighbourRelief(plan, group, fullest, model, options);
+  } else addSpareRelief(plan, spare, fullest, model, options);
+  return plan;
+}
+
+function addSpareRelief(
+  plan: MutablePlan,
+  spare: PlannedEndpoint,
+  fullest: PlannedEndpoint,
+  model: StageModel,
+  options: RangeOptions,
+): void {
   const {range} = plan.get(fullest.id)!;
   const fitting = countFittingLayers(spare, options.goalTokens, model);
   const taken = Math.min(fitting, Math.ceil(countLayers(range) / 2));
-  if (taken > 0) {
-    const first = range.end - taken;
-    plan.set(spare.id, {range: {first, end: range.end}, isUrgent: false});
-  }
-  return plan;
+  if (taken <= 0) return;
+  const first = range.end - taken;
+  plan.set(spare.id, {range: {first, end: range.end}, isUrgent: false});
+}
+
+/** Lets a neighbour with room take over outer layers of the fullest endpoint. */
+function addNeighbourRelief(
+  plan: MutablePlan,
+  group: readonly PlannedEndpoint[],
+  fullest: PlannedEndpoint,
+  model: StageModel,
+  options: RangeOptions,
+): void {
+  const {range} = plan.get(fullest.id)!;
+  const goal = {...options, bridgeTokens: options.goalTokens};
+  const fitting = countFittingLayers(fullest, options.goalTokens, model);
+  const excess = countLayers(range) - fitting;
+  const {before, after} = findNeighbours(plan, group, range);
+  const left = countRoom(before, plan, 0, model, goal);
+  const right = countRoom(after, plan, 0, model, goal);
+  const taken = Math.min(excess, Math.max(left, right));
+  const isLoading = before?.isLoading === true || after?.isLoading === true;
+  if (taken <= 0 || isLoading) return;
+  const taker = left >= right ? before! : after!;
+  const held = plan.get(taker.id)!.range;
+  const stretched =
+    taker === before
+      ? {first: held.first, end: held.end + taken}
+      : {first: held.first - taken, end: held.end};
+  plan.set(taker.id, {range: stretched, isUrgent: false});
 }
 
 /** Finds the layers that nobody holds, as ranges. */
@@ -93,19 +130,75 @@
   return gaps;
 }
 
-/** Stretches the endpoints beside a gap over it, the roomier one further. */
-function addStretch(
+/**
+ * Gives an empty endpoint what its gap's neighbours do not take: a third each,
+ * as far as they have room. Returns what is still missing.
+ */
+function addSpare(
   plan: MutablePlan,
   group: readonly PlannedEndpoint[],
+  spare: PlannedEndpoint,
   gap: LayerRange,
   model: StageModel,
   options: RangeOptions,
-): boolean {
+): LayerRange {
+  const {before, after} = findNeighbours(plan, group, gap);
+  const third = Math.floor(countLayers(gap) / 3);
+  const left = Math.min(third, countRoom(before, plan, 0, model, options));
+  const right = Math.min(third, countRoom(after, plan, 0, model, options));
+  const first = gap.first + Math.max(0, left);
+  const last = gap.end - Math.max(0, right);
+  const fitting = countFittingLayers(spare, options.bridgeTokens, model);
+  const end = Math.min(first + fitting, last);
+  if (before !== undefined) setEnd(plan, before, first);
+  plan.set(spare.id, {range: {first, end}, isUrgent: true});
+  if (end < last) return {first: end, end: gap.end};
+  if (after !== undefined) setFirst(plan, after, last);
+  return {first: gap.end, end: gap.end};
+}
+
+function setEnd(plan: MutablePlan, {id}: PlannedEndpoint, end: number): void {
+  const {range} = plan.get(id)!;
+  if (end === range.end) return;
+  plan.set(id, {range: {first: range.first, end}, isUrgent: true});
+}
+
+function setFirst(
+  plan: MutablePlan,
+  {id}: PlannedEndpoint,
+  first: number,
+): void {
+  const {range} = plan.get(id)!;
+  if (first === range.first) return;
+  plan.set(id, {range: {first, end: range.end}, isUrgent: true});
+}
+
+function findNeighbours(
+  plan: MutablePlan,
+  group: readonly PlannedEndpoint[],
+  gap: LayerRange,
+): {
+  before: PlannedEndpoint | undefined;
+  after: PlannedEndpoint | undefined;
+} {
   const holders = group.filter(({id}) => plan.has(id));
   const find = (matches: (range: LayerRange) => boolean) =>
     holders.find(({id}) => matches(plan.get(id)!.range));
-  const before = find(({end}) => end === gap.first);
-  const after = find(({first}) => first === gap.end);
+  return {
+    before: find(({end}) => end === gap.first),
+    after: find(({first}) => first === gap.end),
+  };
+}
+
+/** Stretches the endpoints beside a gap over it, the roomier one further. */
+function addStretch(
+  plan: MutablePlan,
+  group: readonly PlannedEndpoint[],
+  gap: LayerRange,
+  model: StageModel,
+  options: RangeOptions,
+): boolean {
+  const {before, after} = findNeighbours(plan, group, gap);
   let {first, end} = gap;
   while (first < end) {
     const left = countRoom(before, plan, first - gap.first, model, options);
@@ -114,15 +207,8 @@
     if (left >= right) first += 1;
     else end -= 1;
   }
-  if (before !== undefined && first > gap.first) {
-    const {range} = plan.get(before.id)!;
-    const stretched = {first: range.first, end: first};
-    plan.set(before.id, {range: stretched, isUrgent: true});
-  }
-  if (after !== undefined && end < gap.end) {
-    const {range} = plan.get(after.id)!;
-    plan.set(after.id, {range: {first: end, end: range.end}, isUrgent: true});
-  }
+  if (before !== undefined) setEnd(plan, before, first);
+  if (after !== undefined) setFirst(plan, after, end);
   return true;
 }
 
