--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -21,7 +21,6 @@
   layerMegabytes: 1750,
   tokenMegabytesPerLayer: 0.00822,
   stepMilliseconds: 0.85,
-  promptTokensPerMillisecond: 252,
 };
 
 const kinds = {
--- a/packages/decisions/src/stages/stage_types.ts
+++ b/packages/decisions/src/stages/stage_types.ts
@@ -8,8 +8,6 @@
   readonly tokenMegabytesPerLayer: number;
   /** One token's pass through all layers on an endpoint of pace 1. */
   readonly stepMilliseconds: number;
-  /** Prompt tokens a millisecond through all layers at read factor 1. */
-  readonly promptTokensPerMillisecond: number;
 }
 
 /** An endpoint that can hold a range of a model's layers. */
--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -123,12 +123,10 @@
             layerMegabytes: 100,
             tokenMegabytesPerLayer: 0.001,
             stepMilliseconds: 1,
-            promptTokensPerMillisecond: 100,
           },
           kinds: new Map([
             ['card', {name: 'card', sizeMegabytes: 2000, pace: 1}],
           ]),
-          loadMilliseconds: 100,
           usualAnswerTokens: 10,
         },
       },
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -11,10 +11,8 @@
     layerMegabytes: 100,
     tokenMegabytesPerLayer: 0.01,
     stepMilliseconds: 1,
-    promptTokensPerMillisecond: 100,
   },
   kinds: new Map([['card', {name: 'card', sizeMegabytes: 1000, pace: 1}]]),
-  loadMilliseconds: 100,
   usualAnswerTokens: 10,
 };
 
--- a/packages/gateway/__tests__/small_parts.test.ts
+++ b/packages/gateway/__tests__/small_parts.test.ts
@@ -142,7 +142,6 @@
     {
       graceMilliseconds: 0,
       retryRatio: 0.2,
-      retryWindowMilliseconds: 10_000,
       retrySlack: 120,
     },
     () => 12,
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -64,11 +64,6 @@
     });
   }
 
-  /** When the store last began to fail; undefined while it serves. */
-  getFailedSince(): Instant | undefined {
-    return this.failedSince;
-  }
-
   private async read(rank: number): Promise<void> {
     const {state, store} = this;
     const from = state.next;
--- a/packages/gateway/src/peers/beat_period.ts
+++ b/packages/gateway/src/peers/beat_period.ts
@@ -2,7 +2,7 @@
 const leastMilliseconds = 250;
 /** Silences are noticed after four periods; callers avoid what failed them. */
 const mostMilliseconds = 1000;
-/** Beats to more VMs would take a link of 10 Mbit/s (grown sites) by 5%. */
+/** Four beats a second to more VMs would pass the 19 KB/s of control (letter 1). */
 const frequentPeers = 20;
 
 /** Computes how often a VM tells its peers of itself; less often to many. */
--- a/packages/gateway/src/ports/configuration.ts
+++ b/packages/gateway/src/ports/configuration.ts
@@ -50,8 +50,6 @@
 export interface ServiceModel {
   readonly shape: StageModel;
   readonly kinds: ReadonlyMap<string, AcceleratorKind>;
-  /** Time to load all layers. */
-  readonly loadMilliseconds: number;
   /** Mean tokens of an answer. */
   readonly usualAnswerTokens: number;
 }
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -29,8 +29,6 @@
   readonly held: LayerRange | undefined;
   /** Share of the memory for requests that is in use, 0 to 1. */
   readonly memoryFill: number;
-  /** Above 1 the endpoint is slower than its kind should be. */
-  readonly slowness: number;
 }
 
 /** An order to hold a range of layers, and nothing else. */
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -22,7 +22,6 @@
     readonly graceMilliseconds: number;
     /** Repeated sends in a window, as a share of the requests. */
     readonly retryRatio: number;
-    readonly retryWindowMilliseconds: number;
     /** Repeated sends in a window that all VMs have besides the share. */
     readonly retrySlack: number;
   };
