--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -318,3 +318,17 @@
   const fleet = applyPlan(makeGrownFleet());
   assert.equal(countMoved(fleet, applyPlan(fleet)), 0);
 });
+
+test('streams are cut off only when another chain can take them', () => {
+  const fleet = applyPlan(makeFleet());
+  const isLarge = ({id}: PlannedEndpoint) => id.includes('a100s');
+  const lost = fleet.filter(isLarge).map(({id}) => id);
+  const one = fleet.filter(({id}) => id !== 'a-a100s-0');
+  const urgent = [...planRanges(one, model).values()];
+  assert.ok(urgent.some(({isUrgent}) => isUrgent));
+  // Each data centre has lost an endpoint that cannot be bridged.
+  const all = fleet.filter(({id}) => !lost.includes(id));
+  const patient = [...planRanges(all, model).values()];
+  assert.ok(patient.length > 0);
+  assert.ok(patient.every(({isUrgent}) => !isUrgent));
+});
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -40,7 +40,10 @@
 /** The range that an endpoint should hold. */
 export interface PlannedRange {
   readonly range: LayerRange;
-  /** Its chain is broken: requests on layers that it gives up are not waited for. */
+  /**
+   * Its chain is broken and another can take the streams: those on layers that
+   * it gives up are not waited for.
+   */
   readonly isUrgent: boolean;
 }
 
@@ -74,13 +77,31 @@
   for (const group of groups) {
     const isFirst = group.every(({held}) => held === undefined);
     const mayMove = isFirst || isRelaid(group, model) || !isMoving;
-    const {ranges, isMove} = planGroup(group, mayMove, model, options);
+    const hasOther = groups.some(
+      other => other !== group && canTakeOver(other, model),
+    );
+    const {ranges, isMove} = planGroup(
+      group,
+      mayMove,
+      hasOther,
+      model,
+      options,
+    );
     if (isMove && !isFirst) isMoving = true;
     for (const [id, range] of ranges) plan.set(id, range);
   }
   return plan;
 }
 
+/** Tells whether a chain is whole and could take the streams of another. */
+function canTakeOver(
+  group: readonly PlannedEndpoint[],
+  model: StageModel,
+): boolean {
+  const loaded = group.filter(({isLoading}) => !isLoading);
+  return findGap(loaded, model.layerCount) === -1;
+}
+
 /** Tells whether a whole chain is still loading its ranges. */
 function isRelaid(
   group: readonly PlannedEndpoint[],
@@ -166,6 +187,7 @@
 function planGroup(
   group: readonly PlannedEndpoint[],
   mayMove: boolean,
+  hasOther: boolean,
   model: StageModel,
   options: RangeOptions,
 ): GroupPlan {
@@ -176,13 +198,15 @@
   const bridge = planBridge(group, model, options);
   if (bridge !== undefined) return {ranges: bridge, isMove: false};
   if (!mayMove) return {ranges: new Map(), isMove: false};
-  return {ranges: planAnew(group, gap, model, options), isMove: true};
+  const ranges = planAnew(group, gap, hasOther, model, options);
+  return {ranges, isMove: true};
 }
 
 /** Lays all ranges out again, moving those near the gap first. */
 function planAnew(
   group: readonly PlannedEndpoint[],
   gap: number,
+  hasOther: boolean,
   model: StageModel,
   options: RangeOptions,
 ): RangePlan {
@@ -199,7 +223,7 @@
   if (isFresh) addEvenly(members, model.layerCount);
   else addNearest(members, gap, model.layerCount);
   removeSurplus(members, model.layerCount);
-  return buildPlan(members, model.layerCount);
+  return buildPlan(members, hasOther, model.layerCount);
 }
 
 /** Finds the most tokens, up to a goal, beside which all layers fit. */
@@ -305,13 +329,17 @@
   return total;
 }
 
-function buildPlan(members: readonly Member[], layerCount: number): RangePlan {
+function buildPlan(
+  members: readonly Member[],
+  isUrgent: boolean,
+  layerCount: number,
+): RangePlan {
   const plan = new Map<string, PlannedRange>();
   let first = 0;
   for (const {endpoint, size} of members) {
     const end = Math.min(first + size, layerCount);
     if (end > first) {
-      plan.set(endpoint.id, {range: {first, end}, isUrgent: true});
+      plan.set(endpoint.id, {range: {first, end}, isUrgent});
     }
     first = end;
   }
