--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -90,9 +90,12 @@
     else refuse({status: 504, reason: FailureReason.Deadline});
   }
 
-  /** Goes on elsewhere when the path has fallen silent. */
+  /**
+   * Goes on elsewhere when the path has fallen silent. Without another path it
+   * stays: this one may go on, or its endpoint ends the answer itself.
+   */
   handleStall(): void {
-    if (!this.canLeave()) return;
+    if (!this.canLeave() || !this.hasOtherPath()) return;
     this.swapPath('path is silent');
   }
 
@@ -123,6 +126,13 @@
     return this.answer === undefined || this.canRepeat();
   }
 
+  private hasOtherPath(): boolean {
+    const {serving, service} = this.context;
+    const tokens = this.predictTokens();
+    const path = serving.paths.pick(service.name, this.model, tokens);
+    return path !== undefined && path.key !== this.reservation?.path.key;
+  }
+
   private swapPath(reason: string): void {
     if (this.answer === undefined) this.notRun += 1;
     this.cancelTry(TryEnd.Broken, reason);
