--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -89,3 +89,4 @@
 export * from './recovery/index.js';
 export * from './retries/index.js';
 export * from './placement/index.js';
+export * from './stages/index.js';
--- /dev/null
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -0,0 +1,162 @@
+import {countLayers, isWholeChain} from '@zinniaspindle/shared';
+import {computeTokenCapacity} from './memory.js';
+import type {
+  StageModel,
+  PathPart,
+  StageEndpoint,
+  StagePath,
+} from './stage_types.js';
+
+/** What moving a token from one endpoint to the next costs. */
+export interface PathOptions {
+  readonly hopMilliseconds: number;
+  /**
+   * Includes a share of the prompt's transfer: 25 MB over 7,900 Mbit/s are
+   * 25 ms a crossing, on a pipe that all requests share (PLATFORM facts).
+   */
+  readonly crossingMilliseconds: number;
+  /** Parts that endpoints accept in one path. */
+  readonly maxParts: number;
+}
+
+/** In-zone hops and the prompt's share of a crossing, from the site files. */
+export const defaultPathOptions: PathOptions = {
+  hopMilliseconds: 0.1,
+  crossingMilliseconds: 3,
+  maxParts: 32,
+};
+
+interface Entry {
+  readonly endpoint: StageEndpoint;
+  readonly layer: number;
+  readonly cost: number;
+  readonly previous: Entry | undefined;
+}
+
+/**
+ * Finds the cheapest path that starts in each data centre. Endpoints must
+ * hold layers and be fit for new work.
+ */
+export function findPaths(
+  endpoints: readonly StageEndpoint[],
+  model: StageModel,
+  options: PathOptions = defaultPathOptions,
+): StagePath[] {
+  const holders = endpoints.filter(({held}) => held !== undefined);
+  const centres = new Set(holders.map(({dataCentre}) => dataCentre));
+  const paths: StagePath[] = [];
+  for (const centre of [...centres].sort()) {
+    const path = findPath(holders, centre, model, options);
+    if (path !== undefined) paths.push(path);
+  }
+  return paths;
+}
+
+/**
+ * Follows entries in ascending order of their layer. A part ends where its
+ * endpoint's range ends or another range begins; ranges' ends only grow along
+ * a path, so no endpoint comes twice.
+ */
+function findPath(
+  holders: readonly StageEndpoint[],
+  centre: string,
+  model: StageModel,
+  options: PathOptions,
+): StagePath | undefined {
+  const layers: Map<string, Entry>[] = [];
+  for (let i = 0; i <= model.layerCount; i += 1) layers.push(new Map());
+  for (const endpoint of holders) {
+    if (endpoint.dataCentre !== centre || endpoint.held!.first !== 0) continue;
+    const entry = {endpoint, layer: 0, cost: 0, previous: undefined};
+    layers[0]!.set(endpoint.id, entry);
+  }
+  let best: Entry | undefined;
+  for (const entries of layers) {
+    for (const entry of entries.values()) {
+      const {held} = entry.endpoint;
+      if (held!.end === model.layerCount) {
+        const end = closePart(entry, model.layerCount, model);
+        if (best === undefined || end.cost < best.cost) best = end;
+      }
+      addNext(layers, entry, holders, model, options);
+    }
+  }
+  return best === undefined ? undefined : buildPath(best, model, options);
+}
+
+function closePart(entry: Entry, layer: number, model: StageModel): Entry {
+  const perLayer =
+    (entry.endpoint.pace * model.stepMilliseconds) / model.layerCount;
+  const cost = entry.cost + (layer - entry.layer) * perLayer;
+  return {endpoint: entry.endpoint, layer, cost, previous: entry};
+}
+
+function addNext(
+  layers: readonly Map<string, Entry>[],
+  entry: Entry,
+  holders: readonly StageEndpoint[],
+  model: StageModel,
+  options: PathOptions,
+): void {
+  const {end} = entry.endpoint.held!;
+  for (const next of holders) {
+    const {held} = next;
+    if (held!.end <= end || held!.first > end) continue;
+    const earliest = Math.max(held!.first, entry.layer + 1);
+    for (const layer of earliest === end ? [end] : [earliest, end]) {
+      const isNear = next.dataCentre === entry.endpoint.dataCentre;
+      const hop = isNear
+        ? options.hopMilliseconds
+        : options.crossingMilliseconds;
+      const cost = closePart(entry, layer, model).cost + hop;
+      const known = layers[layer]!.get(next.id);
+      if (known !== undefined && known.cost <= cost) continue;
+      layers[layer]!.set(next.id, {
+        endpoint: next,
+        layer,
+        cost,
+        previous: entry,
+      });
+    }
+  }
+}
+
+function buildPath(
+  last: Entry,
+  model: StageModel,
+  options: PathOptions,
+): StagePath | undefined {
+  const parts: PathPart[] = [];
+  let {layer} = last;
+  for (let at = last.previous; at !== undefined; at = at.previous) {
+    const layers = {first: at.layer, end: layer};
+    parts.unshift({endpoint: at.endpoint, layers});
+    layer = at.layer;
+  }
+  const ranges = parts.map(part => part.layers);
+  if (!isWholeChain(ranges, model.layerCount)) return undefined;
+  if (parts.length > options.maxParts) return undefined;
+  const keys = parts.map(
+    ({endpoint, layers}) => `${endpoint.id}:${layers.first}-${layers.end}`,
+  );
+  return {
+    key: keys.join(','),
+    parts,
+    passMilliseconds: last.cost,
+    capacityTokens: computePathCapacity(parts, model),
+    slots: parts[0]!.endpoint.slots,
+  };
+}
+
+function computePathCapacity(
+  parts: readonly PathPart[],
+  model: StageModel,
+): number {
+  let least = Infinity;
+  for (const {endpoint, layers} of parts) {
+    const held = countLayers(endpoint.held!);
+    const used = countLayers(layers);
+    least = Math.min(least, computeTokenCapacity(endpoint, held, used, model));
+  }
+  return least;
+}
--- /dev/null
+++ b/packages/decisions/src/stages/index.ts
@@ -0,0 +1,7 @@
+/** Placing layers on endpoints and choosing paths through them. */
+export * from './find_paths.js';
+export * from './memory.js';
+export * from './pick_path.js';
+export * from './plan_ranges.js';
+export * from './stage_types.js';
+export * from './stall_watch.js';
--- /dev/null
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -0,0 +1,249 @@
+import {countLayers, type LayerRange} from '@zinniaspindle/shared';
+import {countFittingLayers} from './memory.js';
+import type {StageModel, StageEndpoint} from './stage_types.js';
+
+/** How ranges are planned. */
+export interface RangeOptions {
+  /** Request tokens that each chain should hold room for. */
+  readonly goalTokens: number;
+  /** Request tokens below which a data centre gets no chain of its own. */
+  readonly leastTokens: number;
+}
+
+/**
+ * Sizes a chain for the load of two chains out of three: 43 streams a second
+ * of 900 tokens for 3 s are 116,000 tokens (site files).
+ */
+export const defaultRangeOptions: RangeOptions = {
+  goalTokens: 120_000,
+  leastTokens: 30_000,
+};
+
+/** The range that each endpoint should hold; others keep what they hold. */
+export type RangePlan = ReadonlyMap<string, LayerRange>;
+
+interface Member {
+  readonly endpoint: StageEndpoint;
+  size: number;
+  cap: number;
+}
+
+/**
+ * Plans a whole chain in each group of endpoints that can hold one. A group
+ * that covers all layers is left alone, so that only losses move layers.
+ */
+export function planRanges(
+  endpoints: readonly StageEndpoint[],
+  model: StageModel,
+  options: RangeOptions = defaultRangeOptions,
+): RangePlan {
+  const plan = new Map<string, LayerRange>();
+  for (const group of buildGroups(endpoints, model, options)) {
+    for (const [id, range] of planGroup(group, model, options)) {
+      plan.set(id, range);
+    }
+  }
+  return plan;
+}
+
+/** Finds the first layer that no endpoint of a group holds; -1 for none. */
+export function findGap(
+  endpoints: readonly StageEndpoint[],
+  layerCount: number,
+): number {
+  let reached = 0;
+  for (const {held} of sortHolders(endpoints)) {
+    if (held === undefined || held.first > reached) break;
+    reached = Math.max(reached, held.end);
+  }
+  return reached >= layerCount ? -1 : reached;
+}
+
+function sortHolders(endpoints: readonly StageEndpoint[]): StageEndpoint[] {
+  const holders = endpoints.filter(({held}) => held !== undefined);
+  return holders.sort(
+    (a, b) =>
+      a.held!.first - b.held!.first ||
+      a.held!.end - b.held!.end ||
+      (a.id < b.id ? -1 : 1),
+  );
+}
+
+/** Joins data centres that cannot hold a chain alone into one group. */
+function buildGroups(
+  endpoints: readonly StageEndpoint[],
+  model: StageModel,
+  options: RangeOptions,
+): StageEndpoint[][] {
+  const centres = new Map<string, StageEndpoint[]>();
+  for (const endpoint of endpoints) {
+    const members = centres.get(endpoint.dataCentre) ?? [];
+    members.push(endpoint);
+    centres.set(endpoint.dataCentre, members);
+  }
+  const groups: StageEndpoint[][] = [];
+  const rest: StageEndpoint[] = [];
+  for (const members of centres.values()) {
+    if (canHoldChain(members, model, options)) groups.push(members);
+    else rest.push(...members);
+  }
+  if (rest.length === 0) return groups;
+  if (canHoldChain(rest, model, options) || groups.length === 0) {
+    return [...groups, rest];
+  }
+  // Too few for a chain of their own; they stay empty as spares.
+  return groups;
+}
+
+function canHoldChain(
+  members: readonly StageEndpoint[],
+  model: StageModel,
+  options: RangeOptions,
+): boolean {
+  let fitting = 0;
+  for (const endpoint of members) {
+    fitting += countFittingLayers(endpoint, options.leastTokens, model);
+  }
+  return fitting >= model.layerCount;
+}
+
+function planGroup(
+  group: readonly StageEndpoint[],
+  model: StageModel,
+  options: RangeOptions,
+): RangePlan {
+  const gap = findGap(group, model.layerCount);
+  if (gap === -1) return listHeld(group);
+  const tokens = findTokens(group, model, options.goalTokens);
+  const members = sortMembers(group, gap).map(endpoint => ({
+    endpoint,
+    size: endpoint.held === undefined ? 0 : countLayers(endpoint.held),
+    cap: countFittingLayers(endpoint, tokens, model),
+  }));
+  for (const member of members) member.size = Math.min(member.size, member.cap);
+  const isFresh = members.every(({size}) => size === 0);
+  if (isFresh) addEvenly(members, model.layerCount);
+  else addNearest(members, gap, model.layerCount);
+  removeSurplus(members, model.layerCount);
+  return buildPlan(members, model.layerCount);
+}
+
+function listHeld(group: readonly StageEndpoint[]): RangePlan {
+  const plan = new Map<string, LayerRange>();
+  for (const {id, held} of group) if (held !== undefined) plan.set(id, held);
+  return plan;
+}
+
+/** Finds the most tokens, up to a goal, beside which all layers fit. */
+function findTokens(
+  group: readonly StageEndpoint[],
+  model: StageModel,
+  goal: number,
+): number {
+  const precision = 500;
+  let low = 0;
+  let high = goal;
+  if (countAll(group, goal, model) >= model.layerCount) return goal;
+  while (high - low > precision) {
+    const middle = (low + high) / 2;
+    if (countAll(group, middle, model) >= model.layerCount) low = middle;
+    else high = middle;
+  }
+  return low;
+}
+
+function countAll(
+  group: readonly StageEndpoint[],
+  tokens: number,
+  model: StageModel,
+): number {
+  let total = 0;
+  for (const one of group) total += countFittingLayers(one, tokens, model);
+  return total;
+}
+
+/** Sorts holders along the layers, with the empty ones at the gap. */
+function sortMembers(
+  group: readonly StageEndpoint[],
+  gap: number,
+): StageEndpoint[] {
+  const holders = sortHolders(group);
+  const empty = group.filter(({held}) => held === undefined);
+  empty.sort((a, b) => (a.id < b.id ? -1 : 1));
+  const position = holders.findIndex(({held}) => held!.first > gap);
+  const at = position === -1 ? holders.length : position;
+  return [...holders.slice(0, at), ...empty, ...holders.slice(at)];
+}
+
+/** Gives layers one by one to the endpoint whose pass stays the shortest. */
+function addEvenly(members: readonly Member[], layerCount: number): void {
+  for (let missing = layerCount; missing > 0; missing -= 1) {
+    let best: Member | undefined;
+    for (const member of members) {
+      if (member.size >= member.cap) continue;
+      if (best === undefined || computePass(member) < computePass(best)) {
+        best = member;
+      }
+    }
+    if (best === undefined) return;
+    best.size += 1;
+  }
+}
+
+function computePass(member: Member): number {
+  return (member.size + 1) * member.endpoint.pace;
+}
+
+/** Fills empty endpoints first, then the ones nearest to the gap. */
+function addNearest(
+  members: readonly Member[],
+  gap: number,
+  layerCount: number,
+): void {
+  let missing = layerCount - countSizes(members);
+  const byDistance = [...members].sort(
+    (a, b) => computeDistance(a, gap) - computeDistance(b, gap),
+  );
+  for (const member of byDistance) {
+    if (missing <= 0) return;
+    const added = Math.min(missing, member.cap - member.size);
+    member.size += added;
+    missing -= added;
+  }
+}
+
+function computeDistance({endpoint}: Member, gap: number): number {
+  const {held} = endpoint;
+  if (held === undefined) return -1;
+  return held.first > gap ? held.first - gap : Math.max(0, gap - held.end);
+}
+
+/** Takes overlapping layers from the endpoints with the longest passes. */
+function removeSurplus(members: readonly Member[], layerCount: number): void {
+  for (let over = countSizes(members) - layerCount; over > 0; over -= 1) {
+    let worst = members[0]!;
+    for (const member of members) {
+      const isWorse =
+        member.size * member.endpoint.pace > worst.size * worst.endpoint.pace;
+      if (isWorse) worst = member;
+    }
+    worst.size -= 1;
+  }
+}
+
+function countSizes(members: readonly Member[]): number {
+  let total = 0;
+  for (const {size} of members) total += size;
+  return total;
+}
+
+function buildPlan(members: readonly Member[], layerCount: number): RangePlan {
+  const plan = new Map<string, LayerRange>();
+  let first = 0;
+  for (const {endpoint, size} of members) {
+    const end = Math.min(first + size, layerCount);
+    if (end > first) plan.set(endpoint.id, {first, end});
+    first = end;
+  }
+  return plan;
+}
--- /dev/null
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -0,0 +1,50 @@
+import type {Deadline, Instant} from '@zinniaspindle/shared';
+
+/** When the silence of a path's streams means that one of its parts fails. */
+export interface StallOptions {
+  /** Silence of a path with several streams under way. */
+  readonly sharedMilliseconds: number;
+  /** Silence of a path with a single stream under way. */
+  readonly singleMilliseconds: number;
+  /** Wait for a first event on a path without other streams. */
+  readonly firstMilliseconds: number;
+  /** Time for which a stalled path takes no new work. */
+  readonly avoidMilliseconds: number;
+}
+
+/** Events come every 30 to 60 ms; a gap above 200 ms is late (site files). */
+export const defaultStallOptions: StallOptions = {
+  sharedMilliseconds: 160,
+  singleMilliseconds: 260,
+  firstMilliseconds: 900,
+  avoidMilliseconds: 1500,
+};
+
+/** What is seen of one path's streams. */
+export interface PathWatch {
+  /** Streams that gave an event already. */
+  started: number;
+  /** Streams that wait for their first event. */
+  waiting: number;
+  /** When any stream of the path last gave an event, or the first was sent. */
+  progressAt: Instant;
+  /** The path takes no new work before this instant. */
+  avoidUntil: Deadline;
+}
+
+/** Creates the watch of a path without streams. */
+export function createPathWatch(): PathWatch {
+  return {started: 0, waiting: 0, progressAt: 0, avoidUntil: 0};
+}
+
+/** Tells whether a path's streams have been silent for too long. */
+export function isStalled(
+  watch: PathWatch,
+  now: Instant,
+  options: StallOptions = defaultStallOptions,
+): boolean {
+  const silent = now - watch.progressAt;
+  if (watch.started >= 2) return silent > options.sharedMilliseconds;
+  if (watch.started === 1) return silent > options.singleMilliseconds;
+  return watch.waiting > 0 && silent > options.firstMilliseconds;
+}
--- /dev/null
+++ b/packages/gateway/src/directory/directory_server.ts
@@ -0,0 +1,81 @@
+import http from 'node:http';
+import type {DirectoryCodec, ListenAddress} from '../ports/index.js';
+
+/**
+ * Callers keep an answer for this long, some three times as long; a planned
+ * stop must outlast the latter and leave time to finish what runs.
+ */
+export const directorySeconds = 1;
+
+/** What the directory and the readiness check tell. */
+export interface DirectoryView {
+  readonly listAddresses: () => readonly string[];
+  readonly isReady: () => boolean;
+  readonly renderMetrics: () => string;
+}
+
+/** Answers where callers may connect, whether this VM is ready, and metrics. */
+export class DirectoryServer {
+  private readonly servers: http.Server[] = [];
+
+  constructor(
+    private readonly codec: DirectoryCodec,
+    private readonly view: DirectoryView,
+  ) {}
+
+  /** Listens on an address; all addresses answer the same calls. */
+  open({host, port}: ListenAddress): Promise<void> {
+    const server = http.createServer((request, response) => {
+      this.handle(request, response);
+    });
+    this.servers.push(server);
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, resolve);
+    });
+  }
+
+  /** Stops listening. */
+  close(): void {
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    response.on('error', () => undefined); // The caller has left.
+    if (this.codec.isReadyCall(request)) {
+      response.writeHead(this.view.isReady() ? 200 : 503, {
+        'Content-Length': 0,
+      });
+      response.end();
+      return;
+    }
+    if (this.codec.isDirectoryCall(request)) return this.answer(response);
+    if (request.url === '/metrics') {
+      const text = this.view.renderMetrics();
+      response.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+      response.end(text);
+      return;
+    }
+    response.writeHead(404, {'Content-Length': 0});
+    response.end();
+  }
+
+  private answer(response: http.ServerResponse): void {
+    const addresses = this.view.listAddresses();
+    const body = this.codec.encodeDirectoryAnswer({
+      addresses,
+      lifetimeSeconds: directorySeconds,
+    });
+    response.writeHead(addresses.length > 0 ? 200 : 503, {
+      'Content-Type': 'application/json',
+      'Content-Length': body.length,
+    });
+    response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -0,0 +1,91 @@
+import {
+  formatLayerRange,
+  type Deadline,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
+import type {EndpointEntry} from '../ports/index.js';
+
+/** An order that an endpoint may still be carrying out. */
+export interface PendingRange {
+  readonly range: LayerRange;
+  readonly bornAt: Instant;
+  /** The order is no longer believed to be under way from then on. */
+  readonly until: Deadline;
+}
+
+/** What a VM learned from an endpoint itself, or from a peer that asked it. */
+export interface EndpointFacts {
+  readonly id: string;
+  readonly bornAt: Instant;
+  readonly orderCount: number;
+  readonly held: LayerRange | undefined;
+}
+
+/** What this VM believes about one endpoint. */
+export interface EndpointState {
+  entry: EndpointEntry;
+  /** When the endpoint last wrote to the store, as seen here. */
+  beatAt: Instant;
+  bornAt: Instant;
+  /** Orders accepted since its start, as far as it was asked. */
+  orderCount: number;
+  held: LayerRange | undefined;
+  /** When held was last learned from the endpoint itself. */
+  askedAt: Instant;
+  pending: PendingRange | undefined;
+  /** No new work before this instant. */
+  suspectUntil: Deadline;
+  /** Direct questions in a row that got no answer. */
+  failedProbes: number;
+  /** When a peer last said that the endpoint does not answer. */
+  accusedAt: Instant;
+  /** Removal of the entry, put off while the store recovers. */
+  lapsesAt: Deadline | undefined;
+  /** Requests of this VM that run at the endpoint. */
+  running: number;
+}
+
+/** Creates the state of an endpoint that was just listed. */
+export function createEndpointState(
+  entry: EndpointEntry,
+  now: Instant,
+): EndpointState {
+  return {
+    entry,
+    beatAt: now,
+    bornAt: entry.bornAt,
+    orderCount: 0,
+    held: entry.held,
+    askedAt: -Infinity,
+    pending: undefined,
+    suspectUntil: 0,
+    failedProbes: 0,
+    accusedAt: -Infinity,
+    lapsesAt: undefined,
+    running: 0,
+  };
+}
+
+/** Formats what an endpoint holds. */
+export function formatHeld(held: LayerRange | undefined): string {
+  return held === undefined ? 'none' : formatLayerRange(held);
+}
+
+/** Tells whether two ranges are the same. */
+export function isSameRange(
+  a: LayerRange | undefined,
+  b: LayerRange | undefined,
+): boolean {
+  return a?.first === b?.first && a?.end === b?.end;
+}
+
+/** Computes the layers that both ranges have. */
+export function computeOverlap(
+  a: LayerRange,
+  b: LayerRange,
+): LayerRange | undefined {
+  const first = Math.max(a.first, b.first);
+  const end = Math.min(a.end, b.end);
+  return end > first ? {first, end} : undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -0,0 +1,237 @@
+import {
+  GatewayEvent,
+  isPast,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
+import type {StageEndpoint} from '@zinniaspindle/decisions';
+import type {WriteEvent} from '../log/event_log.js';
+import type {EndpointEntry, ServiceModel} from '../ports/index.js';
+import {
+  computeOverlap,
+  createEndpointState,
+  formatHeld,
+  isSameRange,
+  type EndpointFacts,
+  type EndpointState,
+} from './endpoint_state.js';
+
+/** Beats follow one another within 1.2 s; an older list entry may lag. */
+const listLagMilliseconds = 1500;
+/** Layers that load take up to 3.5 s each range, several times that if many load. */
+const pendingMilliseconds = 8000;
+
+/** The endpoints that this VM knows, by id. */
+export class EndpointTable {
+  private readonly states = new Map<string, EndpointState>();
+  /** Rises with every change that concerns where work may go. */
+  revision = 0;
+
+  constructor(
+    private readonly writeEvent: WriteEvent,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /** Finds an endpoint by its id. */
+  find(id: string): EndpointState | undefined {
+    return this.states.get(id);
+  }
+
+  /** Finds an endpoint by its address. */
+  findAt(address: string): EndpointState | undefined {
+    for (const state of this.states.values()) {
+      if (state.entry.address === address) return state;
+    }
+    return undefined;
+  }
+
+  /** Lists the endpoints of a service, those that leave included. */
+  list(service: string): EndpointState[] {
+    const found: EndpointState[] = [];
+    for (const state of this.states.values()) {
+      if (state.entry.service === service) found.push(state);
+    }
+    return found;
+  }
+
+  /** Counts all endpoints. */
+  count(): number {
+    return this.states.size;
+  }
+
+  /** Takes what an endpoint wrote to the store. */
+  applyEntry(entry: EndpointEntry): void {
+    const now = this.getNow();
+    const state = this.states.get(entry.id);
+    if (state === undefined) {
+      this.states.set(entry.id, createEndpointState(entry, now));
+      this.revision += 1;
+      const {id: endpoint, service, address} = entry;
+      this.writeEvent(GatewayEvent.EndpointAdded, {endpoint, service, address});
+      return;
+    }
+    const was = state.entry;
+    state.entry = entry;
+    state.beatAt = now;
+    state.lapsesAt = undefined;
+    if (entry.isDraining && !was.isDraining) {
+      this.writeEvent(GatewayEvent.EndpointDraining, {endpoint: entry.id});
+    }
+    if (entry.isDraining !== was.isDraining || entry.address !== was.address) {
+      this.revision += 1;
+    }
+    const isLagging =
+      entry.bornAt === state.bornAt &&
+      now - state.askedAt < listLagMilliseconds;
+    if (isLagging) return;
+    const {id, bornAt, held} = entry;
+    // A list entry does not tell how many orders its endpoint accepted.
+    const orderCount = bornAt > state.bornAt ? 0 : state.orderCount;
+    this.applyFacts({id, bornAt, held, orderCount});
+  }
+
+  /** Takes an endpoint off the list, now or once the store has recovered. */
+  removeEntry(id: string, at: Instant): void {
+    const state = this.states.get(id);
+    if (state === undefined) return;
+    if (at > this.getNow()) {
+      state.lapsesAt ??= at;
+      return;
+    }
+    this.states.delete(id);
+    this.revision += 1;
+    this.writeEvent(GatewayEvent.EndpointRemoved, {endpoint: id});
+  }
+
+  /** Removes the endpoints whose removal was put off until now. */
+  expireLapsed(): void {
+    const now = this.getNow();
+    for (const [id, {lapsesAt}] of this.states) {
+      if (lapsesAt !== undefined && isPast(lapsesAt, now)) {
+        this.removeEntry(id, now);
+      }
+    }
+  }
+
+  /** Takes what an endpoint answered to this VM or a peer. */
+  applyReport(facts: EndpointFacts): boolean {
+    const state = this.states.get(facts.id);
+    if (state === undefined) return false;
+    state.askedAt = this.getNow();
+    return this.applyFacts(facts);
+  }
+
+  /** Notes an order that was given to an endpoint. */
+  applyOrder(id: string, bornAt: Instant, range: LayerRange): void {
+    const state = this.states.get(id);
+    if (state === undefined) return;
+    const until = this.getNow() + pendingMilliseconds;
+    state.pending = {range, bornAt, until};
+    this.revision += 1;
+  }
+
+  /** Keeps new work away from an endpoint for a time. */
+  recordSuspicion(state: EndpointState, until: Instant, reason: string): void {
+    const now = this.getNow();
+    if (isPast(state.suspectUntil, now)) {
+      this.revision += 1;
+      const endpoint = state.entry.id;
+      this.writeEvent(GatewayEvent.EndpointSuspected, {endpoint, reason});
+    }
+    state.suspectUntil = Math.max(state.suspectUntil, until);
+  }
+
+  /** Lets new work go to an endpoint again. */
+  removeSuspicion(state: EndpointState): void {
+    state.failedProbes = 0;
+    if (isPast(state.suspectUntil, this.getNow())) return;
+    state.suspectUntil = 0;
+    this.revision += 1;
+    const endpoint = state.entry.id;
+    this.writeEvent(GatewayEvent.EndpointCleared, {endpoint});
+  }
+
+  /** Tells whether new work may go to an endpoint. */
+  isUsable(state: EndpointState): boolean {
+    if (state.entry.isDraining) return false;
+    return isPast(state.suspectUntil, this.getNow());
+  }
+
+  /** Lists the endpoints of a model that new work may go through. */
+  listStages(service: string, model: ServiceModel): StageEndpoint[] {
+    const stages: StageEndpoint[] = [];
+    for (const state of this.list(service)) {
+      if (!this.isUsable(state)) continue;
+      const held = this.computeServing(state);
+      const stage = buildStage(state, model, held);
+      if (stage !== undefined) stages.push(stage);
+    }
+    return stages;
+  }
+
+  /** Lists the endpoints of a model, each with the layers it should hold. */
+  listOrdered(
+    service: string,
+    model: ServiceModel,
+    canHold: (state: EndpointState) => boolean,
+  ): StageEndpoint[] {
+    const stages: StageEndpoint[] = [];
+    for (const state of this.list(service)) {
+      if (state.entry.isDraining || !canHold(state)) continue;
+      const held = this.findPending(state)?.range ?? state.held;
+      const stage = buildStage(state, model, held);
+      if (stage !== undefined) stages.push(stage);
+    }
+    return stages;
+  }
+
+  /** Finds the order that an endpoint is believed to carry out. */
+  findPending(state: EndpointState): EndpointState['pending'] {
+    const {pending} = state;
+    if (pending === undefined || pending.bornAt !== state.bornAt) {
+      return undefined;
+    }
+    return isPast(pending.until, this.getNow()) ? undefined : pending;
+  }
+
+  /** Layers that are held and that no order takes away. */
+  private computeServing(state: EndpointState): LayerRange | undefined {
+    const pending = this.findPending(state);
+    if (state.held === undefined || pending === undefined) return state.held;
+    return computeOverlap(state.held, pending.range);
+  }
+
+  private applyFacts(facts: EndpointFacts): boolean {
+    const state = this.states.get(facts.id)!;
+    if (facts.bornAt < state.bornAt) return false;
+    const isRestart = facts.bornAt > state.bornAt;
+    if (!isRestart && facts.orderCount < state.orderCount) return false;
+    const isSame = isSameRange(state.held, facts.held);
+    state.bornAt = facts.bornAt;
+    state.orderCount = facts.orderCount;
+    state.held = facts.held;
+    if (isRestart) state.pending = undefined;
+    if (isSameRange(state.pending?.range, facts.held))
+      state.pending = undefined;
+    if (isSame && !isRestart) return false;
+    this.revision += 1;
+    this.writeEvent(GatewayEvent.EndpointHeld, {
+      endpoint: facts.id,
+      layers: formatHeld(facts.held),
+      orderCount: facts.orderCount,
+    });
+    return true;
+  }
+}
+
+function buildStage(
+  state: EndpointState,
+  model: ServiceModel,
+  held: LayerRange | undefined,
+): StageEndpoint | undefined {
+  const kind = model.kinds.get(state.entry.kind ?? '');
+  if (kind === undefined) return undefined;
+  const {id, address, dataCentre, slots} = state.entry;
+  const {sizeMegabytes, pace} = kind;
+  return {id, address, dataCentre, slots, sizeMegabytes, pace, held};
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -0,0 +1,211 @@
+import {
+  createPathWatch,
+  defaultStallOptions,
+  findPaths,
+  isStalled,
+  pickPath,
+  type PathLoad,
+  type PathWatch,
+  type StagePath,
+} from '@zinniaspindle/decisions';
+import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import type {WriteEvent} from '../log/event_log.js';
+import type {ServiceModel} from '../ports/index.js';
+import type {EndpointTable} from './endpoint_table.js';
+
+/** A stream that runs on a path; told when the path falls silent. */
+export interface PathRider {
+  /** Called once the path's streams have been silent for too long. */
+  handleStall(): void;
+}
+
+/** A request's place on a path, until it is released. */
+export interface PathTicket {
+  readonly path: StagePath;
+  readonly tokens: number;
+  hasStarted: boolean;
+}
+
+interface WatchedPath {
+  readonly path: StagePath;
+  readonly watch: PathWatch;
+  readonly riders: Map<PathTicket, PathRider>;
+}
+
+interface CachedPaths {
+  readonly revision: number;
+  readonly model: ServiceModel;
+  readonly until: Instant;
+  readonly paths: readonly StagePath[];
+}
+
+/** Suspicions end without a revision, so that paths are found anew as often. */
+const cacheMilliseconds = 500;
+
+/** Chooses paths for requests and watches the streams that run on them. */
+export class PathTable {
+  private readonly cache = new Map<string, CachedPaths>();
+  private readonly watched = new Map<string, WatchedPath>();
+  private readonly ownLoads = new Map<
+    string,
+    {streams: number; tokens: number}
+  >();
+
+  constructor(
+    private readonly endpoints: EndpointTable,
+    private readonly dataCentre: string,
+    private readonly getPeerLoad: (first: string) => PathLoad,
+    private readonly writeEvent: WriteEvent,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /** Lists the paths of a service's model, one for each data centre at most. */
+  list(service: string, model: ServiceModel): readonly StagePath[] {
+    const now = this.getNow();
+    const cached = this.cache.get(service);
+    const isFresh =
+      cached !== undefined &&
+      cached.revision === this.endpoints.revision &&
+      cached.model === model &&
+      !isPast(cached.until, now);
+    if (isFresh) return cached.paths;
+    const stages = this.endpoints.listStages(service, model);
+    const paths = findPaths(stages, model.shape);
+    this.cache.set(service, {
+      revision: this.endpoints.revision,
+      model,
+      until: now + cacheMilliseconds,
+      paths,
+    });
+    const keys = paths.map(({key}) => key).join(' | ');
+    if (cached?.paths.map(({key}) => key).join(' | ') !== keys) {
+      this.writeEvent(GatewayEvent.PathsChanged, {service, paths: keys});
+    }
+    return paths;
+  }
+
+  /** Picks a path for a request; undefined when none can take it. */
+  pick(
+    service: string,
+    model: ServiceModel,
+    tokens: number,
+  ): StagePath | undefined {
+    const now = this.getNow();
+    const paths = this.list(service, model).filter(({key}) => {
+      const watched = this.watched.get(key);
+      return watched === undefined || isPast(watched.watch.avoidUntil, now);
+    });
+    return pickPath(
+      paths,
+      tokens,
+      path => this.computeLoad(path),
+      this.dataCentre,
+      Math.random,
+    );
+  }
+
+  /** Computes the load of a path over all VMs. */
+  computeLoad(path: StagePath): PathLoad {
+    const first = path.parts[0]!.endpoint.id;
+    const own = this.ownLoads.get(first);
+    const peers = this.getPeerLoad(first);
+    return {
+      streams: peers.streams + (own?.streams ?? 0),
+      tokens: peers.tokens + (own?.tokens ?? 0),
+    };
+  }
+
+  /** Lists the loads of this VM by the first endpoint of paths. */
+  listOwnLoads(): Array<[string, PathLoad]> {
+    return [...this.ownLoads].filter(([, {streams}]) => streams > 0);
+  }
+
+  /** Takes a place on a path for a request. */
+  reserve(path: StagePath, tokens: number, rider: PathRider): PathTicket {
+    const ticket: PathTicket = {path, tokens, hasStarted: false};
+    const watched = this.getWatched(path);
+    const {watch} = watched;
+    if (watched.riders.size === 0) watch.progressAt = this.getNow();
+    watch.waiting += 1;
+    watched.riders.set(ticket, rider);
+    this.addLoad(path, 1, tokens);
+    return ticket;
+  }
+
+  /** Notes that an event came on a path. */
+  recordProgress(ticket: PathTicket): void {
+    const {watch} = this.getWatched(ticket.path);
+    watch.progressAt = this.getNow();
+    if (ticket.hasStarted) return;
+    ticket.hasStarted = true;
+    watch.waiting -= 1;
+    watch.started += 1;
+  }
+
+  /** Gives a request's place back. */
+  release(ticket: PathTicket): void {
+    const watched = this.getWatched(ticket.path);
+    if (!watched.riders.delete(ticket)) return;
+    if (ticket.hasStarted) watched.watch.started -= 1;
+    else watched.watch.waiting -= 1;
+    this.addLoad(ticket.path, -1, -ticket.tokens);
+  }
+
+  /** Keeps new work off a path for a time. */
+  refuseUntil(path: StagePath, until: Instant): void {
+    const {watch} = this.getWatched(path);
+    watch.avoidUntil = Math.max(watch.avoidUntil, until);
+  }
+
+  /** Lets new work go to a path again. */
+  removeAvoidance(path: StagePath): void {
+    this.getWatched(path).watch.avoidUntil = 0;
+  }
+
+  /** Restarts the watch of all paths, as after a pause of the process. */
+  resumeWatches(): void {
+    const now = this.getNow();
+    for (const {watch} of this.watched.values()) watch.progressAt = now;
+  }
+
+  /** Moves the streams of silent paths elsewhere; gives those paths. */
+  checkStalls(): StagePath[] {
+    const now = this.getNow();
+    const stalled: StagePath[] = [];
+    for (const [key, watched] of this.watched) {
+      const {watch, path, riders} = watched;
+      if (riders.size === 0) {
+        if (isPast(watch.avoidUntil, now)) this.watched.delete(key);
+        continue;
+      }
+      if (!isStalled(watch, now)) continue;
+      this.writeEvent(GatewayEvent.PathStalled, {
+        path: key,
+        silentMs: Math.round(now - watch.progressAt),
+        streams: riders.size,
+      });
+      watch.avoidUntil = now + defaultStallOptions.avoidMilliseconds;
+      watch.progressAt = now;
+      stalled.push(path);
+      for (const rider of [...riders.values()]) rider.handleStall();
+    }
+    return stalled;
+  }
+
+  private getWatched(path: StagePath): WatchedPath {
+    let watched = this.watched.get(path.key);
+    if (watched === undefined) {
+      watched = {path, watch: createPathWatch(), riders: new Map()};
+      this.watched.set(path.key, watched);
+    }
+    return watched;
+  }
+
+  private addLoad(path: StagePath, streams: number, tokens: number): void {
+    const first = path.parts[0]!.endpoint.id;
+    const load = this.ownLoads.get(first) ?? {streams: 0, tokens: 0};
+    load.streams += streams;
+    load.tokens += tokens;
+    this.ownLoads.set(first, load);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/following/knowledge.ts
@@ -0,0 +1,95 @@
+import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import type {EndpointTable} from '../fleet/endpoint_table.js';
+import type {WriteEvent} from '../log/event_log.js';
+import {
+  Topic,
+  type Configuration,
+  type KeyedRecord,
+  type RecordCodec,
+} from '../ports/index.js';
+import {TopicState} from './topic_state.js';
+
+/** Entries that lapsed in an outage are back within 2 s of its end. */
+const lapseGraceMilliseconds = 2300;
+/** A longer gap in the knowledge of endpoints counts as an outage. */
+const outageMilliseconds = 2500;
+
+/** What this VM knows from the store: the configuration and the endpoints. */
+export class Knowledge {
+  readonly topics: Readonly<
+    Record<Topic.Configuration | Topic.Endpoints, TopicState>
+  >;
+  private newestConfiguration: Configuration | undefined;
+  private recoveringUntil: Instant = -Infinity;
+
+  constructor(
+    private readonly codec: RecordCodec,
+    private readonly endpoints: EndpointTable,
+    private readonly writeEvent: WriteEvent,
+    private readonly getNow: () => Instant,
+    private readonly handleConfiguration: (
+      configuration: Configuration,
+    ) => void,
+  ) {
+    this.topics = {
+      [Topic.Configuration]: new TopicState(Topic.Configuration, record => {
+        this.applyConfiguration(record);
+      }),
+      [Topic.Endpoints]: new TopicState(Topic.Endpoints, record => {
+        this.applyEndpoint(record);
+      }),
+    };
+  }
+
+  /** Finds the newest configuration; undefined before any is known. */
+  findConfiguration(): Configuration | undefined {
+    return this.newestConfiguration;
+  }
+
+  /** Notes, before news is taken, whether it ends an outage. */
+  checkOutage(): void {
+    const state = this.topics[Topic.Endpoints];
+    const now = this.getNow();
+    const isGap = now - state.asOf > outageMilliseconds;
+    if (state.next !== undefined && isGap) {
+      this.recoveringUntil = now + lapseGraceMilliseconds;
+    }
+  }
+
+  private applyConfiguration(record: KeyedRecord): void {
+    const {key, value, offset} = record;
+    if (key !== this.codec.configurationKey || value === undefined) return;
+    const configuration = this.codec.decodeConfiguration(value);
+    const known = this.newestConfiguration;
+    if (configuration === undefined) {
+      this.refuseRecord(Topic.Configuration, record);
+      return;
+    }
+    if (known !== undefined && configuration.version <= known.version) return;
+    this.newestConfiguration = configuration;
+    this.writeEvent(GatewayEvent.ConfigurationApplied, {
+      version: configuration.version,
+      offset,
+      routes: configuration.routes.length,
+    });
+    this.handleConfiguration(configuration);
+  }
+
+  private applyEndpoint(record: KeyedRecord): void {
+    const {key, value} = record;
+    if (value === undefined) {
+      this.endpoints.removeEntry(
+        key,
+        Math.max(this.getNow(), this.recoveringUntil),
+      );
+      return;
+    }
+    const entry = this.codec.decodeEndpoint(key, value);
+    if (entry === undefined) this.refuseRecord(Topic.Endpoints, record);
+    else this.endpoints.applyEntry(entry);
+  }
+
+  private refuseRecord(topic: Topic, {key, offset}: KeyedRecord): void {
+    this.writeEvent(GatewayEvent.RecordRefused, {topic, key, offset});
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,5 @@
+/** The gateway: an entry VM that serves routes of opaque requests. */
+export * from './ports/index.js';
+export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
+export {Counter, Latency, Metrics} from './log/metrics.js';
+export {Gateway, type GatewayPorts} from './root/gateway.js';
--- /dev/null
+++ b/packages/gateway/src/log/event_log.ts
@@ -0,0 +1,70 @@
+import {
+  describeError,
+  GatewayEvent,
+  renderNote,
+  type Note,
+  type NoteValue,
+} from '@zinniaspindle/shared';
+import loglevel from 'loglevel';
+import {LineWriter} from './line_writer.js';
+
+/** The fields of an event, by name. */
+export type EventFields = Readonly<Record<string, NoteValue>>;
+
+/** Writes an event; passed to whatever takes decisions. */
+export type WriteEvent = (event: GatewayEvent, fields: EventFields) => void;
+
+/** Lines of one event number in a second; more are counted only. */
+const maxLinesPerSecond = 100;
+const windowMilliseconds = 1000;
+
+/** Writes numbered events as JSON lines, bounded in rate for each number. */
+export class EventLog {
+  private readonly logger = loglevel.getLogger('gateway');
+  private readonly counts = new Map<GatewayEvent, number>();
+  private windowEndsAt = 0;
+  private readonly writer: LineWriter;
+
+  constructor(
+    private readonly vm: string,
+    output: NodeJS.WritableStream & {writable: boolean},
+  ) {
+    this.writer = new LineWriter(output as NodeJS.WriteStream);
+    this.logger.methodFactory = () => message => {
+      this.writer.write(String(message));
+    };
+    this.logger.setLevel('info', false);
+  }
+
+  /** Writes an event with its fields. */
+  readonly write: WriteEvent = (event, fields) => {
+    if (!this.takeLine(event)) return;
+    const note: Note = {event, fields};
+    const time = new Date().toISOString();
+    const text = renderNote(note);
+    const {vm} = this;
+    this.logger.info(JSON.stringify({time, vm, event, text, ...fields}));
+  };
+
+  /** Writes that a background task failed and goes on. */
+  readonly writeFailure = (task: string, error: unknown): void => {
+    const detail = describeError(error);
+    this.write(GatewayEvent.TaskFailed, {task, detail});
+  };
+
+  /** Writes what waits. */
+  close(): void {
+    this.writer.writeAll();
+  }
+
+  private takeLine(event: GatewayEvent): boolean {
+    const now = Date.now();
+    if (now >= this.windowEndsAt) {
+      this.windowEndsAt = now + windowMilliseconds;
+      this.counts.clear();
+    }
+    const count = (this.counts.get(event) ?? 0) + 1;
+    this.counts.set(event, count);
+    return count <= maxLinesPerSecond;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/log/line_writer.ts
@@ -0,0 +1,50 @@
+import type {Writable} from 'node:stream';
+
+/** Lines wait this long, so that one write carries several. */
+const flushMilliseconds = 200;
+/** Lines beyond this are counted and dropped while the reader is slow. */
+const maxBufferedBytes = 64 * 1024;
+
+/** Writes lines in batches and drops them rather than wait for a slow reader. */
+export class LineWriter {
+  private lines: string[] = [];
+  private bufferedBytes = 0;
+  private isBlocked = false;
+  private timer: NodeJS.Timeout | undefined;
+  private dropped = 0;
+
+  constructor(private readonly output: Writable) {
+    output.on('error', () => undefined); // A closed output only loses lines.
+    output.on('drain', () => {
+      this.isBlocked = false;
+    });
+  }
+
+  /** Adds a line; it is dropped when too many wait already. */
+  write(line: string): void {
+    if (this.bufferedBytes + line.length > maxBufferedBytes) {
+      this.dropped += 1;
+      return;
+    }
+    this.lines.push(line);
+    this.bufferedBytes += line.length;
+    this.timer ??= setTimeout(() => this.writeAll(), flushMilliseconds);
+  }
+
+  /** Writes what waits. */
+  writeAll(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (this.lines.length === 0) return;
+    if (this.isBlocked) {
+      this.timer = setTimeout(() => this.writeAll(), flushMilliseconds);
+      return;
+    }
+    if (this.dropped > 0) this.lines.push(`{"droppedLines":${this.dropped}}`);
+    const text = `${this.lines.join('\n')}\n`;
+    this.lines = [];
+    this.bufferedBytes = 0;
+    this.dropped = 0;
+    this.isBlocked = !this.output.write(text);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/log/metrics.ts
@@ -0,0 +1,72 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Counters of the gateway; docs/METRICS.md lists them. */
+export enum Counter {
+  Requests = 'requests_total',
+  Answered = 'requests_answered_total',
+  Refused = 'requests_refused_total',
+  Failed = 'requests_failed_total',
+  Abandoned = 'requests_abandoned_total',
+  Retries = 'requests_retried_total',
+  Resumed = 'streams_resumed_total',
+  Stalls = 'paths_stalled_total',
+  StoreCalls = 'store_calls_total',
+  StoreFailures = 'store_failures_total',
+  Orders = 'orders_total',
+  Probes = 'probes_total',
+}
+
+/** Latency histograms, in milliseconds. */
+export enum Latency {
+  Answer = 'answer_milliseconds',
+  FirstEvent = 'first_event_milliseconds',
+  EventGap = 'event_gap_milliseconds',
+}
+
+const prefix = 'zinniaspindle_gateway_';
+const maxMilliseconds = 60_000;
+const percentiles = [50, 95, 99, 99.9];
+
+/** Counts and measures, rendered as text for whoever fetches it. */
+export class Metrics {
+  private readonly counters = new Map<Counter, number>();
+  private readonly latencies = new Map<Latency, Histogram>();
+
+  /** Adds one to a counter. */
+  count(counter: Counter): void {
+    this.counters.set(counter, (this.counters.get(counter) ?? 0) + 1);
+  }
+
+  /** Records a length of time. */
+  record(latency: Latency, milliseconds: number): void {
+    let histogram = this.latencies.get(latency);
+    if (histogram === undefined) {
+      histogram = build({
+        highestTrackableValue: maxMilliseconds,
+        numberOfSignificantValueDigits: 2,
+        bitBucketSize: 32,
+      });
+      this.latencies.set(latency, histogram);
+    }
+    const value = Math.min(maxMilliseconds, Math.max(0, milliseconds));
+    histogram.recordValue(Math.round(value));
+  }
+
+  /** Renders all values, one a line. */
+  render(): string {
+    const lines: string[] = [];
+    for (const counter of Object.values(Counter)) {
+      const value = this.counters.get(counter) ?? 0;
+      lines.push(`${prefix}${counter} ${value}`);
+    }
+    for (const [latency, histogram] of this.latencies) {
+      const name = `${prefix}${latency}`;
+      for (const percentile of percentiles) {
+        const value = histogram.getValueAtPercentile(percentile);
+        lines.push(`${name}{quantile="${percentile / 100}"} ${value}`);
+      }
+      lines.push(`${name}_count ${histogram.totalCount}`);
+    }
+    return `${lines.join('\n')}\n`;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -0,0 +1,183 @@
+import {
+  planRanges,
+  type RangePlan,
+  type StageEndpoint,
+} from '@zinniaspindle/decisions';
+import {
+  formatLayerRange,
+  GatewayEvent,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
+import {
+  isSameRange,
+  type EndpointFacts,
+  type EndpointState,
+} from '../fleet/endpoint_state.js';
+import type {EndpointTable} from '../fleet/endpoint_table.js';
+import {confirmedProbes} from '../fleet/probes.js';
+import type {WriteEvent} from '../log/event_log.js';
+import {Counter, type Metrics} from '../log/metrics.js';
+import {
+  OrderOutcome,
+  type Configuration,
+  type EndpointCalls,
+  type ServiceModel,
+} from '../ports/index.js';
+import type {Ownership} from './ownership.js';
+
+/** Told of what the owner orders and of what endpoints then report. */
+export interface OrderListeners {
+  readonly sendOrder: (id: string, bornAt: Instant, range: LayerRange) => void;
+  readonly sendFacts: (facts: EndpointFacts) => void;
+}
+
+/** The first plan waits until no endpoint was added for this long. */
+const settleMilliseconds = 700;
+/** Reports lag by some hundred ms; a load takes from 200 ms on. */
+const reportMilliseconds = 220;
+/** An endpoint that misses a beat and does not answer is taken as lost. */
+const missedBeatMilliseconds = 1500;
+/** Accusations of peers count for this long. */
+const accusationMilliseconds = 3000;
+const retryMilliseconds = 400;
+
+/** Gives endpoints their layers while this VM owns the orders. */
+export class OrderRunner {
+  private readonly busyUntil = new Map<string, Instant>();
+  private knownCount = 0;
+  private settledAt: Instant = 0;
+
+  constructor(
+    private readonly table: EndpointTable,
+    private readonly calls: EndpointCalls,
+    private readonly ownership: Ownership,
+    private readonly listeners: OrderListeners,
+    private readonly writeEvent: WriteEvent,
+    private readonly metrics: Metrics,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /** Compares what endpoints hold with the plan and orders what differs. */
+  run(configuration: Configuration | undefined): void {
+    const now = this.getNow();
+    if (this.table.count() > this.knownCount) {
+      this.settledAt = now + settleMilliseconds;
+    }
+    this.knownCount = this.table.count();
+    const token = this.ownership.findToken();
+    if (token === undefined || configuration === undefined) return;
+    for (const {name, model} of configuration.services.values()) {
+      if (model !== undefined) this.runService(name, model, token);
+    }
+  }
+
+  private runService(
+    service: string,
+    model: ServiceModel,
+    token: number,
+  ): void {
+    const stages = this.table.listOrdered(service, model, state =>
+      this.canHold(state),
+    );
+    const isEmpty = stages.every(({held}) => held === undefined);
+    if (isEmpty && this.getNow() < this.settledAt) return;
+    const plan = planRanges(stages, model.shape);
+    for (const stage of stages) this.reconcile(stage, plan, model, token);
+  }
+
+  private reconcile(
+    stage: StageEndpoint,
+    plan: RangePlan,
+    model: ServiceModel,
+    token: number,
+  ): void {
+    const state = this.table.find(stage.id);
+    if (state === undefined) return;
+    const now = this.getNow();
+    if ((this.busyUntil.get(stage.id) ?? 0) > now) return;
+    const wanted = plan.get(stage.id);
+    const pending = this.table.findPending(state);
+    if (pending !== undefined && isSameRange(pending.range, wanted)) {
+      this.busyUntil.set(stage.id, now + reportMilliseconds);
+      void this.askReport(state);
+      return;
+    }
+    if (wanted === undefined || isSameRange(wanted, stage.held)) return;
+    if (!canFit(stage, wanted, model)) return;
+    this.busyUntil.set(stage.id, now + retryMilliseconds);
+    void this.sendOrder(state, wanted, token);
+  }
+
+  private async sendOrder(
+    state: EndpointState,
+    range: LayerRange,
+    fencingToken: number,
+  ): Promise<void> {
+    const {id, address} = state.entry;
+    const {bornAt} = state;
+    this.metrics.count(Counter.Orders);
+    const outcome = await this.calls.sendOrder({
+      address,
+      endpointId: id,
+      range,
+      fencingToken,
+      expectedOrderCount: state.orderCount,
+    });
+    const layers = formatLayerRange(range);
+    if (outcome.isErr) {
+      // It may still be carried out; the report tells.
+      const detail = outcome.error.message;
+      this.writeEvent(GatewayEvent.OrderFailed, {endpoint: id, layers, detail});
+      await this.askReport(state);
+      return;
+    }
+    this.writeEvent(GatewayEvent.OrderSent, {
+      endpoint: id,
+      layers,
+      outcome: outcome.value,
+      token: fencingToken,
+      expected: state.orderCount,
+    });
+    if (outcome.value === OrderOutcome.Fenced) this.ownership.handleFenced();
+    if (outcome.value !== OrderOutcome.Accepted) {
+      await this.askReport(state);
+      return;
+    }
+    this.table.applyOrder(id, bornAt, range);
+    this.listeners.sendOrder(id, bornAt, range);
+    this.busyUntil.set(id, this.getNow() + reportMilliseconds);
+  }
+
+  private async askReport(state: EndpointState): Promise<void> {
+    const {id, address} = state.entry;
+    this.metrics.count(Counter.Probes);
+    const report = await this.calls.fetchReport(address);
+    if (report.isErr || this.table.find(id) !== state) {
+      if (report.isErr) state.failedProbes += 1;
+      return;
+    }
+    state.failedProbes = 0;
+    const {bornAt, orderCount, held} = report.value;
+    const facts = {id, bornAt, orderCount, held};
+    if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
+  }
+
+  /** Tells whether an endpoint counts for the plan; doubtful ones still do. */
+  private canHold(state: EndpointState): boolean {
+    if (state.failedProbes < confirmedProbes) return true;
+    const now = this.getNow();
+    const isAccused = now - state.accusedAt < accusationMilliseconds;
+    const isSilent = now - state.beatAt > missedBeatMilliseconds;
+    return !isAccused && !isSilent;
+  }
+}
+
+function canFit(
+  stage: StageEndpoint,
+  range: LayerRange,
+  model: ServiceModel,
+): boolean {
+  const megabytes = (range.end - range.first) * model.shape.layerMegabytes;
+  return megabytes <= stage.sizeMegabytes;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/messages.ts
@@ -0,0 +1,134 @@
+import {LayerError, type Instant, type LayerRange} from '@zinniaspindle/shared';
+import {Result} from 'true-myth';
+import type {EndpointFacts} from '../fleet/endpoint_state.js';
+import type {Topic} from '../ports/index.js';
+
+/** Kinds of messages between VMs. */
+export enum PeerMessageKind {
+  Hello = 'hello',
+  Beat = 'beat',
+  Records = 'records',
+  Ask = 'ask',
+  Newest = 'newest',
+  Accusation = 'accusation',
+  Facts = 'facts',
+  Order = 'order',
+}
+
+/** Whether a VM takes new callers. */
+export enum PeerPhase {
+  Starting = 'starting',
+  Ready = 'ready',
+  Leaving = 'leaving',
+}
+
+/** A VM's own introduction, the first message on each connection. */
+export interface Hello {
+  readonly kind: PeerMessageKind.Hello;
+  readonly vm: string;
+  /** When its process started; a restart has a higher one. */
+  readonly startedAt: Instant;
+  /** Where it hears peers, as host:port. */
+  readonly peerAddress: string;
+  /** Where it hears callers, as host:port. */
+  readonly callerAddress: string;
+  /** Peer addresses of the VMs that it knows. */
+  readonly known: readonly string[];
+}
+
+/** How far a VM's knowledge of a topic reaches. */
+export interface TopicAge {
+  readonly topic: Topic;
+  readonly next: number;
+  readonly ageMilliseconds: number;
+}
+
+/** Streams and tokens of a VM by the first endpoint of their path. */
+export type LoadRow = readonly [first: string, streams: number, tokens: number];
+
+/** Sent a few times a second. */
+export interface Beat {
+  readonly kind: PeerMessageKind.Beat;
+  readonly phase: PeerPhase;
+  readonly topics: readonly TopicAge[];
+  readonly loads: readonly LoadRow[];
+}
+
+/** A record on its way between VMs; null drops its key. */
+export type RecordRow = readonly [
+  key: string,
+  value: Uint8Array | null,
+  offset: number,
+];
+
+/** Records that a VM read from the store just now. */
+export interface Records {
+  readonly kind: PeerMessageKind.Records;
+  readonly topic: Topic;
+  readonly from: number;
+  readonly rows: readonly RecordRow[];
+}
+
+/** Asks for the newest records of a topic. */
+export interface Ask {
+  readonly kind: PeerMessageKind.Ask;
+  readonly topic: Topic;
+}
+
+/** The newest records of a topic, as of an age. */
+export interface Newest {
+  readonly kind: PeerMessageKind.Newest;
+  readonly topic: Topic;
+  readonly next: number;
+  readonly ageMilliseconds: number;
+  readonly rows: readonly RecordRow[];
+}
+
+/** Says that an endpoint does not answer a VM. */
+export interface Accusation {
+  readonly kind: PeerMessageKind.Accusation;
+  readonly id: string;
+  readonly bornAt: Instant;
+}
+
+/** What an endpoint answered to a VM. */
+export interface FactsMessage {
+  readonly kind: PeerMessageKind.Facts;
+  readonly facts: EndpointFacts;
+}
+
+/** Says that an endpoint was ordered to hold a range. */
+export interface OrderMessage {
+  readonly kind: PeerMessageKind.Order;
+  readonly id: string;
+  readonly bornAt: Instant;
+  readonly range: LayerRange;
+}
+
+/** Any message between VMs. */
+export type PeerMessage =
+  | Hello
+  | Beat
+  | Records
+  | Ask
+  | Newest
+  | Accusation
+  | FactsMessage
+  | OrderMessage;
+
+/** Why a peer's message cannot be used. */
+export enum MessageErrorCode {
+  UnknownKind = 'unknownKind',
+}
+
+const kinds = new Set<unknown>(Object.values(PeerMessageKind));
+
+/** Checks that a decoded frame is a message of a known kind. */
+export function checkMessage(
+  message: unknown,
+): Result<PeerMessage, LayerError<MessageErrorCode>> {
+  const kind = (message as {kind?: unknown} | null)?.kind;
+  if (kinds.has(kind)) return Result.ok(message as PeerMessage);
+  const text = `peer message of unknown kind "${String(kind)}"`;
+  return Result.err(new LayerError(MessageErrorCode.UnknownKind, text));
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -0,0 +1,159 @@
+import type {Instant} from '@zinniaspindle/shared';
+import type {EndpointTable} from '../fleet/endpoint_table.js';
+import type {Probes} from '../fleet/probes.js';
+import type {Knowledge} from '../following/knowledge.js';
+import type {TopicState} from '../following/topic_state.js';
+import {Topic, type KeyedRecord} from '../ports/index.js';
+import {
+  PeerMessageKind,
+  type Accusation,
+  type Beat,
+  type Newest,
+  type PeerMessage,
+  type RecordRow,
+  type Records,
+  type TopicAge,
+} from './messages.js';
+import type {Peer} from './peer_mesh.js';
+
+/** Missing records are asked for at most this often. */
+const askMilliseconds = 200;
+/** Ages beyond this are all the same: too old. */
+const maxAgeMilliseconds = 600_000;
+
+/** Takes what peers tell, and tells them what this VM read. */
+export class PeerHandler {
+  private askAt: Instant = 0;
+
+  constructor(
+    private readonly knowledge: Knowledge,
+    private readonly endpoints: EndpointTable,
+    private readonly probes: Probes,
+    private readonly sendTo: (peer: Peer, message: PeerMessage) => void,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /** Handles a message of a peer. */
+  handle(peer: Peer, message: PeerMessage): void {
+    switch (message.kind) {
+      case PeerMessageKind.Hello:
+        return;
+      case PeerMessageKind.Beat:
+        return this.acceptBeat(peer, message);
+      case PeerMessageKind.Records:
+        return this.acceptRecords(peer, message);
+      case PeerMessageKind.Ask:
+        return this.answerAsk(peer, message.topic);
+      case PeerMessageKind.Newest:
+        return this.acceptNewest(message);
+      case PeerMessageKind.Accusation:
+        return this.acceptAccusation(message);
+      case PeerMessageKind.Facts:
+        this.endpoints.applyReport(message.facts);
+        return;
+      case PeerMessageKind.Order:
+        return this.endpoints.applyOrder(
+          message.id,
+          message.bornAt,
+          message.range,
+        );
+    }
+  }
+
+  /** Lists how far this VM's knowledge reaches. */
+  listAges(): TopicAge[] {
+    const ages: TopicAge[] = [];
+    for (const {topic, next, asOf} of this.listStates()) {
+      if (next === undefined) continue;
+      const age = Math.min(maxAgeMilliseconds, this.getNow() - asOf);
+      ages.push({topic, next, ageMilliseconds: Math.ceil(age)});
+    }
+    return ages;
+  }
+
+  /** Passes on records that this VM read from the store. */
+  sendRecords(
+    topic: Topic,
+    from: number,
+    records: readonly KeyedRecord[],
+    sendAll: (message: PeerMessage) => void,
+  ): void {
+    const rows = records.map(toRow);
+    sendAll({kind: PeerMessageKind.Records, topic, from, rows});
+  }
+
+  private acceptBeat(peer: Peer, beat: Beat): void {
+    const now = this.getNow();
+    for (const {topic, next, ageMilliseconds} of beat.topics) {
+      const state = this.findState(topic);
+      if (state === undefined) continue;
+      if (state.next === undefined || next > state.next) {
+        this.askFor(peer, topic);
+      } else if (next === state.next) {
+        state.updateAge(next, now - ageMilliseconds);
+      }
+    }
+  }
+
+  private acceptRecords(peer: Peer, {topic, from, rows}: Records): void {
+    const state = this.findState(topic);
+    if (state === undefined) return;
+    this.knowledge.checkOutage();
+    const records = rows.map(toRecord);
+    const isTaken = state.acceptBatch(from, records, this.getNow());
+    if (!isTaken) this.askFor(peer, topic);
+  }
+
+  private askFor(peer: Peer, topic: Topic): void {
+    const now = this.getNow();
+    if (now < this.askAt) return;
+    this.askAt = now + askMilliseconds;
+    this.sendTo(peer, {kind: PeerMessageKind.Ask, topic});
+  }
+
+  private answerAsk(peer: Peer, topic: Topic): void {
+    const state = this.findState(topic);
+    if (state?.next === undefined) return;
+    const age = Math.min(maxAgeMilliseconds, this.getNow() - state.asOf);
+    this.sendTo(peer, {
+      kind: PeerMessageKind.Newest,
+      topic,
+      next: state.next,
+      ageMilliseconds: Math.ceil(age),
+      rows: state.listNewest().map(toRow),
+    });
+  }
+
+  private acceptNewest(message: Newest): void {
+    const state = this.findState(message.topic);
+    if (state === undefined) return;
+    this.knowledge.checkOutage();
+    const asOf = this.getNow() - message.ageMilliseconds;
+    state.acceptNewest(message.rows.map(toRecord), message.next, asOf);
+  }
+
+  /** What a peer says of an endpoint is checked, not believed. */
+  private acceptAccusation({id, bornAt}: Accusation): void {
+    const state = this.endpoints.find(id);
+    if (state === undefined || state.bornAt !== bornAt) return;
+    state.accusedAt = this.getNow();
+    void this.probes.probe(id);
+  }
+
+  private findState(topic: Topic): TopicState | undefined {
+    return this.listStates().find(state => state.topic === topic);
+  }
+
+  private listStates(): TopicState[] {
+    return Object.values(this.knowledge.topics);
+  }
+}
+
+function toRow({key, value, offset}: KeyedRecord): RecordRow {
+  return [key, value ?? null, offset];
+}
+
+function toRecord([key, value, offset]: RecordRow): KeyedRecord {
+  const bytes = value === null ? undefined : Buffer.from(value);
+  return {key, value: bytes, offset};
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -0,0 +1,222 @@
+import net from 'node:net';
+import {encodeFrame, FrameReader} from '@zinniaspindle/framing';
+import type {PathLoad} from '@zinniaspindle/decisions';
+import {describeError, GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import type {WriteEvent} from '../log/event_log.js';
+import type {ListenAddress} from '../ports/index.js';
+import {
+  checkMessage,
+  PeerMessageKind,
+  PeerPhase,
+  type Beat,
+  type Hello,
+  type PeerMessage,
+} from './messages.js';
+import {PeerLink} from './peer_link.js';
+
+/** Beats are sent every 250 ms; three in a row may be lost or late. */
+const silentMilliseconds = 1000;
+/** A VM that is gone this long is no longer called. */
+const forgetMilliseconds = 30_000;
+
+/** What this VM knows of another. */
+export interface Peer {
+  readonly vm: string;
+  readonly startedAt: Instant;
+  readonly peerAddress: string;
+  readonly callerAddress: string;
+  phase: PeerPhase;
+  heardAt: Instant;
+  /** Whether it was heard in time when last looked at. */
+  isHeard: boolean;
+  loads: ReadonlyMap<string, PathLoad>;
+}
+
+/** Handles a message of a peer, other than hellos and the phase of beats. */
+export type HandleMessage = (peer: Peer, message: PeerMessage) => void;
+
+/** Connections to all other VMs: one out and one in for each. */
+export class PeerMesh {
+  private readonly peers = new Map<string, Peer>();
+  private readonly links = new Map<string, PeerLink>();
+  private readonly calledSince = new Map<string, Instant>();
+  private readonly server = net.createServer(socket => this.accept(socket));
+  /** Sockets that peers opened to this VM. */
+  private readonly inbound = new Set<net.Socket>();
+
+  constructor(
+    private readonly own: Omit<Hello, 'kind' | 'known'>,
+    private readonly handleMessage: HandleMessage,
+    private readonly writeEvent: WriteEvent,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /** Listens for peers and calls the ones given. */
+  async open(address: ListenAddress, seeds: readonly string[]): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(address.port, address.host, resolve);
+    });
+    for (const seed of seeds) this.addAddress(seed);
+  }
+
+  /** Calls a VM at its peer address from now on. */
+  addAddress(address: string): void {
+    if (address === this.own.peerAddress || this.links.has(address)) return;
+    const at = address.lastIndexOf(':');
+    const port = Number(address.slice(at + 1));
+    if (at <= 0 || !Number.isInteger(port)) return;
+    const host = address.slice(0, at);
+    const link = new PeerLink(host, port, () => this.makeHello());
+    this.links.set(address, link);
+    this.calledSince.set(address, this.getNow());
+  }
+
+  /** Sends a message to all peers. */
+  sendAll(message: PeerMessage): void {
+    if (this.links.size === 0) return;
+    const frame = encodeFrame(message);
+    for (const link of this.links.values()) link.send(frame);
+  }
+
+  /** Sends a message to one peer. */
+  sendTo(peer: Peer, message: PeerMessage): void {
+    this.links.get(peer.peerAddress)?.send(encodeFrame(message));
+  }
+
+  /** Lists the VMs that were heard in time and do not leave. */
+  listLive(): Peer[] {
+    return [...this.peers.values()].filter(
+      ({isHeard, phase}) => isHeard && phase !== PeerPhase.Leaving,
+    );
+  }
+
+  /** Lists all VMs that were heard lately and never said that they leave. */
+  listKnown(): Peer[] {
+    return [...this.peers.values()].filter(
+      ({phase}) => phase !== PeerPhase.Leaving,
+    );
+  }
+
+  /** Sums the load that live peers have on a path. */
+  computeLoad(first: string): PathLoad {
+    let streams = 0;
+    let tokens = 0;
+    for (const {isHeard, loads} of this.peers.values()) {
+      const load = isHeard ? loads.get(first) : undefined;
+      if (load === undefined) continue;
+      streams += load.streams;
+      tokens += load.tokens;
+    }
+    return {streams, tokens};
+  }
+
+  /** Looks for peers that fell silent, and forgets those long gone. */
+  checkSilence(): void {
+    const now = this.getNow();
+    for (const [vm, peer] of this.peers) {
+      const silentMs = Math.round(now - peer.heardAt);
+      if (peer.isHeard && silentMs > silentMilliseconds) {
+        peer.isHeard = false;
+        this.writeEvent(GatewayEvent.PeerLost, {peer: vm, silentMs});
+      }
+      if (silentMs > forgetMilliseconds) this.peers.delete(vm);
+    }
+    const used = new Set(
+      [...this.peers.values()].map(({peerAddress}) => peerAddress),
+    );
+    for (const [address, since] of this.calledSince) {
+      if (used.has(address) || now - since < forgetMilliseconds) continue;
+      this.links.get(address)?.close();
+      this.links.delete(address);
+      this.calledSince.delete(address);
+    }
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.server.close();
+    for (const socket of this.inbound) socket.destroy();
+    for (const link of this.links.values()) link.close();
+  }
+
+  private makeHello(): Hello {
+    const known = this.listKnown().map(({peerAddress}) => peerAddress);
+    return {kind: PeerMessageKind.Hello, ...this.own, known};
+  }
+
+  private accept(socket: net.Socket): void {
+    this.inbound.add(socket);
+    const reader = new FrameReader();
+    let peer: Peer | undefined;
+    const remote = `${socket.remoteAddress}:${socket.remotePort}`;
+    const refuse = (detail: string) => {
+      this.writeEvent(GatewayEvent.PeerRefused, {remote, detail});
+      socket.destroy();
+    };
+    socket.on('error', () => undefined); // Followed by close.
+    socket.on('close', () => this.inbound.delete(socket));
+    socket.on('data', chunk => {
+      const messages = reader.accept(chunk);
+      if (messages.isErr) return refuse(messages.error.message);
+      for (const decoded of messages.value) {
+        const message = checkMessage(decoded);
+        if (message.isErr) return refuse(message.error.message);
+        try {
+          peer = this.acceptMessage(peer, message.value);
+        } catch (error) {
+          return refuse(describeError(error));
+        }
+      }
+    });
+  }
+
+  private acceptMessage(
+    peer: Peer | undefined,
+    message: PeerMessage,
+  ): Peer | undefined {
+    if (message.kind === PeerMessageKind.Hello)
+      return this.acceptHello(message);
+    if (peer === undefined) return undefined;
+    // A connection of an earlier life of the VM tells nothing new.
+    if (this.peers.get(peer.vm) !== peer) return peer;
+    peer.heardAt = this.getNow();
+    peer.isHeard = true;
+    if (message.kind === PeerMessageKind.Beat) this.acceptBeat(peer, message);
+    this.handleMessage(peer, message);
+    return peer;
+  }
+
+  private acceptHello(hello: Hello): Peer {
+    const known = this.peers.get(hello.vm);
+    for (const address of hello.known) this.addAddress(address);
+    this.addAddress(hello.peerAddress);
+    if (known !== undefined && known.startedAt >= hello.startedAt) return known;
+    const peer: Peer = {
+      vm: hello.vm,
+      startedAt: hello.startedAt,
+      peerAddress: hello.peerAddress,
+      callerAddress: hello.callerAddress,
+      phase: PeerPhase.Starting,
+      heardAt: this.getNow(),
+      isHeard: true,
+      loads: new Map(),
+    };
+    this.peers.set(peer.vm, peer);
+    const {vm, peerAddress: address} = peer;
+    this.writeEvent(GatewayEvent.PeerFound, {peer: vm, address});
+    return peer;
+  }
+
+  private acceptBeat(peer: Peer, beat: Beat): void {
+    if (beat.phase === PeerPhase.Leaving && peer.phase !== beat.phase) {
+      this.writeEvent(GatewayEvent.PeerLeaving, {peer: peer.vm});
+    }
+    peer.phase = beat.phase;
+    const loads = new Map<string, PathLoad>();
+    for (const [first, streams, tokens] of beat.loads) {
+      loads.set(first, {streams, tokens});
+    }
+    peer.loads = loads;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -0,0 +1,61 @@
+import type {Instant, LayerRange} from '@zinniaspindle/shared';
+import type {Result} from 'true-myth';
+import type {EndpointError} from './errors.js';
+
+/** What an endpoint says of itself in the store's list. */
+export interface EndpointEntry {
+  /** New with most starts of the endpoint. */
+  readonly id: string;
+  readonly service: string;
+  /** As host:port. */
+  readonly address: string;
+  readonly dataCentre: string;
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** When the endpoint started; a new value means that it knows nothing of before. */
+  readonly bornAt: Instant;
+  /** Name of its accelerator kind; undefined for plain services. */
+  readonly kind: string | undefined;
+  readonly held: LayerRange | undefined;
+}
+
+/** What an endpoint answers when it is asked directly. */
+export interface EndpointReport {
+  readonly bornAt: Instant;
+  /** Orders accepted since its start. */
+  readonly orderCount: number;
+  /** Whether an order is being carried out. */
+  readonly isBusy: boolean;
+  readonly held: LayerRange | undefined;
+  /** Above 1 the endpoint is slower than its kind should be. */
+  readonly slowness: number;
+}
+
+/** An order to hold a range of layers, and nothing else. */
+export interface RangeOrder {
+  readonly address: string;
+  readonly endpointId: string;
+  readonly range: LayerRange;
+  /** Rises with each owner of orders; an endpoint refuses lower ones. */
+  readonly fencingToken: number;
+  /** The order is refused unless the endpoint accepted this many before. */
+  readonly expectedOrderCount: number;
+}
+
+/** What became of an order. */
+export enum OrderOutcome {
+  /** It has begun or the state holds already. */
+  Accepted = 'accepted',
+  /** The endpoint's state differs from what was expected. */
+  Conflict = 'conflict',
+  /** A newer owner has given orders. */
+  Fenced = 'fenced',
+  /** The endpoint cannot take it, or another has its address. */
+  Refused = 'refused',
+}
+
+/** Direct calls to endpoints. */
+export interface EndpointCalls {
+  fetchReport(address: string): Promise<Result<EndpointReport, EndpointError>>;
+  sendOrder(order: RangeOrder): Promise<Result<OrderOutcome, EndpointError>>;
+}
--- /dev/null
+++ b/packages/gateway/src/ports/settings.ts
@@ -0,0 +1,29 @@
+/** A host and port to listen on. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a VM knows of itself and its bounds at its start. */
+export interface GatewaySettings {
+  readonly vm: string;
+  readonly dataCentre: string;
+  readonly listen: {
+    readonly callers: ListenAddress;
+    readonly ready: ListenAddress;
+    readonly directory: ListenAddress;
+    readonly peers: ListenAddress;
+    readonly metrics: ListenAddress | undefined;
+  };
+  /** Peer addresses of a few VMs, as host:port; may be out of date. */
+  readonly seeds: readonly string[];
+  readonly bounds: {
+    /** After SIGTERM the process is killed when this has passed. */
+    readonly graceMilliseconds: number;
+    /** Repeated sends in a window, as a share of the requests. */
+    readonly retryRatio: number;
+    readonly retryWindowMilliseconds: number;
+    /** Repeated sends in a window that all VMs have besides the share. */
+    readonly retrySlack: number;
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -0,0 +1,244 @@
+import http from 'node:http';
+import type {Socket} from 'node:net';
+import {GatewayEvent} from '@zinniaspindle/shared';
+import {Counter} from '../log/metrics.js';
+import {
+  RouteKind,
+  type CallerLimits,
+  type CallerRequest,
+  type Configuration,
+  type ListenAddress,
+} from '../ports/index.js';
+import {FailureReason, type OwnAnswer} from './failure.js';
+import {PlainRequest} from './plain_request.js';
+import {readBody} from './read_body.js';
+import type {RequestContext, Serving} from './request_context.js';
+import {pickTarget, RouteIndex} from './route_index.js';
+import {StreamRequest} from './stream_request.js';
+
+/** Parser limit; the operator's limit is checked on each request. */
+const maxHeaderBytes = 64 * 1024;
+const startupRetryMilliseconds = 500;
+/** Status line of answers to bytes that are no request, by parser error. */
+const parserStatuses: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** Serves callers: finds the route, checks the key, reads the body. */
+export class CallerServer {
+  private readonly server: http.Server;
+  private routes: RouteIndex | undefined;
+  private inFlight = 0;
+
+  constructor(private readonly serving: Serving) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: maxHeaderBytes,
+        requestTimeout: 0,
+        connectionsCheckingInterval: 1000,
+        noDelay: true,
+      },
+      (request, response) => {
+        this.inFlight += 1;
+        response.on('close', () => (this.inFlight -= 1));
+        void this.handle(request, response);
+      },
+    );
+    this.server.on('clientError', answerParserError);
+  }
+
+  /** Starts listening. */
+  open({host, port}: ListenAddress): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  /** Applies a configuration to the requests that come from now on. */
+  applyConfiguration(configuration: Configuration): void {
+    this.routes = new RouteIndex(configuration);
+    const {headerMilliseconds, idleMilliseconds} = configuration.limits;
+    this.server.headersTimeout = headerMilliseconds;
+    this.server.keepAliveTimeout = idleMilliseconds;
+  }
+
+  /** Counts the requests that are not answered yet. */
+  countInFlight(): number {
+    return this.inFlight;
+  }
+
+  /** Takes no new connections and closes the idle ones. */
+  stopListening(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async handle(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const receivedAt = this.serving.getNow();
+    this.serving.metrics.count(Counter.Requests);
+    const request = this.serving.codec.decodeRequest(message);
+    const refuse = (answer: OwnAnswer) => {
+      this.refuse(request, response, receivedAt, answer);
+    };
+    response.on('error', () => undefined); // Followed by close.
+    const found = this.findService(request);
+    if ('status' in found) return refuse(found);
+    const {limits} = found.configuration;
+    const fault = checkSizes(message, limits);
+    if (fault !== undefined) return refuse(fault);
+    const body = await readBody(
+      message,
+      limits.bodyBytes,
+      limits.idleMilliseconds,
+    );
+    if (body === undefined) return;
+    if (body.isErr) return refuse(describeBodyFault(body.error));
+    const {route, service, account} = found;
+    const patience = Math.min(
+      request.patienceMilliseconds ?? Infinity,
+      route.timeoutMilliseconds,
+    );
+    await serveRequest({
+      serving: this.serving,
+      request,
+      method: message.method ?? 'GET',
+      body: body.value,
+      route,
+      service,
+      account,
+      response,
+      receivedAt,
+      deadline: receivedAt + patience,
+      refuse,
+    });
+  }
+
+  private findService(request: CallerRequest):
+    | OwnAnswer
+    | (Pick<RequestContext, 'route' | 'service' | 'account'> & {
+        configuration: Configuration;
+      }) {
+    const {routes} = this;
+    if (routes === undefined) {
+      return {
+        status: 503,
+        reason: FailureReason.NoConfiguration,
+        retryAfterMilliseconds: startupRetryMilliseconds,
+      };
+    }
+    const {configuration} = routes;
+    const route = routes.find(request.host, request.path);
+    if (route === undefined) {
+      return {status: 404, reason: FailureReason.NoRoute};
+    }
+    const {accounts} = configuration;
+    const account = accounts?.get(request.key ?? '');
+    if (accounts !== undefined && account === undefined && !route.isPublic) {
+      return {status: 401, reason: FailureReason.BadKey};
+    }
+    const name = pickTarget(route.targets, Math.random());
+    const service = configuration.services.get(name) ?? {
+      name,
+      model: undefined,
+    };
+    return {route, service, account, configuration};
+  }
+
+  private refuse(
+    request: CallerRequest,
+    response: http.ServerResponse,
+    receivedAt: number,
+    answer: OwnAnswer,
+  ): void {
+    const {serving} = this;
+    const {status, reason, retryAfterMilliseconds} = answer;
+    const body = serving.codec.encodeErrorBody(reason);
+    const headers = [
+      ...serving.codec.encodeOwnAnswer(request, retryAfterMilliseconds),
+      'Content-Length',
+      String(body.length),
+    ];
+    if (serving.isStopping() || status === 413 || status === 408) {
+      headers.push('Connection', 'close');
+    }
+    if (response.destroyed) return;
+    response.writeHead(status, headers);
+    response.end(body);
+    const isRefused = status === 503 || status === 429;
+    serving.metrics.count(isRefused ? Counter.Refused : Counter.Failed);
+    serving.writeEvent(
+      isRefused ? GatewayEvent.RequestRefused : GatewayEvent.RequestFailed,
+      {
+        request: request.attemptId,
+        path: request.path,
+        status,
+        reason,
+        ms: Math.round(serving.getNow() - receivedAt),
+        version: this.routes?.configuration.version ?? 0,
+      },
+    );
+  }
+}
+
+async function serveRequest(context: RequestContext): Promise<void> {
+  const {serving, service, route, response, deadline} = context;
+  const {model} = service;
+  const isStream = route.kind === RouteKind.Streaming && model !== undefined;
+  const job = isStream
+    ? new StreamRequest(context, model)
+    : new PlainRequest(context);
+  const left = deadline - serving.getNow();
+  const timer = setTimeout(
+    () => {
+      if (job instanceof StreamRequest) job.expire();
+    },
+    Math.max(1, left),
+  );
+  response.on('close', () => {
+    clearTimeout(timer);
+    if (response.writableFinished) return;
+    job.cancel();
+    serving.metrics.count(Counter.Abandoned);
+    const ms = Math.round(serving.getNow() - context.receivedAt);
+    const {attemptId} = context.request;
+    serving.writeEvent(GatewayEvent.RequestAbandoned, {request: attemptId, ms});
+  });
+  if (response.destroyed) return job.cancel();
+  await job.run();
+}
+
+function checkSizes(
+  message: http.IncomingMessage,
+  limits: CallerLimits,
+): OwnAnswer | undefined {
+  let headerBytes = 0;
+  for (const text of message.rawHeaders) headerBytes += text.length + 2;
+  if (headerBytes > limits.headerBytes) {
+    return {status: 431, reason: FailureReason.HeadTooLarge};
+  }
+  const length = Number(message.headers['content-length'] ?? 0);
+  if (length > limits.bodyBytes) {
+    return {status: 413, reason: FailureReason.BodyTooLarge};
+  }
+  return undefined;
+}
+
+function describeBodyFault(reason: FailureReason): OwnAnswer {
+  const status = reason === FailureReason.BodyTooLarge ? 413 : 408;
+  return {status, reason};
+}
+
+function answerParserError(error: Error, socket: Socket): void {
+  const code = (error as NodeJS.ErrnoException).code ?? '';
+  if (!socket.writable || code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const status = parserStatuses[code] ?? '400 Bad Request';
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+}
--- /dev/null
+++ b/packages/gateway/src/requests/failure.ts
@@ -0,0 +1,21 @@
+/** Why the gateway answers a request itself. */
+export enum FailureReason {
+  NoConfiguration = 'no configuration is known yet',
+  NoRoute = 'no route has this host and path',
+  BadKey = 'the key is not known',
+  BodyTooLarge = 'the body is larger than allowed',
+  HeadTooLarge = 'the headers are larger than allowed',
+  BodyTimeout = 'the body did not come in time',
+  NoEndpoint = 'no endpoint can take the request now',
+  EndpointsBusy = 'all endpoints are busy',
+  Deadline = 'the deadline passed',
+  OutcomeUnknown = 'the endpoint broke off and may have run the request',
+}
+
+/** An answer of the gateway's own. */
+export interface OwnAnswer {
+  readonly status: number;
+  readonly reason: FailureReason;
+  /** When the caller should come back; undefined where that makes no sense. */
+  readonly retryAfterMilliseconds?: number;
+}
--- /dev/null
+++ b/packages/gateway/src/requests/plain_request.ts
@@ -0,0 +1,248 @@
+import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
+import type {EndpointState} from '../fleet/endpoint_state.js';
+import {Counter} from '../log/metrics.js';
+import {RouteKind, type EndpointAnswer} from '../ports/index.js';
+import {FailureReason, type OwnAnswer} from './failure.js';
+import {relayAnswer} from './relay_answer.js';
+import type {RequestContext} from './request_context.js';
+import {Upstream, UpstreamEnd} from './upstream.js';
+
+/** Sends of one request that no endpoint ran. */
+const maxNotRun = 4;
+/** A first try of a repeatable request waits this many targets long. */
+const firstTryTargets = 2;
+const suspectMilliseconds = 1000;
+const retryAfterMilliseconds = 400;
+
+/** How one try at an endpoint ended. */
+interface TryResult {
+  readonly end: UpstreamEnd;
+  readonly detail: string;
+  readonly answer: EndpointAnswer | undefined;
+  readonly body: Buffer;
+}
+
+/** Serves a request of a plain service: one answer, sent once it is whole. */
+export class PlainRequest {
+  private upstream: Upstream | undefined;
+  private isAbandoned = false;
+  private runs = 0;
+  private notRun = 0;
+  private readonly tried = new Set<string>();
+  /** A failure of an endpoint, relayed when no try does better. */
+  private failure: TryResult | undefined;
+
+  constructor(private readonly context: RequestContext) {}
+
+  /** Tries endpoints until one answers or no further try is allowed. */
+  async run(): Promise<void> {
+    const {route, service, deadline, serving} = this.context;
+    serving.budgets.recordFresh(service.name);
+    for (;;) {
+      const endpoint = this.pickEndpoint();
+      if (endpoint === undefined) break;
+      const tryDeadline = this.computeTryDeadline();
+      const result = await this.sendTo(endpoint, tryDeadline);
+      if (this.isAbandoned) return;
+      if (this.resolveTry(endpoint, result)) return;
+      if (isPast(deadline, serving.getNow())) break;
+      if (this.notRun >= maxNotRun || this.runs >= route.attempts) break;
+      if (!serving.budgets.takeRepeat(service.name)) break;
+      serving.metrics.count(Counter.Retries);
+    }
+    this.answerFailure();
+  }
+
+  /** Ends the work for a caller that left. */
+  cancel(): void {
+    this.isAbandoned = true;
+    this.upstream?.cancel();
+  }
+
+  private pickEndpoint(): EndpointState | undefined {
+    const {serving, service} = this.context;
+    let best: EndpointState | undefined;
+    let least = Infinity;
+    for (const state of serving.endpoints.list(service.name)) {
+      if (!serving.endpoints.isUsable(state)) continue;
+      if (this.tried.has(state.entry.id)) continue;
+      const rank = state.running + Math.random();
+      if (rank >= least) continue;
+      least = rank;
+      best = state;
+    }
+    return best;
+  }
+
+  private canRepeat(): boolean {
+    const {route} = this.context;
+    return route.kind === RouteKind.Safe && this.runs < route.attempts;
+  }
+
+  private computeTryDeadline(): Deadline {
+    const {route, deadline, serving} = this.context;
+    const isLast =
+      route.kind !== RouteKind.Safe || this.runs + 1 >= route.attempts;
+    if (isLast) return deadline;
+    const patience = firstTryTargets * route.targetMilliseconds;
+    return Math.min(deadline, serving.getNow() + patience);
+  }
+
+  /** Sends the request; an answer of success goes on as soon as it is whole. */
+  private sendTo(
+    endpoint: EndpointState,
+    tryDeadline: Deadline,
+  ): Promise<TryResult> {
+    const {serving, request, account, method, body, deadline} = this.context;
+    const {id, address} = endpoint.entry;
+    this.tried.add(id);
+    endpoint.running += 1;
+    const now = serving.getNow();
+    const headers = serving.codec.encodeForwarded(request, {
+      endpointId: id,
+      deadline,
+      now,
+      accountName: account?.name,
+      urgency: undefined,
+      parts: undefined,
+      lastEventId: undefined,
+      bodyBytes: body.length,
+    });
+    return new Promise(resolve => {
+      let answer: EndpointAnswer | undefined;
+      const chunks: Buffer[] = [];
+      let timer: NodeJS.Timeout | undefined;
+      const finish = (end: UpstreamEnd, detail: string) => {
+        clearTimeout(timer);
+        endpoint.running -= 1;
+        resolve({end, detail, answer, body: Buffer.concat(chunks)});
+      };
+      const upstream = new Upstream(
+        {
+          address,
+          method,
+          path: request.path,
+          headers,
+          body,
+          attemptId: request.attemptId,
+          deadline,
+        },
+        serving.codec,
+        {
+          handleAnswer: head => (answer = head),
+          handleChunk: chunk => chunks.push(chunk),
+          handleEnd: finish,
+        },
+      );
+      this.upstream = upstream;
+      timer = setTimeout(
+        () => {
+          upstream.cancel();
+          finish(UpstreamEnd.Broken, 'no answer in time');
+        },
+        Math.max(1, tryDeadline - now),
+      );
+    });
+  }
+
+  /** Takes a try's result; true when the request has its answer. */
+  private resolveTry(endpoint: EndpointState, result: TryResult): boolean {
+    const {serving, route} = this.context;
+    const {answer, end} = result;
+    if (end === UpstreamEnd.NotSent) {
+      this.notRun += 1;
+      this.reportSuspect(endpoint, result.detail);
+      return false;
+    }
+    if (end === UpstreamEnd.Complete && answer!.isNotRun) {
+      this.notRun += 1;
+      this.reportRetry(endpoint, `status ${answer!.status}`);
+      return false;
+    }
+    this.runs += 1;
+    if (end === UpstreamEnd.Broken) {
+      if (answer === undefined) this.reportSilent(endpoint, result.detail);
+      if (!this.canRepeat()) return this.failUnknown(result.detail);
+      this.reportRetry(endpoint, result.detail);
+      return false;
+    }
+    const isFailure = answer!.status >= 500;
+    if (isFailure && this.canRepeat()) {
+      this.failure = result;
+      this.reportRetry(endpoint, `status ${answer!.status}`);
+      return false;
+    }
+    if (!isRelayable(answer!, route.kind)) {
+      return this.failUnknown(`status ${answer!.status} from the endpoint`);
+    }
+    serving.endpoints.removeSuspicion(endpoint);
+    relayAnswer(this.context, endpoint.entry.id, answer!, result.body);
+    return true;
+  }
+
+  private reportSuspect(endpoint: EndpointState, reason: string): void {
+    const {serving} = this.context;
+    const until = serving.getNow() + suspectMilliseconds;
+    serving.endpoints.recordSuspicion(endpoint, until, reason);
+    this.reportRetry(endpoint, reason);
+  }
+
+  /** An endpoint that does not answer at all is left out for a while. */
+  private reportSilent(endpoint: EndpointState, reason: string): void {
+    const {serving} = this.context;
+    const until = serving.getNow() + suspectMilliseconds;
+    serving.endpoints.recordSuspicion(endpoint, until, reason);
+  }
+
+  private reportRetry(endpoint: EndpointState, reason: string): void {
+    this.context.serving.writeEvent(GatewayEvent.RequestRetried, {
+      request: this.context.request.attemptId,
+      endpoint: endpoint.entry.id,
+      reason,
+    });
+  }
+
+  private failUnknown(detail: string): boolean {
+    const {serving, deadline, refuse, request} = this.context;
+    const isLate = isPast(deadline, serving.getNow());
+    serving.writeEvent(GatewayEvent.RequestRetried, {
+      request: request.attemptId,
+      endpoint: 'none',
+      reason: detail,
+    });
+    if (isLate) refuse({status: 504, reason: FailureReason.Deadline});
+    else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
+    return true;
+  }
+
+  private answerFailure(): void {
+    const {failure, context} = this;
+    if (failure !== undefined) {
+      relayAnswer(context, 'several', failure.answer!, failure.body);
+      return;
+    }
+    context.refuse(this.chooseFailure());
+  }
+
+  private chooseFailure(): OwnAnswer {
+    if (this.runs > 0) {
+      return {status: 502, reason: FailureReason.OutcomeUnknown};
+    }
+    const isFull = this.notRun > 0;
+    const reason = isFull
+      ? FailureReason.EndpointsBusy
+      : FailureReason.NoEndpoint;
+    return {status: 503, reason, retryAfterMilliseconds};
+  }
+}
+
+/**
+ * Tells whether an endpoint's answer may go on. A status that promises that
+ * nothing ran must not stand for a request that may have run.
+ */
+function isRelayable(answer: EndpointAnswer, kind: RouteKind): boolean {
+  const {status} = answer;
+  if (status >= 200 && status < 300) return answer.hasSeal;
+  if (kind === RouteKind.Safe) return true;
+  return status !== 429 && status !== 503 && status !== 408;
+}
--- /dev/null
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -0,0 +1,316 @@
+import type {StagePath} from '@zinniaspindle/decisions';
+import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import type {PathRider, PathTicket} from '../fleet/path_table.js';
+import {Counter, Latency} from '../log/metrics.js';
+import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
+import {EventSplitter} from './event_splitter.js';
+import {FailureReason} from './failure.js';
+import {recordDone, relayAnswer, writeHead} from './relay_answer.js';
+import type {RequestContext} from './request_context.js';
+import {Upstream, UpstreamEnd} from './upstream.js';
+
+/** Sends of one request that no endpoint ran. */
+const maxNotRun = 4;
+/** A repair of a lost range takes this long; callers spread over the next. */
+const retryAfterMilliseconds = 900;
+const retrySpreadMilliseconds = 600;
+/** An endpoint that refused for itself or another is left out this long. */
+const refusedMilliseconds = 300;
+
+/** How one try on a path ended. */
+enum TryEnd {
+  Done = 'done',
+  NotRun = 'notRun',
+  Broken = 'broken',
+}
+
+/** Serves a stream of events over paths of a model's endpoints. */
+export class StreamRequest implements PathRider {
+  private upstream: Upstream | undefined;
+  private ticket: PathTicket | undefined;
+  private splitter = new EventSplitter();
+  private answer: EndpointAnswer | undefined;
+  private failureBody: Buffer[] = [];
+  private finishTry: ((end: TryEnd, reason: string) => void) | undefined;
+  private lastEventId: string | undefined;
+  private hasBegun = false;
+  private isAbandoned = false;
+  private runs = 0;
+  private notRun = 0;
+  private lastEventAt: Instant;
+
+  constructor(
+    private readonly context: RequestContext,
+    private readonly model: ServiceModel,
+  ) {
+    this.lastEventId = context.request.lastEventId;
+    this.lastEventAt = context.receivedAt;
+  }
+
+  /** Tries paths until the stream is complete or no try is left. */
+  async run(): Promise<void> {
+    const {serving, service, deadline} = this.context;
+    serving.budgets.recordFresh(service.name);
+    for (;;) {
+      const tokens = this.estimateTokens();
+      const path = serving.paths.pick(service.name, this.model, tokens);
+      if (path === undefined) break;
+      const end = await this.runTry(path, tokens);
+      if (this.isAbandoned || end === TryEnd.Done) return;
+      if (isPast(deadline, serving.getNow()) || !this.canTryAgain()) break;
+      if (!serving.budgets.takeRepeat(service.name)) break;
+      serving.metrics.count(this.hasBegun ? Counter.Resumed : Counter.Retries);
+    }
+    this.answerFailure();
+  }
+
+  /** Ends the work for a caller that left. */
+  cancel(): void {
+    this.isAbandoned = true;
+    this.cancelTry(TryEnd.Broken, 'caller left');
+  }
+
+  /** Ends the stream at its deadline. */
+  expire(): void {
+    this.isAbandoned = true;
+    this.cancelTry(TryEnd.Broken, 'deadline');
+    const {refuse} = this.context;
+    if (this.hasBegun) this.closeBroken('the deadline passed');
+    else refuse({status: 504, reason: FailureReason.Deadline});
+  }
+
+  /** Goes on elsewhere when the path has fallen silent. */
+  handleStall(): void {
+    const {route} = this.context;
+    if (this.ticket?.hasStarted === true && !route.isResumable) return;
+    if (
+      !this.canTryAgain() ||
+      (this.answer !== undefined && !this.canRepeat())
+    ) {
+      return;
+    }
+    this.cancelTry(TryEnd.Broken, 'path is silent');
+  }
+
+  private estimateTokens(): number {
+    const {promptTokens, answerHint, maxAnswerTokens} = this.context.request;
+    const usual = answerHint ?? this.model.usualAnswerTokens;
+    return promptTokens + Math.min(usual, maxAnswerTokens);
+  }
+
+  private canRepeat(): boolean {
+    const {route} = this.context;
+    return route.isResumable && this.runs < route.attempts;
+  }
+
+  private canTryAgain(): boolean {
+    if (this.runs > 0) return this.canRepeat();
+    return this.notRun < maxNotRun;
+  }
+
+  private runTry(path: StagePath, tokens: number): Promise<TryEnd> {
+    const {serving, request, account, method, body, deadline} = this.context;
+    const first = path.parts[0]!.endpoint;
+    this.splitter = new EventSplitter();
+    this.answer = undefined;
+    this.failureBody = [];
+    const ticket = serving.paths.reserve(path, tokens, this);
+    this.ticket = ticket;
+    const headers = serving.codec.encodeForwarded(request, {
+      endpointId: first.id,
+      deadline,
+      now: serving.getNow(),
+      accountName: account?.name,
+      urgency: undefined,
+      parts: path.parts,
+      lastEventId: this.lastEventId,
+      bodyBytes: body.length,
+    });
+    return new Promise(resolve => {
+      this.finishTry = (end, reason) => {
+        this.finishTry = undefined;
+        serving.paths.release(ticket);
+        if (end !== TryEnd.Done) this.reportRetry(first.id, reason);
+        resolve(end);
+      };
+      this.upstream = new Upstream(
+        {
+          address: first.address,
+          method,
+          path: request.path,
+          headers,
+          body,
+          attemptId: request.attemptId,
+          deadline,
+        },
+        serving.codec,
+        {
+          handleAnswer: answer => this.acceptAnswer(answer),
+          handleChunk: chunk => this.acceptChunk(chunk),
+          handleEnd: (end, detail) => this.acceptEnd(end, detail),
+        },
+      );
+    });
+  }
+
+  private cancelTry(end: TryEnd, reason: string): void {
+    this.upstream?.cancel();
+    this.finishTry?.(end, reason);
+  }
+
+  private acceptAnswer(answer: EndpointAnswer): void {
+    this.answer = answer;
+    if (!answer.isNotRun) this.runs += 1;
+  }
+
+  private isSuccess(): boolean {
+    const {answer} = this;
+    return answer !== undefined && answer.status === 200 && answer.hasSeal;
+  }
+
+  private acceptChunk(chunk: Buffer): void {
+    if (!this.isSuccess()) {
+      this.failureBody.push(chunk);
+      return;
+    }
+    const events = this.splitter.accept(chunk);
+    if (events === undefined) return;
+    const {serving, response} = this.context;
+    serving.paths.recordProgress(this.ticket!);
+    this.recordEvent();
+    if (!this.hasBegun) {
+      this.hasBegun = true;
+      writeHead(this.context, this.answer!, undefined);
+    }
+    this.lastEventId = events.lastId ?? this.lastEventId;
+    if (response.write(events.bytes)) return;
+    const {upstream} = this;
+    upstream?.pause();
+    response.once('drain', () => upstream?.resume());
+  }
+
+  private recordEvent(): void {
+    const {serving} = this.context;
+    const now = serving.getNow();
+    const latency = this.hasBegun ? Latency.EventGap : Latency.FirstEvent;
+    serving.metrics.record(latency, now - this.lastEventAt);
+    this.lastEventAt = now;
+  }
+
+  private acceptEnd(end: UpstreamEnd, detail: string): void {
+    if (end === UpstreamEnd.NotSent) {
+      this.notRun += 1;
+      const first = this.ticket!.path.parts[0]!.endpoint.id;
+      this.reportSuspect(first, detail);
+      this.finishTry?.(TryEnd.NotRun, detail);
+      return;
+    }
+    if (end === UpstreamEnd.Broken) {
+      if (this.answer === undefined) this.runs += 1;
+      void this.context.serving.probes.probePath(this.ticket!.path);
+      this.finishTry?.(TryEnd.Broken, detail);
+      return;
+    }
+    const {answer} = this;
+    if (answer!.isNotRun) return this.acceptNotRun(answer!);
+    if (!this.isSuccess()) return this.acceptFailure(answer!);
+    if (this.splitter.hasRest() || !this.hasBegun) {
+      this.finishTry?.(TryEnd.Broken, 'ended within an event');
+      return;
+    }
+    this.answerWhole();
+  }
+
+  private acceptNotRun(answer: EndpointAnswer): void {
+    this.notRun += 1;
+    const {serving} = this.context;
+    const address =
+      answer.faultAddress ?? this.ticket!.path.parts[0]!.endpoint.address;
+    const fault = serving.endpoints.findAt(address);
+    const reason = `status ${answer.status} at ${address}`;
+    if (fault !== undefined) this.reportSuspect(fault.entry.id, reason);
+    this.finishTry?.(TryEnd.NotRun, reason);
+  }
+
+  private acceptFailure(answer: EndpointAnswer): void {
+    const reason = `status ${answer.status}`;
+    if (this.hasBegun || this.canRepeat()) {
+      this.finishTry?.(TryEnd.Broken, reason);
+      return;
+    }
+    if (isPromise(answer.status) || isSuccessStatus(answer.status)) {
+      this.finishTry?.(TryEnd.Broken, reason);
+      return;
+    }
+    const first = this.ticket!.path.parts[0]!.endpoint.id;
+    relayAnswer(this.context, first, answer, Buffer.concat(this.failureBody));
+    this.finishTry?.(TryEnd.Done, reason);
+  }
+
+  private reportSuspect(id: string, reason: string): void {
+    const {serving} = this.context;
+    const state = serving.endpoints.find(id);
+    if (state === undefined) return;
+    const until = serving.getNow() + refusedMilliseconds;
+    serving.endpoints.recordSuspicion(state, until, reason);
+    void serving.probes.probe(id);
+  }
+
+  private answerWhole(): void {
+    const {response, serving} = this.context;
+    response.end();
+    serving.metrics.count(Counter.Answered);
+    recordDone(this.context, this.ticket!.path.key, this.answer!.status);
+    this.finishTry?.(TryEnd.Done, 'complete');
+  }
+
+  private reportRetry(endpoint: string, reason: string): void {
+    this.context.serving.writeEvent(GatewayEvent.RequestRetried, {
+      request: this.context.request.attemptId,
+      endpoint,
+      reason,
+      lastEventId: this.lastEventId ?? '',
+    });
+  }
+
+  private answerFailure(): void {
+    const {refuse, serving, deadline} = this.context;
+    if (this.hasBegun) {
+      this.closeBroken('no further try is allowed');
+      return;
+    }
+    if (this.runs > 0) {
+      const isLate = isPast(deadline, serving.getNow());
+      if (isLate) refuse({status: 504, reason: FailureReason.Deadline});
+      else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
+      return;
+    }
+    const reason =
+      this.notRun > 0 ? FailureReason.EndpointsBusy : FailureReason.NoEndpoint;
+    const spread = Math.random() * retrySpreadMilliseconds;
+    const after = retryAfterMilliseconds + spread;
+    refuse({status: 503, reason, retryAfterMilliseconds: after});
+  }
+
+  /** Breaks the connection, so that the answer does not look complete. */
+  private closeBroken(reason: string): void {
+    const {response, serving, request, receivedAt} = this.context;
+    response.destroy();
+    serving.metrics.count(Counter.Failed);
+    serving.writeEvent(GatewayEvent.RequestFailed, {
+      request: request.attemptId,
+      status: 'broken off',
+      ms: Math.round(serving.getNow() - receivedAt),
+      reason,
+      lastEventId: this.lastEventId ?? '',
+    });
+  }
+}
+
+function isPromise(status: number): boolean {
+  return status === 408 || status === 429 || status === 503;
+}
+
+function isSuccessStatus(status: number): boolean {
+  return status >= 200 && status < 300;
+}
--- a/packages/router/src/peers/messages.ts
+++ b/packages/router/src/peers/messages.ts
@@ -1,7 +1,7 @@
 import type {VmId} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
-import {makePeerError, PeerErrorCode} from './errors.js';
-import type {PeerError} from './errors.js';
+import {makePeerError, PeerErrorCode} from '@zinniaspindle/framing';
+import type {PeerError} from '@zinniaspindle/framing';
 
 /** Version of the messages between entry VMs. */
 export const peerProtocolVersion = 1;
--- a/packages/router/src/peers/peer_links.ts
+++ b/packages/router/src/peers/peer_links.ts
@@ -1,7 +1,7 @@
 import net from 'node:net';
 import type {VmId} from '@zinniaspindle/shared';
 import {parseAddress} from '../http/exchange.js';
-import {encodeFrame} from './frames.js';
+import {encodeFrame} from '@zinniaspindle/framing';
 import {peerProtocolVersion} from './messages.js';
 import type {PeerEnvelope, PeerHello} from './messages.js';
 
--- a/packages/router/src/peers/peer_server.ts
+++ b/packages/router/src/peers/peer_server.ts
@@ -4,9 +4,9 @@
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {parseAddress} from '../http/exchange.js';
-import {makePeerError, PeerErrorCode} from './errors.js';
-import type {PeerError} from './errors.js';
-import {FrameReader} from './frames.js';
+import {makePeerError, PeerErrorCode} from '@zinniaspindle/framing';
+import type {PeerError} from '@zinniaspindle/framing';
+import {FrameReader} from '@zinniaspindle/framing';
 import {parseEnvelope, parseHello} from './messages.js';
 import type {PeerEnvelope} from './messages.js';
 
--- a/packages/router/src/root/tree.ts
+++ b/packages/router/src/root/tree.ts
@@ -9,7 +9,7 @@
 import {serveHttp} from '../http/http_server.js';
 import type {Route} from '../http/route_table.js';
 import {buildOperatorRoutes} from '../operators/operator_routes.js';
-import type {PeerError} from '../peers/errors.js';
+import type {PeerError} from '@zinniaspindle/framing';
 import {servePeers} from '../peers/peer_server.js';
 import type {PlatformError} from '../platform/errors.js';
 import {describeStatus} from './describe_status.js';
--- a/packages/shared/src/events/catalogue.ts
+++ b/packages/shared/src/events/catalogue.ts
@@ -3,6 +3,7 @@
   ConfigurationEvent,
   configurationEventTexts,
 } from './configuration_events.js';
+import {GatewayEvent, gatewayEventTexts} from './gateway_events.js';
 import {MembershipEvent, membershipEventTexts} from './membership_events.js';
 import {PlacementEvent, placementEventTexts} from './placement_events.js';
 import {PlatformEvent, platformEventTexts} from './platform_events.js';
@@ -13,6 +14,7 @@
 export type EventNumber =
   | ActionEvent
   | ConfigurationEvent
+  | GatewayEvent
   | MembershipEvent
   | PlacementEvent
   | PlatformEvent
@@ -23,6 +25,7 @@
 export const eventTexts: Readonly<Record<EventNumber, string>> = {
   ...actionEventTexts,
   ...configurationEventTexts,
+  ...gatewayEventTexts,
   ...membershipEventTexts,
   ...placementEventTexts,
   ...platformEventTexts,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -15,6 +15,7 @@
 export * from './events/action_events.js';
 export * from './events/catalogue.js';
 export * from './events/configuration_events.js';
+export * from './events/gateway_events.js';
 export * from './events/membership_events.js';
 export * from './events/placement_events.js';
 export * from './events/platform_events.js';
--- a/scripts/generate_docs.ts
+++ b/scripts/generate_docs.ts
@@ -23,6 +23,7 @@
   {first: 4000, title: 'Routing, admission, retries, recovery'},
   {first: 5000, title: 'Protected actions'},
   {first: 6000, title: 'Leases, orders, placement'},
+  {first: 7000, title: 'Gateway'},
   {first: 9000, title: 'Process'},
 ];
 const eventsPerArea = 1000;
