--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -34,8 +34,9 @@
 }
 
 /**
- * Finds the cheapest path that starts in each data centre. Endpoints must
- * hold layers and be fit for new work.
+ * Finds a path for each data centre: within it where its endpoints hold all
+ * layers, else the cheapest that starts in it. Endpoints must be fit for new
+ * work.
  */
 export function findPaths(
   endpoints: readonly StageEndpoint[],
@@ -46,7 +47,10 @@
   const centres = new Set(holders.map(({dataCentre}) => dataCentre));
   const paths: StagePath[] = [];
   for (const centre of [...centres].sort()) {
-    const path = findPath(holders, centre, model, options);
+    const near = holders.filter(({dataCentre}) => dataCentre === centre);
+    const path =
+      findPath(near, centre, model, options) ??
+      findPath(holders, centre, model, options);
     if (path !== undefined) paths.push(path);
   }
   return paths;
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -25,8 +25,6 @@
 /** What this VM believes about one endpoint. */
 export interface EndpointState {
   entry: EndpointEntry;
-  /** When the endpoint last wrote to the store, as seen here. */
-  beatAt: Instant;
   bornAt: Instant;
   /** Orders accepted since its start, as far as it was asked. */
   orderCount: number;
@@ -47,13 +45,9 @@
 }
 
 /** Creates the state of an endpoint that was just listed. */
-export function createEndpointState(
-  entry: EndpointEntry,
-  now: Instant,
-): EndpointState {
+export function createEndpointState(entry: EndpointEntry): EndpointState {
   return {
     entry,
-    beatAt: now,
     bornAt: entry.bornAt,
     orderCount: 0,
     held: entry.held,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -16,7 +16,7 @@
   type EndpointState,
 } from './endpoint_state.js';
 
-/** Beats follow one another within 1.2 s; an older list entry may lag. */
+/** Endpoints write to the list every 1.2 s; an entry may be that old. */
 const listLagMilliseconds = 1500;
 /** Layers that load take up to 3.5 s each range, several times that if many load. */
 const pendingMilliseconds = 8000;
@@ -64,7 +64,7 @@
     const now = this.getNow();
     const state = this.states.get(entry.id);
     if (state === undefined) {
-      this.states.set(entry.id, createEndpointState(entry, now));
+      this.states.set(entry.id, createEndpointState(entry));
       this.revision += 1;
       const {id: endpoint, service, address} = entry;
       this.writeEvent(GatewayEvent.EndpointAdded, {endpoint, service, address});
@@ -72,7 +72,6 @@
     }
     const was = state.entry;
     state.entry = entry;
-    state.beatAt = now;
     state.lapsesAt = undefined;
     if (entry.isDraining && !was.isDraining) {
       this.writeEvent(GatewayEvent.EndpointDraining, {endpoint: entry.id});
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -36,8 +36,6 @@
 const settleMilliseconds = 700;
 /** Reports lag by some hundred ms; a load takes from 200 ms on. */
 const reportMilliseconds = 220;
-/** An endpoint that misses a beat and does not answer is taken as lost. */
-const missedBeatMilliseconds = 1500;
 /** Accusations of peers count for this long. */
 const accusationMilliseconds = 3000;
 const retryMilliseconds = 400;
@@ -166,10 +164,8 @@
   /** Tells whether an endpoint counts for the plan; doubtful ones still do. */
   private canHold(state: EndpointState): boolean {
     if (state.failedProbes < confirmedProbes) return true;
-    const now = this.getNow();
-    const isAccused = now - state.accusedAt < accusationMilliseconds;
-    const isSilent = now - state.beatAt > missedBeatMilliseconds;
-    return !isAccused && !isSilent;
+    // Without another VM's word, this one may itself be cut off from it.
+    return this.getNow() - state.accusedAt >= accusationMilliseconds;
   }
 }
 
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -18,6 +18,8 @@
 const silentMilliseconds = 1000;
 /** A VM that is gone this long is no longer called. */
 const forgetMilliseconds = 30_000;
+/** VMs that start together are told of in one message. */
+const announceMilliseconds = 100;
 
 /** What this VM knows of another. */
 export interface Peer {
@@ -40,6 +42,7 @@
   private readonly peers = new Map<string, Peer>();
   private readonly links = new Map<string, PeerLink>();
   private readonly calledSince = new Map<string, Instant>();
+  private announceTimer: NodeJS.Timeout | undefined;
   private readonly server = net.createServer(socket => this.accept(socket));
   /** Sockets that peers opened to this VM. */
   private readonly inbound = new Set<net.Socket>();
@@ -135,6 +138,7 @@
 
   /** Closes all connections. */
   close(): void {
+    clearTimeout(this.announceTimer);
     this.server.close();
     for (const socket of this.inbound) socket.destroy();
     for (const link of this.links.values()) link.close();
@@ -205,6 +209,10 @@
     this.peers.set(peer.vm, peer);
     const {vm, peerAddress: address} = peer;
     this.writeEvent(GatewayEvent.PeerFound, {peer: vm, address});
+    this.announceTimer ??= setTimeout(() => {
+      this.announceTimer = undefined;
+      this.sendAll(this.makeHello());
+    }, announceMilliseconds);
     return peer;
   }
 
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -61,13 +61,7 @@
 };
 
 /** A leaving endpoint must get no work after 2 s (bounds.drainMs). */
-const endpointOptions: FollowOptions = {
-  firstMilliseconds: 350,
-  othersMilliseconds: 800,
-  stepMilliseconds: 50,
-  maxMilliseconds: 1300,
-  waitMilliseconds: 0,
-};
+const endpointOptions = configurationOptions;
 
 /** One entry VM: serves callers, follows the store, keeps up with its peers. */
 export class Gateway {
