--- /dev/null
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -0,0 +1,199 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {isWholeChain, type LayerRange} from '@zinniaspindle/shared';
+import {
+  computeTokenCapacity,
+  createPathWatch,
+  findGap,
+  findPaths,
+  isStalled,
+  pickPath,
+  planRanges,
+  type StageEndpoint,
+  type StageModel,
+  type StagePath,
+} from '@zinniaspindle/decisions';
+
+const model: StageModel = {
+  layerCount: 80,
+  layerMegabytes: 1750,
+  tokenMegabytesPerLayer: 0.00822,
+  stepMilliseconds: 0.85,
+  promptTokensPerMillisecond: 252,
+};
+
+const kinds = {
+  a100s: {sizeMegabytes: 36_000, pace: 3.1},
+  l4: {sizeMegabytes: 21_600, pace: 16},
+  t4: {sizeMegabytes: 14_400, pace: 15},
+};
+
+function makeEndpoint(
+  id: string,
+  kind: keyof typeof kinds,
+  dataCentre: string,
+  held?: LayerRange,
+): StageEndpoint {
+  const address = `${id}:1`;
+  return {id, address, dataCentre, slots: 134, ...kinds[kind], held};
+}
+
+function makeCentre(
+  name: string,
+  counts: Readonly<Record<keyof typeof kinds, number>>,
+): StageEndpoint[] {
+  const endpoints: StageEndpoint[] = [];
+  for (const kind of Object.keys(kinds) as Array<keyof typeof kinds>) {
+    for (let i = 0; i < counts[kind]; i += 1) {
+      endpoints.push(makeEndpoint(`${name}-${kind}-${i}`, kind, name));
+    }
+  }
+  return endpoints;
+}
+
+/** The endpoints of one of today's deployments. */
+function makeFleet(): StageEndpoint[] {
+  return [
+    ...makeCentre('a', {a100s: 3, l4: 3, t4: 5}),
+    ...makeCentre('b', {a100s: 1, l4: 5, t4: 8}),
+    ...makeCentre('c', {a100s: 1, l4: 7, t4: 5}),
+  ];
+}
+
+function applyPlan(endpoints: readonly StageEndpoint[]): StageEndpoint[] {
+  const plan = planRanges(endpoints, model);
+  return endpoints.map(one => ({...one, held: plan.get(one.id) ?? one.held}));
+}
+
+function countMoved(
+  before: readonly StageEndpoint[],
+  after: readonly StageEndpoint[],
+): number {
+  let moved = 0;
+  for (const one of after) {
+    const was = before.find(({id}) => id === one.id)?.held;
+    for (let i = one.held?.first ?? 0; i < (one.held?.end ?? 0); i += 1) {
+      if (was === undefined || i < was.first || i >= was.end) moved += 1;
+    }
+  }
+  return moved;
+}
+
+test('an empty fleet gets a whole chain in each data centre', () => {
+  const paths = findPaths(applyPlan(makeFleet()), model);
+  assert.equal(paths.length, 3);
+  for (const path of paths) {
+    const centres = new Set(
+      path.parts.map(({endpoint: one}) => one.dataCentre),
+    );
+    assert.equal(centres.size, 1);
+    assert.ok(path.capacityTokens >= 100_000, `${path.capacityTokens}`);
+  }
+});
+
+test('no plan orders more than an endpoint holds', () => {
+  const fleet = applyPlan(makeFleet());
+  for (const lost of fleet) {
+    const left = fleet.filter(({id}) => id !== lost.id);
+    for (const one of applyPlan(left)) {
+      const {held, sizeMegabytes} = one;
+      if (held === undefined) continue;
+      const megabytes = (held.end - held.first) * model.layerMegabytes;
+      assert.ok(megabytes <= sizeMegabytes, one.id);
+    }
+  }
+});
+
+test('a chain is whole again after any loss, with little moved', () => {
+  const fleet = applyPlan(makeFleet());
+  for (const lost of fleet) {
+    const left = fleet.filter(({id}) => id !== lost.id);
+    const repaired = applyPlan(left);
+    const centre = repaired.filter(one => one.dataCentre === lost.dataCentre);
+    assert.equal(findGap(centre, model.layerCount), -1, lost.id);
+    assert.ok(countMoved(left, repaired) <= 80, lost.id);
+  }
+});
+
+test('a spare takes the lost range and nobody else moves', () => {
+  const fleet = applyPlan(makeFleet());
+  const lost = fleet.find(({id}) => id === 'b-t4-3')!;
+  const spare = makeEndpoint('b-spare', 't4', 'b');
+  const left = [...fleet.filter(one => one !== lost), spare];
+  const repaired = applyPlan(left);
+  assert.deepEqual(repaired.at(-1)!.held, lost.held);
+  assert.equal(countMoved(left, repaired), 5);
+});
+
+test('whole chains are left alone when a spare comes', () => {
+  const fleet = [...applyPlan(makeFleet()), makeEndpoint('x', 'l4', 'c')];
+  assert.equal(countMoved(fleet, applyPlan(fleet)), 0);
+});
+
+test('small data centres share one chain', () => {
+  const fleet = applyPlan([
+    ...makeCentre('a', {a100s: 2, l4: 1, t4: 0}),
+    ...makeCentre('b', {a100s: 2, l4: 1, t4: 0}),
+  ]);
+  const [path] = findPaths(fleet, model);
+  const ranges = path!.parts.map(({layers}) => layers);
+  assert.ok(isWholeChain(ranges, model.layerCount));
+});
+
+test('a broken data centre borrows parts of another', () => {
+  const fleet = applyPlan(makeFleet());
+  const lost = fleet.find(({id}) => id === 'a-t4-2')!;
+  const paths = findPaths(
+    fleet.filter(one => one !== lost),
+    model,
+  );
+  const crossing = paths.find(path =>
+    path.parts.some(({endpoint}) => endpoint.dataCentre !== 'a'),
+  );
+  assert.ok(crossing !== undefined);
+  for (const path of paths) {
+    const ranges = path.parts.map(({layers}) => layers);
+    assert.ok(isWholeChain(ranges, model.layerCount));
+    const ids = new Set(path.parts.map(({endpoint}) => endpoint.id));
+    assert.equal(ids.size, path.parts.length);
+  }
+});
+
+test('requests spread by load and leave full paths alone', () => {
+  const paths = findPaths(applyPlan(makeFleet()), model);
+  const [full, busy, idle] = paths as [StagePath, StagePath, StagePath];
+  const loads = new Map([
+    [full.key, {streams: 134, tokens: 120_000}],
+    [busy.key, {streams: 60, tokens: 60_000}],
+    [idle.key, {streams: 5, tokens: 5000}],
+  ]);
+  const getLoad = ({key}: StagePath) => loads.get(key)!;
+  const picked = pickPath(paths, 900, getLoad, 'a', () => 0.5);
+  assert.equal(picked, idle);
+});
+
+test('no path is picked when all are full', () => {
+  const paths = findPaths(applyPlan(makeFleet()), model);
+  const getLoad = () => ({streams: 134, tokens: 0});
+  assert.equal(
+    pickPath(paths, 900, getLoad, 'a', () => 0),
+    undefined,
+  );
+});
+
+test('capacity is what the held layers leave', () => {
+  const endpoint = makeEndpoint('e', 't4', 'a');
+  const tokens = computeTokenCapacity(endpoint, 4, 4, model);
+  assert.ok(Math.abs(tokens - 225_060) < 100, `${tokens}`);
+});
+
+test('a path is stalled when all its streams are silent', () => {
+  const watch = {...createPathWatch(), started: 3, progressAt: 1000};
+  assert.equal(isStalled(watch, 1150), false);
+  assert.equal(isStalled(watch, 1170), true);
+  assert.equal(isStalled({...watch, started: 1}, 1170), false);
+});
+
+test('a path without streams is never stalled', () => {
+  assert.equal(isStalled(createPathWatch(), 1_000_000), false);
+});
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -4,6 +4,7 @@
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
+import {createBreaker, type Breaker} from '@zinniaspindle/decisions';
 import type {EndpointEntry} from '../ports/index.js';
 
 /** An order that an endpoint may still be carrying out. */
@@ -42,6 +43,8 @@
   lapsesAt: Deadline | undefined;
   /** Requests of this VM that run at the endpoint. */
   running: number;
+  /** Failures of plain requests. */
+  readonly breaker: Breaker;
 }
 
 /** Creates the state of an endpoint that was just listed. */
@@ -58,6 +61,7 @@
     accusedAt: -Infinity,
     lapsesAt: undefined,
     running: 0,
+    breaker: createBreaker(),
   };
 }
 
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -211,7 +211,7 @@
     state.held = facts.held;
     if (isRestart) state.pending = undefined;
     if (isSameRange(state.pending?.range, facts.held))
-      state.pending = undefined;
+      {state.pending = undefined;}
     if (isSame && !isRestart) return false;
     this.revision += 1;
     this.writeEvent(GatewayEvent.EndpointHeld, {
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -81,10 +81,10 @@
     const isEmpty = stages.every(({held}) => held === undefined);
     if (isEmpty && this.getNow() < this.settledAt) return;
     const plan = planRanges(stages, model.shape);
-    for (const stage of stages) this.reconcile(stage, plan, model, token);
+    for (const stage of stages) this.updateStage(stage, plan, model, token);
   }
 
-  private reconcile(
+  private updateStage(
     stage: StageEndpoint,
     plan: RangePlan,
     model: ServiceModel,
--- a/packages/gateway/src/orders/ownership.ts
+++ b/packages/gateway/src/orders/ownership.ts
@@ -36,7 +36,7 @@
     const now = this.getNow();
     if (this.isJoining || now < this.joinAt) return;
     if (rank >= candidateCount) {
-      if (this.isMember) void this.leave();
+      if (this.isMember) void this.release();
       return;
     }
     this.isJoining = true;
@@ -56,7 +56,7 @@
   }
 
   /** Gives up the ownership on a planned stop. */
-  async leave(): Promise<void> {
+  async release(): Promise<void> {
     this.joinAt = Infinity;
     this.setOwner(false, 'left');
     if (!this.isMember) return;
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -180,7 +180,7 @@
     message: PeerMessage,
   ): Peer | undefined {
     if (message.kind === PeerMessageKind.Hello)
-      return this.acceptHello(message);
+      {return this.acceptHello(message);}
     if (peer === undefined) return undefined;
     // A connection of an earlier life of the VM tells nothing new.
     if (this.peers.get(peer.vm) !== peer) return peer;
--- a/packages/gateway/src/requests/plain_request.ts
+++ b/packages/gateway/src/requests/plain_request.ts
@@ -1,9 +1,16 @@
+import {
+  canSend,
+  FailureCertainty,
+  recordFailure,
+  recordSend,
+  recordSuccess,
+} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
 import {FailureReason, type OwnAnswer} from './failure.js';
-import {relayAnswer} from './relay_answer.js';
+import {sendAnswer} from './send_answer.js';
 import type {RequestContext} from './request_context.js';
 import {Upstream, UpstreamEnd} from './upstream.js';
 
@@ -11,8 +18,9 @@
 const maxNotRun = 4;
 /** A first try of a repeatable request waits this many targets long. */
 const firstTryTargets = 2;
-const suspectMilliseconds = 1000;
 const retryAfterMilliseconds = 400;
+/** Ranks an endpoint that fails behind all others. */
+const failingPenalty = 1000;
 
 /** How one try at an endpoint ended. */
 interface TryResult {
@@ -59,18 +67,22 @@
     this.upstream?.cancel();
   }
 
+  /** Picks the least busy endpoint; one that fails only if no other is left. */
   private pickEndpoint(): EndpointState | undefined {
     const {serving, service} = this.context;
+    const now = serving.getNow();
     let best: EndpointState | undefined;
     let least = Infinity;
     for (const state of serving.endpoints.list(service.name)) {
-      if (!serving.endpoints.isUsable(state)) continue;
-      if (this.tried.has(state.entry.id)) continue;
-      const rank = state.running + Math.random();
+      if (state.entry.isDraining || this.tried.has(state.entry.id)) continue;
+      const isFailing = !canSend(state.breaker, now);
+      const rank =
+        state.running + Math.random() + (isFailing ? failingPenalty : 0);
       if (rank >= least) continue;
       least = rank;
       best = state;
     }
+    if (best !== undefined) recordSend(best.breaker, now);
     return best;
   }
 
@@ -111,12 +123,17 @@
     return new Promise(resolve => {
       let answer: EndpointAnswer | undefined;
       const chunks: Buffer[] = [];
-      let timer: NodeJS.Timeout | undefined;
-      const finish = (end: UpstreamEnd, detail: string) => {
+      const closeTry = (end: UpstreamEnd, detail: string) => {
         clearTimeout(timer);
         endpoint.running -= 1;
         resolve({end, detail, answer, body: Buffer.concat(chunks)});
       };
+      // A timer may fire a fraction of a millisecond early.
+      const wait = Math.max(1, Math.ceil(tryDeadline - now) + 1);
+      const timer = setTimeout(() => {
+        upstream.cancel();
+        closeTry(UpstreamEnd.Broken, 'no answer in time');
+      }, wait);
       const upstream = new Upstream(
         {
           address,
@@ -131,17 +148,10 @@
         {
           handleAnswer: head => (answer = head),
           handleChunk: chunk => chunks.push(chunk),
-          handleEnd: finish,
+          handleEnd: closeTry,
         },
       );
       this.upstream = upstream;
-      timer = setTimeout(
-        () => {
-          upstream.cancel();
-          finish(UpstreamEnd.Broken, 'no answer in time');
-        },
-        Math.max(1, tryDeadline - now),
-      );
     });
   }
 
@@ -151,7 +161,8 @@
     const {answer, end} = result;
     if (end === UpstreamEnd.NotSent) {
       this.notRun += 1;
-      this.reportSuspect(endpoint, result.detail);
+      this.reportFailure(endpoint, FailureCertainty.Certain);
+      this.reportRetry(endpoint, result.detail);
       return false;
     }
     if (end === UpstreamEnd.Complete && answer!.isNotRun) {
@@ -161,7 +172,7 @@
     }
     this.runs += 1;
     if (end === UpstreamEnd.Broken) {
-      if (answer === undefined) this.reportSilent(endpoint, result.detail);
+      this.reportFailure(endpoint, FailureCertainty.Suspected);
       if (!this.canRepeat()) return this.failUnknown(result.detail);
       this.reportRetry(endpoint, result.detail);
       return false;
@@ -175,23 +186,17 @@
     if (!isRelayable(answer!, route.kind)) {
       return this.failUnknown(`status ${answer!.status} from the endpoint`);
     }
-    serving.endpoints.removeSuspicion(endpoint);
-    relayAnswer(this.context, endpoint.entry.id, answer!, result.body);
+    recordSuccess(endpoint.breaker, serving.getNow());
+    sendAnswer(this.context, endpoint.entry.id, answer!, result.body);
     return true;
   }
 
-  private reportSuspect(endpoint: EndpointState, reason: string): void {
-    const {serving} = this.context;
-    const until = serving.getNow() + suspectMilliseconds;
-    serving.endpoints.recordSuspicion(endpoint, until, reason);
-    this.reportRetry(endpoint, reason);
-  }
-
-  /** An endpoint that does not answer at all is left out for a while. */
-  private reportSilent(endpoint: EndpointState, reason: string): void {
-    const {serving} = this.context;
-    const until = serving.getNow() + suspectMilliseconds;
-    serving.endpoints.recordSuspicion(endpoint, until, reason);
+  private reportFailure(
+    endpoint: EndpointState,
+    certainty: FailureCertainty,
+  ): void {
+    const now = this.context.serving.getNow();
+    recordFailure(endpoint.breaker, certainty, now, Math.random);
   }
 
   private reportRetry(endpoint: EndpointState, reason: string): void {
@@ -218,7 +223,7 @@
   private answerFailure(): void {
     const {failure, context} = this;
     if (failure !== undefined) {
-      relayAnswer(context, 'several', failure.answer!, failure.body);
+      sendAnswer(context, 'several', failure.answer!, failure.body);
       return;
     }
     context.refuse(this.chooseFailure());
--- a/packages/gateway/src/requests/relay_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -20,7 +20,7 @@
 }
 
 /** Answers a caller with the whole answer of an endpoint. */
-export function relayAnswer(
+export function sendAnswer(
   context: RequestContext,
   endpoint: string,
   answer: EndpointAnswer,
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -5,7 +5,7 @@
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
 import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
-import {recordDone, relayAnswer, writeHead} from './relay_answer.js';
+import {recordDone, sendAnswer, writeHead} from './send_answer.js';
 import type {RequestContext} from './request_context.js';
 import {Upstream, UpstreamEnd} from './upstream.js';
 
@@ -52,7 +52,7 @@
     const {serving, service, deadline} = this.context;
     serving.budgets.recordFresh(service.name);
     for (;;) {
-      const tokens = this.estimateTokens();
+      const tokens = this.predictTokens();
       const path = serving.paths.pick(service.name, this.model, tokens);
       if (path === undefined) break;
       const end = await this.runTry(path, tokens);
@@ -92,7 +92,7 @@
     this.cancelTry(TryEnd.Broken, 'path is silent');
   }
 
-  private estimateTokens(): number {
+  private predictTokens(): number {
     const {promptTokens, answerHint, maxAnswerTokens} = this.context.request;
     const usual = answerHint ?? this.model.usualAnswerTokens;
     return promptTokens + Math.min(usual, maxAnswerTokens);
@@ -185,8 +185,8 @@
     this.lastEventId = events.lastId ?? this.lastEventId;
     if (response.write(events.bytes)) return;
     const {upstream} = this;
-    upstream?.pause();
-    response.once('drain', () => upstream?.resume());
+    upstream?.stopReading();
+    response.once('drain', () => upstream?.resumeReading());
   }
 
   private recordEvent(): void {
@@ -243,7 +243,7 @@
       return;
     }
     const first = this.ticket!.path.parts[0]!.endpoint.id;
-    relayAnswer(this.context, first, answer, Buffer.concat(this.failureBody));
+    sendAnswer(this.context, first, answer, Buffer.concat(this.failureBody));
     this.finishTry?.(TryEnd.Done, reason);
   }
 
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -69,7 +69,7 @@
     this.connectTimer = setTimeout(() => {
       this.close(UpstreamEnd.NotSent, 'no connection in time');
     }, wait);
-    this.listen();
+    this.handleEvents();
     this.request.end(sent.body.length > 0 ? sent.body : undefined);
   }
 
@@ -81,16 +81,16 @@
   }
 
   /** Stops reading the answer until it is resumed. */
-  pause(): void {
+  stopReading(): void {
     this.message?.pause();
   }
 
   /** Goes on reading the answer. */
-  resume(): void {
+  resumeReading(): void {
     this.message?.resume();
   }
 
-  private listen(): void {
+  private handleEvents(): void {
     const {request} = this;
     request.on('socket', socket => {
       socket.setNoDelay(true);
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -49,7 +49,7 @@
 const tickMilliseconds = 40;
 const beatMilliseconds = 250;
 const orderMilliseconds = 100;
-const registerMilliseconds = 1000;
+const publishMilliseconds = 1000;
 
 /** An operator's change must be in force within 2 s (bounds.configApplyMs). */
 const configurationOptions: FollowOptions = {
@@ -84,8 +84,8 @@
   );
   private readonly timers: NodeJS.Timeout[] = [];
   private phase = PeerPhase.Starting;
-  private isRegistered = false;
-  private isRegistering = false;
+  private isPublished = false;
+  private isPublishing = false;
 
   constructor(
     private settings: GatewaySettings,
@@ -203,8 +203,10 @@
     this.startTimer('orders', orderMilliseconds, () => {
       this.orders.run(this.knowledge.findConfiguration());
     });
-    this.startTimer('register', registerMilliseconds, () => this.register());
-    this.register();
+    this.startTimer('publish', publishMilliseconds, () =>
+      this.publishAddress(),
+    );
+    this.publishAddress();
     this.runTick();
   }
 
@@ -223,7 +225,7 @@
     const {peers} = this.settings.listen;
     const key = `${peers.host}:${peers.port}`;
     void this.ports.store.appendRecord(Topic.Vms, key, undefined);
-    void this.ownership.leave();
+    void this.ownership.release();
     await runStop(
       this.callers,
       directorySeconds,
@@ -343,16 +345,16 @@
   }
 
   /** Tells the store and the VMs listed there where this VM hears peers. */
-  private register(): void {
-    if (this.isRegistered || this.isRegistering) return;
+  private publishAddress(): void {
+    if (this.isPublished || this.isPublishing) return;
     if (this.phase === PeerPhase.Leaving) return;
-    this.isRegistering = true;
-    void this.registerOnce().finally(() => {
-      this.isRegistering = false;
+    this.isPublishing = true;
+    void this.publishOnce().finally(() => {
+      this.isPublishing = false;
     });
   }
 
-  private async registerOnce(): Promise<void> {
+  private async publishOnce(): Promise<void> {
     const {store} = this.ports;
     const {peers} = this.settings.listen;
     this.metrics.count(Counter.StoreCalls);
@@ -364,7 +366,7 @@
     const value = Buffer.from(this.settings.vm);
     const added = await store.appendRecord(Topic.Vms, key, value);
     if (added.isErr) return this.metrics.count(Counter.StoreFailures);
-    this.isRegistered = true;
+    this.isPublished = true;
   }
 }
 
