--- a/packages/decisions/src/stages/index.ts
+++ b/packages/decisions/src/stages/index.ts
@@ -1,4 +1,5 @@
 /** Placing layers on endpoints and choosing paths through them. */
+export * from './endpoint_doubt.js';
 export * from './find_paths.js';
 export * from './memory.js';
 export * from './pick_path.js';
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -4,7 +4,12 @@
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
-import {createBreaker, type Breaker} from '@zinniaspindle/decisions';
+import {
+  createBreaker,
+  createDoubt,
+  type Breaker,
+  type EndpointDoubt,
+} from '@zinniaspindle/decisions';
 import type {EndpointEntry} from '../ports/index.js';
 
 /** An order that an endpoint may still be carrying out. */
@@ -35,10 +40,8 @@
   pending: PendingRange | undefined;
   /** No new work before this instant. */
   suspectUntil: Deadline;
-  /** Direct questions in a row that got no answer. */
-  failedProbes: number;
-  /** When a peer last said that the endpoint does not answer. */
-  accusedAt: Instant;
+  /** What speaks against the endpoint. */
+  readonly doubt: EndpointDoubt;
   /** Removal of the entry, put off while the store recovers. */
   lapsesAt: Deadline | undefined;
   /** Requests of this VM that run at the endpoint. */
@@ -57,8 +60,7 @@
     askedAt: -Infinity,
     pending: undefined,
     suspectUntil: 0,
-    failedProbes: 0,
-    accusedAt: -Infinity,
+    doubt: createDoubt(),
     lapsesAt: undefined,
     running: 0,
     breaker: createBreaker(),
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -142,7 +142,7 @@
 
   /** Lets new work go to an endpoint again. */
   removeSuspicion(state: EndpointState): void {
-    state.failedProbes = 0;
+    state.doubt.failedProbes = 0;
     if (isPast(state.suspectUntil, this.getNow())) return;
     state.suspectUntil = 0;
     this.revision += 1;
@@ -210,8 +210,9 @@
     state.orderCount = facts.orderCount;
     state.held = facts.held;
     if (isRestart) state.pending = undefined;
-    if (isSameRange(state.pending?.range, facts.held))
-      {state.pending = undefined;}
+    if (isSameRange(state.pending?.range, facts.held)) {
+      state.pending = undefined;
+    }
     if (isSame && !isRestart) return false;
     this.revision += 1;
     this.writeEvent(GatewayEvent.EndpointHeld, {
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -79,7 +79,11 @@
     });
     const keys = paths.map(({key}) => key).join(' | ');
     if (cached?.paths.map(({key}) => key).join(' | ') !== keys) {
-      this.writeEvent(GatewayEvent.PathsChanged, {service, paths: keys});
+      this.writeEvent(GatewayEvent.PathsChanged, {
+        service,
+        count: paths.length,
+        paths: keys,
+      });
     }
     return paths;
   }
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -1,7 +1,11 @@
-import type {StagePath} from '@zinniaspindle/decisions';
+import {
+  isFailing,
+  recordRefusal,
+  type StagePath,
+} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {Counter, type Metrics} from '../log/metrics.js';
-import type {EndpointCalls} from '../ports/index.js';
+import type {EndpointCalls, EndpointReport} from '../ports/index.js';
 import type {EndpointFacts, EndpointState} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 
@@ -19,8 +23,12 @@
 const repeatMilliseconds = 700;
 /** Gap after which a failed question is repeated, to rule out a lost packet. */
 const confirmMilliseconds = 60;
-/** Failed questions in a row after which an endpoint counts as down. */
-export const confirmedProbes = 2;
+/** An endpoint that refuses work is left out until its state is known. */
+const refusedMilliseconds = 300;
+/** One that refuses though it has room is left out for longer. */
+const failingMilliseconds = 2500;
+/** Fuller endpoints refuse for want of memory. */
+const roomyFill = 0.85;
 
 /** Asks endpoints for their reports when their work does not come back. */
 export class Probes {
@@ -45,7 +53,7 @@
   async probe(id: string): Promise<boolean> {
     const state = this.table.find(id);
     if (state === undefined) return false;
-    if (this.asking.has(id)) return state.failedProbes === 0;
+    if (this.asking.has(id)) return state.doubt.failedProbes === 0;
     this.asking.add(id);
     try {
       if (await this.askOnce(state)) return true;
@@ -56,6 +64,37 @@
     }
   }
 
+  /**
+   * Looks into a refusal: an endpoint that has room, carries out no order and
+   * refuses again is leaving or broken, though it answers questions.
+   */
+  async checkRefusal(id: string, reason: string): Promise<void> {
+    const state = this.table.find(id);
+    if (state === undefined) return;
+    const now = this.getNow();
+    this.table.recordSuspicion(state, now + refusedMilliseconds, reason);
+    if (this.asking.has(id)) return;
+    this.asking.add(id);
+    this.metrics.count(Counter.Probes);
+    const report = await this.calls.fetchReport(state.entry.address);
+    this.asking.delete(id);
+    if (this.table.find(id) !== state) return;
+    if (report.isErr) {
+      void this.probe(id);
+      return;
+    }
+    this.acceptReport(state, report.value);
+    const {isBusy, memoryFill} = report.value;
+    const hasRoom = memoryFill < roomyFill && !isBusy;
+    if (!hasRoom || this.table.findPending(state) !== undefined) return;
+    const askedAt = this.getNow();
+    recordRefusal(state.doubt, askedAt);
+    if (!isFailing(state.doubt, askedAt)) return;
+    const until = askedAt + failingMilliseconds;
+    this.table.recordSuspicion(state, until, 'refuses work with room left');
+    this.listeners.sendAccusation(id, state.bornAt);
+  }
+
   /** Asks the endpoints that failed before whether they are back. */
   probeFailing(): void {
     const now = this.getNow();
@@ -73,23 +112,31 @@
     if (this.table.find(id) !== state) return false;
     if (report.isErr) {
       const now = this.getNow();
-      state.failedProbes += 1;
+      state.doubt.failedProbes += 1;
       this.failing.set(id, now + repeatMilliseconds);
       this.table.recordSuspicion(
         state,
         now + suspectMilliseconds,
         report.error.message,
       );
-      if (state.failedProbes >= confirmedProbes) {
+      if (isFailing(state.doubt, now)) {
         this.listeners.sendAccusation(id, state.bornAt);
       }
       return false;
     }
     this.failing.delete(id);
-    this.table.removeSuspicion(state);
-    const {bornAt, orderCount, held} = report.value;
+    state.doubt.failedProbes = 0;
+    if (!isFailing(state.doubt, this.getNow())) {
+      this.table.removeSuspicion(state);
+    }
+    this.acceptReport(state, report.value);
+    return true;
+  }
+
+  private acceptReport(state: EndpointState, report: EndpointReport): void {
+    const {id} = state.entry;
+    const {bornAt, orderCount, held} = report;
     const facts = {id, bornAt, orderCount, held};
     if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
-    return true;
   }
 }
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -1,4 +1,5 @@
 import {
+  isLost,
   planRanges,
   type RangePlan,
   type StageEndpoint,
@@ -15,7 +16,6 @@
   type EndpointState,
 } from '../fleet/endpoint_state.js';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
-import {confirmedProbes} from '../fleet/probes.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
@@ -36,8 +36,6 @@
 const settleMilliseconds = 700;
 /** Reports lag by some hundred ms; a load takes from 200 ms on. */
 const reportMilliseconds = 220;
-/** Accusations of peers count for this long. */
-const accusationMilliseconds = 3000;
 const retryMilliseconds = 400;
 
 /** Gives endpoints their layers while this VM owns the orders. */
@@ -51,6 +49,7 @@
     private readonly calls: EndpointCalls,
     private readonly ownership: Ownership,
     private readonly listeners: OrderListeners,
+    private readonly countPeers: () => number,
     private readonly writeEvent: WriteEvent,
     private readonly metrics: Metrics,
     private readonly getNow: () => Instant,
@@ -152,10 +151,10 @@
     this.metrics.count(Counter.Probes);
     const report = await this.calls.fetchReport(address);
     if (report.isErr || this.table.find(id) !== state) {
-      if (report.isErr) state.failedProbes += 1;
+      if (report.isErr) state.doubt.failedProbes += 1;
       return;
     }
-    state.failedProbes = 0;
+    state.doubt.failedProbes = 0;
     const {bornAt, orderCount, held} = report.value;
     const facts = {id, bornAt, orderCount, held};
     if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
@@ -163,9 +162,7 @@
 
   /** Tells whether an endpoint counts for the plan; doubtful ones still do. */
   private canHold(state: EndpointState): boolean {
-    if (state.failedProbes < confirmedProbes) return true;
-    // Without another VM's word, this one may itself be cut off from it.
-    return this.getNow() - state.accusedAt >= accusationMilliseconds;
+    return !isLost(state.doubt, this.countPeers(), this.getNow());
   }
 }
 
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -1,3 +1,4 @@
+import {isLost} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {Probes} from '../fleet/probes.js';
@@ -18,6 +19,8 @@
 
 /** Missing records are asked for at most this often. */
 const askMilliseconds = 200;
+/** An endpoint that several VMs found failing is left out this long. */
+const lostMilliseconds = 1500;
 /** Ages beyond this are all the same: too old. */
 const maxAgeMilliseconds = 600_000;
 
@@ -30,6 +33,7 @@
     private readonly endpoints: EndpointTable,
     private readonly probes: Probes,
     private readonly sendTo: (peer: Peer, message: PeerMessage) => void,
+    private readonly countPeers: () => number,
     private readonly getNow: () => Instant,
   ) {}
 
@@ -47,7 +51,7 @@
       case PeerMessageKind.Newest:
         return this.acceptNewest(message);
       case PeerMessageKind.Accusation:
-        return this.acceptAccusation(message);
+        return this.acceptAccusation(peer, message);
       case PeerMessageKind.Facts:
         this.endpoints.applyReport(message.facts);
         return;
@@ -133,10 +137,19 @@
   }
 
   /** What a peer says of an endpoint is checked, not believed. */
-  private acceptAccusation({id, bornAt}: Accusation): void {
+  private acceptAccusation(peer: Peer, {id, bornAt}: Accusation): void {
     const state = this.endpoints.find(id);
     if (state === undefined || state.bornAt !== bornAt) return;
-    state.accusedAt = this.getNow();
+    const now = this.getNow();
+    state.doubt.accusers.set(peer.vm, now);
+    if (isLost(state.doubt, this.countPeers(), now)) {
+      const until = now + lostMilliseconds;
+      this.endpoints.recordSuspicion(
+        state,
+        until,
+        'several VMs found it failing',
+      );
+    }
     void this.probes.probe(id);
   }
 
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -179,8 +179,9 @@
     peer: Peer | undefined,
     message: PeerMessage,
   ): Peer | undefined {
-    if (message.kind === PeerMessageKind.Hello)
-      {return this.acceptHello(message);}
+    if (message.kind === PeerMessageKind.Hello) {
+      return this.acceptHello(message);
+    }
     if (peer === undefined) return undefined;
     // A connection of an earlier life of the VM tells nothing new.
     if (this.peers.get(peer.vm) !== peer) return peer;
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -27,6 +27,8 @@
   /** Whether an order is being carried out. */
   readonly isBusy: boolean;
   readonly held: LayerRange | undefined;
+  /** Share of the memory for requests that is in use, 0 to 1. */
+  readonly memoryFill: number;
   /** Above 1 the endpoint is slower than its kind should be. */
   readonly slowness: number;
 }
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -14,8 +14,6 @@
 /** A repair of a lost range takes this long; callers spread over the next. */
 const retryAfterMilliseconds = 900;
 const retrySpreadMilliseconds = 600;
-/** An endpoint that refused for itself or another is left out this long. */
-const refusedMilliseconds = 300;
 
 /** How one try on a path ended. */
 enum TryEnd {
@@ -201,7 +199,7 @@
     if (end === UpstreamEnd.NotSent) {
       this.notRun += 1;
       const first = this.ticket!.path.parts[0]!.endpoint.id;
-      this.reportSuspect(first, detail);
+      void this.context.serving.probes.checkRefusal(first, detail);
       this.finishTry?.(TryEnd.NotRun, detail);
       return;
     }
@@ -228,7 +226,9 @@
       answer.faultAddress ?? this.ticket!.path.parts[0]!.endpoint.address;
     const fault = serving.endpoints.findAt(address);
     const reason = `status ${answer.status} at ${address}`;
-    if (fault !== undefined) this.reportSuspect(fault.entry.id, reason);
+    if (fault !== undefined) {
+      void serving.probes.checkRefusal(fault.entry.id, reason);
+    }
     this.finishTry?.(TryEnd.NotRun, reason);
   }
 
@@ -247,15 +247,6 @@
     this.finishTry?.(TryEnd.Done, reason);
   }
 
-  private reportSuspect(id: string, reason: string): void {
-    const {serving} = this.context;
-    const state = serving.endpoints.find(id);
-    if (state === undefined) return;
-    const until = serving.getNow() + refusedMilliseconds;
-    serving.endpoints.recordSuspicion(state, until, reason);
-    void serving.probes.probe(id);
-  }
-
   private answerWhole(): void {
     const {response, serving} = this.context;
     response.end();
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -134,6 +134,7 @@
       this.endpoints,
       this.probes,
       (peer, message) => this.mesh.sendTo(peer, message),
+      () => this.mesh.listLive().length,
       getNow,
     );
     const {host, port} = settings.listen.peers;
@@ -167,6 +168,7 @@
           this.mesh.sendAll({kind, id, bornAt, range});
         },
       },
+      () => this.mesh.listLive().length,
       write,
       metrics,
       getNow,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -65,7 +65,7 @@
   [GatewayEvent.EndpointSuspected]:
     'endpoint {endpoint} gets no new work: {reason}',
   [GatewayEvent.EndpointCleared]: 'endpoint {endpoint} gets work again',
-  [GatewayEvent.PathsChanged]: 'paths of {service}: {paths}',
+  [GatewayEvent.PathsChanged]: '{count} paths of {service} found',
   [GatewayEvent.PathStalled]:
     'path {path} silent for {silentMs} ms with {streams} streams',
   [GatewayEvent.PeerFound]: 'VM {peer} found at {address}',
