--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -17,6 +17,11 @@
   readonly crossingMilliseconds: number;
   /** Parts that endpoints accept in one path. */
   readonly maxParts: number;
+  /**
+   * Streams at once on a path that crosses data centres: two crossings of
+   * 25 MB for each of 8 streams a second are 40% of the shared pipe.
+   */
+  readonly maxCrossingStreams: number;
 }
 
 /** In-zone hops and the prompt's share of a crossing, from the site files. */
@@ -24,6 +29,7 @@
   hopMilliseconds: 0.1,
   crossingMilliseconds: 3,
   maxParts: 32,
+  maxCrossingStreams: 24,
 };
 
 interface Entry {
@@ -143,15 +149,22 @@
   const keys = parts.map(
     ({endpoint, layers}) => `${endpoint.id}:${layers.first}-${layers.end}`,
   );
+  const {slots} = parts[0]!.endpoint;
+  const {maxCrossingStreams} = options;
   return {
     key: keys.join(','),
     parts,
     passMilliseconds: last.cost,
     capacityTokens: computePathCapacity(parts, model),
-    slots: parts[0]!.endpoint.slots,
+    slots: hasCrossing(parts) ? Math.min(slots, maxCrossingStreams) : slots,
   };
 }
 
+function hasCrossing(parts: readonly PathPart[]): boolean {
+  const {dataCentre} = parts[0]!.endpoint;
+  return parts.some(({endpoint}) => endpoint.dataCentre !== dataCentre);
+}
+
 function computePathCapacity(
   parts: readonly PathPart[],
   model: StageModel,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -121,9 +121,15 @@
   }
 
   /** Notes an order that was given to an endpoint. */
-  applyOrder(id: string, bornAt: Instant, range: LayerRange): void {
+  applyOrder(
+    id: string,
+    bornAt: Instant,
+    range: LayerRange,
+    orderCount: number,
+  ): void {
     const state = this.states.get(id);
-    if (state === undefined) return;
+    if (state === undefined || state.bornAt > bornAt) return;
+    state.orderCount = Math.max(state.orderCount, orderCount);
     const until = this.getNow() + pendingMilliseconds;
     state.pending = {range, bornAt, until};
     this.revision += 1;
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -28,7 +28,12 @@
 
 /** Told of what the owner orders and of what endpoints then report. */
 export interface OrderListeners {
-  readonly sendOrder: (id: string, bornAt: Instant, range: LayerRange) => void;
+  readonly sendOrder: (
+    id: string,
+    bornAt: Instant,
+    range: LayerRange,
+    orderCount: number,
+  ) => void;
   readonly sendFacts: (facts: EndpointFacts) => void;
 }
 
@@ -112,14 +117,14 @@
     fencingToken: number,
   ): Promise<void> {
     const {id, address} = state.entry;
-    const {bornAt} = state;
+    const {bornAt, orderCount} = state;
     this.metrics.count(Counter.Orders);
     const outcome = await this.calls.sendOrder({
       address,
       endpointId: id,
       range,
       fencingToken,
-      expectedOrderCount: state.orderCount,
+      expectedOrderCount: orderCount,
     });
     const layers = formatLayerRange(range);
     if (outcome.isErr) {
@@ -134,15 +139,16 @@
       layers,
       outcome: outcome.value,
       token: fencingToken,
-      expected: state.orderCount,
+      expected: orderCount,
     });
     if (outcome.value === OrderOutcome.Fenced) this.ownership.handleFenced();
     if (outcome.value !== OrderOutcome.Accepted) {
       await this.askReport(state);
+      this.busyUntil.delete(id);
       return;
     }
-    this.table.applyOrder(id, bornAt, range);
-    this.listeners.sendOrder(id, bornAt, range);
+    this.table.applyOrder(id, bornAt, range, orderCount + 1);
+    this.listeners.sendOrder(id, bornAt, range, orderCount + 1);
     this.busyUntil.set(id, this.getNow() + reportMilliseconds);
   }
 
--- a/packages/gateway/src/orders/ownership.ts
+++ b/packages/gateway/src/orders/ownership.ts
@@ -3,11 +3,11 @@
 import {Counter, type Metrics} from '../log/metrics.js';
 import type {Store} from '../ports/index.js';
 
-/** VMs that offer to own the orders; more only cost calls. */
-const candidateCount = 3;
+/** VMs that offer to own the orders while none does; the others wait. */
+const candidateCount = 2;
 const joinMilliseconds = 600;
 /** The store's least is 1 s; a slow store takes 0.4 s for an answer. */
-const ttlMilliseconds = 2000;
+const ttlMilliseconds = 1500;
 const failedJoinMilliseconds = 1000;
 
 /** Whether this VM owns the orders to endpoints, by a group of the store. */
@@ -31,11 +31,14 @@
     return this.isOwner ? this.generation : undefined;
   }
 
-  /** Joins the group, or stays in it, if this VM's rank is low enough. */
-  poll(rank: number): void {
+  /**
+   * Stays in the group while this VM owns the orders. Others join only when no
+   * peer owns them, since every change of the group may move the ownership.
+   */
+  poll(rank: number, hasOtherOwner: boolean): void {
     const now = this.getNow();
     if (this.isJoining || now < this.joinAt) return;
-    if (rank >= candidateCount) {
+    if (!this.isOwner && (hasOtherOwner || rank >= candidateCount)) {
       if (this.isMember) void this.release();
       return;
     }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -50,6 +50,8 @@
 export interface Beat {
   readonly kind: PeerMessageKind.Beat;
   readonly phase: PeerPhase;
+  /** Whether the VM owns the orders to endpoints. */
+  readonly isOwner: boolean;
   readonly topics: readonly TopicAge[];
   readonly loads: readonly LoadRow[];
 }
@@ -103,6 +105,8 @@
   readonly id: string;
   readonly bornAt: Instant;
   readonly range: LayerRange;
+  /** Orders that the endpoint accepted, this one included. */
+  readonly orderCount: number;
 }
 
 /** Any message between VMs. */
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -60,6 +60,7 @@
           message.id,
           message.bornAt,
           message.range,
+          message.orderCount,
         );
     }
   }
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -28,6 +28,7 @@
   readonly peerAddress: string;
   readonly callerAddress: string;
   phase: PeerPhase;
+  isOwner: boolean;
   heardAt: Instant;
   /** Whether it was heard in time when last looked at. */
   isHeard: boolean;
@@ -94,6 +95,11 @@
     );
   }
 
+  /** Tells whether a live VM owns the orders to endpoints. */
+  hasOwner(): boolean {
+    return this.listLive().some(({isOwner}) => isOwner);
+  }
+
   /** Lists all VMs that were heard lately and never said that they leave. */
   listKnown(): Peer[] {
     return [...this.peers.values()].filter(
@@ -203,6 +209,7 @@
       peerAddress: hello.peerAddress,
       callerAddress: hello.callerAddress,
       phase: PeerPhase.Starting,
+      isOwner: false,
       heardAt: this.getNow(),
       isHeard: true,
       loads: new Map(),
@@ -222,6 +229,7 @@
       this.writeEvent(GatewayEvent.PeerLeaving, {peer: peer.vm});
     }
     peer.phase = beat.phase;
+    peer.isOwner = beat.isOwner;
     const loads = new Map<string, PathLoad>();
     for (const [first, streams, tokens] of beat.loads) {
       loads.set(first, {streams, tokens});
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import type {Deadline} from '@zinniaspindle/shared';
 import type {
@@ -10,6 +11,9 @@
 /** Endpoints accept within 2 ms; a lost packet is sent again after a second. */
 const connectMilliseconds = 500;
 
+/** Bytes between requests that any server skips. */
+const emptyLine = '\r\n';
+
 /** How far a request to an endpoint came before it ended. */
 export enum UpstreamEnd {
   /** The answer is complete. */
@@ -57,9 +61,7 @@
   ) {
     const [host, port] = sent.address.split(':');
     this.request = http.request({
-      agent: false,
-      host,
-      port: Number(port),
+      createConnection: () => this.openConnection(host!, Number(port)),
       method: sent.method,
       path: sent.path,
       headers: sent.headers as unknown as http.OutgoingHttpHeaders,
@@ -90,15 +92,34 @@
     this.message?.resume();
   }
 
+  private openConnection(host: string, port: number): net.Socket {
+    const socket = net.connect({host, port, allowHalfOpen: true});
+    socket.setNoDelay(true);
+    socket.once('connect', () => {
+      this.isConnected = true;
+      clearTimeout(this.connectTimer);
+    });
+    socket.on('end', () => {
+      if (this.message !== undefined && !hasLength(this.message)) {
+        this.checkReset(socket);
+      }
+    });
+    return socket;
+  }
+
+  /**
+   * Settles an answer that ends with its connection. A reset may be reported
+   * as a plain end; it shows when the connection is written to once more.
+   */
+  private checkReset(socket: net.Socket): void {
+    socket.write(emptyLine, error => {
+      if (error == null) this.close(UpstreamEnd.Complete, 'complete');
+      else this.close(UpstreamEnd.Broken, error.message);
+    });
+  }
+
   private handleEvents(): void {
     const {request} = this;
-    request.on('socket', socket => {
-      socket.setNoDelay(true);
-      socket.once('connect', () => {
-        this.isConnected = true;
-        clearTimeout(this.connectTimer);
-      });
-    });
     request.on('error', error => {
       const end = this.isConnected ? UpstreamEnd.Broken : UpstreamEnd.NotSent;
       this.close(end, error.message);
@@ -124,10 +145,12 @@
     });
     message.on('error', error => this.close(UpstreamEnd.Broken, error.message));
     message.on('end', () => {
+      if (!hasLength(message)) return; // The end of its connection tells.
       if (message.complete) this.close(UpstreamEnd.Complete, 'complete');
       else this.close(UpstreamEnd.Broken, 'answer broke off');
     });
     message.on('close', () => {
+      if (!hasLength(message) && message.complete) return;
       this.close(UpstreamEnd.Broken, 'answer broke off');
     });
     this.listener.handleAnswer(answer);
@@ -139,3 +162,12 @@
     this.listener.handleEnd(end, detail);
   }
 }
+
+/** Tells whether an answer says itself where it ends. */
+function hasLength({headers, statusCode}: http.IncomingMessage): boolean {
+  if (statusCode === 204 || statusCode === 304) return true;
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -163,9 +163,9 @@
       this.ownership,
       {
         sendFacts,
-        sendOrder: (id, bornAt, range) => {
+        sendOrder: (id, bornAt, range, orderCount) => {
           const kind = PeerMessageKind.Order;
-          this.mesh.sendAll({kind, id, bornAt, range});
+          this.mesh.sendAll({kind, id, bornAt, range, orderCount});
         },
       },
       () => this.mesh.listLive().length,
@@ -280,7 +280,9 @@
     }
     const rank = this.computeRank();
     for (const follower of this.followers) follower.poll(rank);
-    if (this.phase !== PeerPhase.Leaving) this.ownership.poll(rank);
+    if (this.phase !== PeerPhase.Leaving) {
+      this.ownership.poll(rank, this.mesh.hasOwner());
+    }
     this.mesh.checkSilence();
     this.endpoints.expireLapsed();
     this.probes.probeFailing();
@@ -314,6 +316,7 @@
     this.mesh.sendAll({
       kind: PeerMessageKind.Beat,
       phase: this.phase,
+      isOwner: this.ownership.findToken() !== undefined,
       topics: this.peerHandler.listAges(),
       loads: this.paths
         .listOwnLoads()
