--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -6,6 +6,11 @@
 export interface RangeOptions {
   /** Request tokens that each chain should hold room for. */
   readonly goalTokens: number;
+  /**
+   * Request tokens that endpoints near a loss may be stretched down to. Fewer
+   * mean that fewer endpoints move their ranges, and the gap closes sooner.
+   */
+  readonly repairTokens: number;
   /** Request tokens below which a data centre gets no chain of its own. */
   readonly leastTokens: number;
 }
@@ -16,6 +21,7 @@
  */
 export const defaultRangeOptions: RangeOptions = {
   goalTokens: 120_000,
+  repairTokens: 70_000,
   leastTokens: 30_000,
 };
 
@@ -114,14 +120,15 @@
 ): RangePlan {
   const gap = findGap(group, model.layerCount);
   if (gap === -1) return listHeld(group);
-  const tokens = findTokens(group, model, options.goalTokens);
+  const isFresh = group.every(({held}) => held === undefined);
+  const goal = isFresh ? options.goalTokens : options.repairTokens;
+  const tokens = findTokens(group, model, goal);
   const members = sortMembers(group, gap).map(endpoint => ({
     endpoint,
     size: endpoint.held === undefined ? 0 : countLayers(endpoint.held),
     cap: countFittingLayers(endpoint, tokens, model),
   }));
   for (const member of members) member.size = Math.min(member.size, member.cap);
-  const isFresh = members.every(({size}) => size === 0);
   if (isFresh) addEvenly(members, model.layerCount);
   else addNearest(members, gap, model.layerCount);
   removeSurplus(members, model.layerCount);
--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -8,6 +8,8 @@
   readonly singleMilliseconds: number;
   /** Wait for a first event on a path without other streams. */
   readonly firstMilliseconds: number;
+  /** Silence after which a path is given up although its endpoints answer. */
+  readonly certainMilliseconds: number;
   /** Time for which a stalled path takes no new work. */
   readonly avoidMilliseconds: number;
 }
@@ -17,6 +19,7 @@
   sharedMilliseconds: 160,
   singleMilliseconds: 260,
   firstMilliseconds: 900,
+  certainMilliseconds: 800,
   avoidMilliseconds: 1500,
 };
 
@@ -28,23 +31,41 @@
   waiting: number;
   /** When any stream of the path last gave an event, or the first was sent. */
   progressAt: Instant;
+  /** When its silence was last looked into. */
+  checkedAt: Instant;
   /** The path takes no new work before this instant. */
   avoidUntil: Deadline;
 }
 
 /** Creates the watch of a path without streams. */
 export function createPathWatch(): PathWatch {
-  return {started: 0, waiting: 0, progressAt: 0, avoidUntil: 0};
+  return {started: 0, waiting: 0, progressAt: 0, checkedAt: 0, avoidUntil: 0};
 }
 
-/** Tells whether a path's streams have been silent for too long. */
+/**
+ * Tells whether a path's streams have been silent for long enough to ask its
+ * endpoints whether they are up.
+ */
 export function isStalled(
   watch: PathWatch,
   now: Instant,
   options: StallOptions = defaultStallOptions,
 ): boolean {
-  const silent = now - watch.progressAt;
+  const silent = now - Math.max(watch.progressAt, watch.checkedAt);
   if (watch.started >= 2) return silent > options.sharedMilliseconds;
   if (watch.started === 1) return silent > options.singleMilliseconds;
   return watch.waiting > 0 && silent > options.firstMilliseconds;
 }
+
+/** Tells whether a path is silent for so long that it must be given up. */
+export function isGivenUp(
+  watch: PathWatch,
+  now: Instant,
+  options: StallOptions = defaultStallOptions,
+): boolean {
+  const wait =
+    watch.started > 0
+      ? options.certainMilliseconds
+      : 2 * options.firstMilliseconds;
+  return now - watch.progressAt > wait;
+}
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -2,6 +2,7 @@
   createPathWatch,
   defaultStallOptions,
   findPaths,
+  isGivenUp,
   isStalled,
   pickPath,
   type PathLoad,
@@ -172,30 +173,41 @@
     for (const {watch} of this.watched.values()) watch.progressAt = now;
   }
 
-  /** Moves the streams of silent paths elsewhere; gives those paths. */
-  checkStalls(): StagePath[] {
+  /** Lists the paths whose endpoints should be asked whether they are up. */
+  listStalled(): StagePath[] {
     const now = this.getNow();
     const stalled: StagePath[] = [];
-    for (const [key, watched] of this.watched) {
-      const {watch, path, riders} = watched;
+    for (const [key, {watch, path, riders}] of this.watched) {
       if (riders.size === 0) {
         if (isPast(watch.avoidUntil, now)) this.watched.delete(key);
         continue;
       }
       if (!isStalled(watch, now)) continue;
-      this.writeEvent(GatewayEvent.PathStalled, {
-        path: key,
-        silentMs: Math.round(now - watch.progressAt),
-        streams: riders.size,
-      });
-      watch.avoidUntil = now + defaultStallOptions.avoidMilliseconds;
-      watch.progressAt = now;
+      watch.checkedAt = now;
       stalled.push(path);
-      for (const rider of [...riders.values()]) rider.handleStall();
     }
     return stalled;
   }
 
+  /** Tells whether a path is silent for so long that it must be given up. */
+  isGivenUp(path: StagePath): boolean {
+    return isGivenUp(this.getWatched(path).watch, this.getNow());
+  }
+
+  /** Moves all streams of a silent path elsewhere. */
+  dropRiders(path: StagePath): void {
+    const now = this.getNow();
+    const {watch, riders} = this.getWatched(path);
+    this.writeEvent(GatewayEvent.PathStalled, {
+      path: path.key,
+      silentMs: Math.round(now - watch.progressAt),
+      streams: riders.size,
+    });
+    watch.avoidUntil = now + defaultStallOptions.avoidMilliseconds;
+    watch.progressAt = now;
+    for (const rider of [...riders.values()]) rider.handleStall();
+  }
+
   private getWatched(path: StagePath): WatchedPath {
     let watched = this.watched.get(path.key);
     if (watched === undefined) {
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -23,6 +23,8 @@
 const repeatMilliseconds = 700;
 /** Gap after which a failed question is repeated, to rule out a lost packet. */
 const confirmMilliseconds = 60;
+/** An endpoint that is up answers within 3 ms, a slowed VM takes longer. */
+const promptMilliseconds = 50;
 /** An endpoint that refuses work is left out until its state is known. */
 const refusedMilliseconds = 300;
 /** One that refuses though it has room is left out for longer. */
@@ -43,10 +45,19 @@
     private readonly getNow: () => Instant,
   ) {}
 
-  /** Asks all endpoints of a path; tells whether all answered. */
-  async probePath(path: StagePath): Promise<boolean> {
-    const answers = path.parts.map(({endpoint}) => this.probe(endpoint.id));
-    return (await Promise.all(answers)).every(isUp => isUp);
+  /**
+   * Asks all endpoints of a path; handleSilence is called as soon as one of
+   * them takes longer to answer than any that is up.
+   */
+  async probePath(path: StagePath, handleSilence: () => void): Promise<void> {
+    let waiting = path.parts.length;
+    const timer = setTimeout(handleSilence, promptMilliseconds);
+    const probes = path.parts.map(async ({endpoint}) => {
+      if (!(await this.probe(endpoint.id))) return;
+      waiting -= 1;
+      if (waiting === 0) clearTimeout(timer);
+    });
+    await Promise.all(probes);
   }
 
   /** Asks an endpoint, once more after a failure; tells whether it answered. */
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -205,7 +205,9 @@
     }
     if (end === UpstreamEnd.Broken) {
       if (this.answer === undefined) this.runs += 1;
-      void this.context.serving.probes.probePath(this.ticket!.path);
+      const {path} = this.ticket!;
+      const {probes, paths} = this.context.serving;
+      void probes.probePath(path, () => paths.dropRiders(path));
       this.finishTry?.(TryEnd.Broken, detail);
       return;
     }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -291,11 +291,10 @@
   }
 
   private checkStalls(): void {
-    for (const path of this.paths.checkStalls()) {
+    for (const path of this.paths.listStalled()) {
       this.metrics.count(Counter.Stalls);
-      void this.probes.probePath(path).then(isUp => {
-        if (isUp) this.paths.removeAvoidance(path);
-      });
+      if (this.paths.isGivenUp(path)) this.paths.dropRiders(path);
+      void this.probes.probePath(path, () => this.paths.dropRiders(path));
     }
   }
 
