--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -14,10 +14,10 @@
   readonly avoidMilliseconds: number;
 }
 
-/** Events come every 30 to 60 ms; a gap above 200 ms is late (site files). */
+/** Events come every 30 ms; a gap above 200 ms is late (site files). */
 export const defaultStallOptions: StallOptions = {
-  sharedMilliseconds: 160,
-  singleMilliseconds: 260,
+  sharedMilliseconds: 80,
+  singleMilliseconds: 120,
   firstMilliseconds: 900,
   certainMilliseconds: 800,
   avoidMilliseconds: 1500,
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -194,6 +194,15 @@
     return isGivenUp(this.getWatched(path).watch, this.getNow());
   }
 
+  /** Moves all streams that run through an endpoint elsewhere. */
+  dropRidersThrough(id: string): void {
+    for (const {path, riders} of [...this.watched.values()]) {
+      if (riders.size === 0) continue;
+      const isOnPath = path.parts.some(({endpoint}) => endpoint.id === id);
+      if (isOnPath) this.dropRiders(path);
+    }
+  }
+
   /** Moves all streams of a silent path elsewhere. */
   dropRiders(path: StagePath): void {
     const now = this.getNow();
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -5,7 +5,11 @@
 } from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {Counter, type Metrics} from '../log/metrics.js';
-import type {EndpointCalls, EndpointReport} from '../ports/index.js';
+import {
+  EndpointErrorCode,
+  type EndpointCalls,
+  type EndpointReport,
+} from '../ports/index.js';
 import type {EndpointFacts, EndpointState} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 
@@ -13,6 +17,8 @@
 export interface ProbeListeners {
   /** An endpoint did not answer, this many times in a row. */
   readonly sendAccusation: (id: string, bornAt: Instant) => void;
+  /** An endpoint is down: nothing listens at its address. */
+  readonly handleDown: (id: string) => void;
   /** An endpoint answered something that was not known. */
   readonly sendFacts: (facts: EndpointFacts) => void;
 }
@@ -24,7 +30,7 @@
 /** Gap after which a failed question is repeated, to rule out a lost packet. */
 const confirmMilliseconds = 60;
 /** An endpoint that is up answers within 3 ms, a slowed VM takes longer. */
-const promptMilliseconds = 50;
+const promptMilliseconds = 30;
 /** An endpoint that refuses work is left out until its state is known. */
 const refusedMilliseconds = 300;
 /** One that refuses though it has room is left out for longer. */
@@ -130,7 +136,9 @@
         now + suspectMilliseconds,
         report.error.message,
       );
-      if (isFailing(state.doubt, now)) {
+      const isDown = report.error.code === EndpointErrorCode.Unreachable;
+      if (isDown) this.listeners.handleDown(id);
+      if (isDown || isFailing(state.doubt, now)) {
         this.listeners.sendAccusation(id, state.bornAt);
       }
       return false;
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -45,8 +45,9 @@
   readonly endpoints: EndpointCalls;
 }
 
-/** The stall watch needs to see gaps of 160 ms in time. */
 const tickMilliseconds = 40;
+/** The stall watch needs to see gaps of 80 ms in time. */
+const stallMilliseconds = 20;
 const beatMilliseconds = 250;
 const orderMilliseconds = 100;
 const publishMilliseconds = 1000;
@@ -111,6 +112,7 @@
       ports.endpoints,
       {
         sendFacts,
+        handleDown: id => this.paths.dropRidersThrough(id),
         sendAccusation: (id, bornAt) => {
           this.mesh.sendAll({kind: PeerMessageKind.Accusation, id, bornAt});
         },
@@ -201,6 +203,7 @@
     if (listen.metrics !== undefined) await this.directory.open(listen.metrics);
     await this.callers.open(listen.callers);
     this.startTimer('tick', tickMilliseconds, () => this.runTick());
+    this.startTimer('stalls', stallMilliseconds, () => this.checkStalls());
     this.startTimer('beat', beatMilliseconds, () => this.sendBeat());
     this.startTimer('orders', orderMilliseconds, () => {
       this.orders.run(this.knowledge.findConfiguration());
@@ -286,7 +289,6 @@
     this.mesh.checkSilence();
     this.endpoints.expireLapsed();
     this.probes.probeFailing();
-    this.checkStalls();
     this.checkReady();
   }
 
