--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -9,9 +9,15 @@
   type PathWatch,
   type StagePath,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  isPast,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
 import type {WriteEvent} from '../log/event_log.js';
 import type {ServiceModel} from '../ports/index.js';
+import {hasAllLayers} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 
 /** A stream that runs on a path; told when the path falls silent. */
@@ -203,6 +209,16 @@
     }
   }
 
+  /** Moves the streams elsewhere that need layers which an endpoint gives up. */
+  dropRidersOutside(id: string, range: LayerRange): void {
+    for (const {path, riders} of [...this.watched.values()]) {
+      if (riders.size === 0) continue;
+      const part = path.parts.find(({endpoint}) => endpoint.id === id);
+      if (part === undefined || hasAllLayers(range, part.layers)) continue;
+      this.dropRiders(path);
+    }
+  }
+
   /** Moves all streams of a silent path elsewhere. */
   dropRiders(path: StagePath): void {
     const now = this.getNow();
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -25,16 +25,12 @@
   type EndpointCalls,
   type ServiceModel,
 } from '../ports/index.js';
+import type {OrderMessage} from '../peers/messages.js';
 import type {Ownership} from './ownership.js';
 
 /** Told of what the owner orders and of what endpoints then report. */
 export interface OrderListeners {
-  readonly sendOrder: (
-    id: string,
-    bornAt: Instant,
-    range: LayerRange,
-    orderCount: number,
-  ) => void;
+  readonly handleOrder: (order: Omit<OrderMessage, 'kind'>) => void;
   readonly sendFacts: (facts: EndpointFacts) => void;
 }
 
@@ -149,8 +145,13 @@
       this.busyUntil.delete(id);
       return;
     }
-    this.table.applyOrder(id, bornAt, range, orderCount + 1);
-    this.listeners.sendOrder(id, bornAt, range, orderCount + 1);
+    this.listeners.handleOrder({
+      id,
+      bornAt,
+      range,
+      orderCount: orderCount + 1,
+      cutsRequests: isUrgent,
+    });
     this.busyUntil.set(id, this.getNow() + reportMilliseconds);
   }
 
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -107,6 +107,8 @@
   readonly range: LayerRange;
   /** Orders that the endpoint accepted, this one included. */
   readonly orderCount: number;
+  /** Whether streams on layers that it gives up are cut off. */
+  readonly cutsRequests: boolean;
 }
 
 /** Any message between VMs. */
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -10,6 +10,7 @@
   type Accusation,
   type Beat,
   type Newest,
+  type OrderMessage,
   type PeerMessage,
   type RecordRow,
   type Records,
@@ -32,6 +33,7 @@
     private readonly knowledge: Knowledge,
     private readonly endpoints: EndpointTable,
     private readonly probes: Probes,
+    private readonly handleOrder: (order: OrderMessage) => void,
     private readonly sendTo: (peer: Peer, message: PeerMessage) => void,
     private readonly countPeers: () => number,
     private readonly getNow: () => Instant,
@@ -56,12 +58,7 @@
         this.endpoints.applyReport(message.facts);
         return;
       case PeerMessageKind.Order:
-        return this.endpoints.applyOrder(
-          message.id,
-          message.bornAt,
-          message.range,
-          message.orderCount,
-        );
+        return this.handleOrder(message);
     }
   }
 
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -19,7 +19,11 @@
 import {OrderRunner} from '../orders/order_runner.js';
 import {Ownership} from '../orders/ownership.js';
 import {PeerHandler} from '../peers/peer_handler.js';
-import {PeerMessageKind, PeerPhase} from '../peers/messages.js';
+import {
+  PeerMessageKind,
+  PeerPhase,
+  type OrderMessage,
+} from '../peers/messages.js';
 import {PeerMesh} from '../peers/peer_mesh.js';
 import {
   Topic,
@@ -135,6 +139,7 @@
       this.knowledge,
       this.endpoints,
       this.probes,
+      order => this.applyOrder(order),
       (peer, message) => this.mesh.sendTo(peer, message),
       () => this.mesh.listLive().length,
       getNow,
@@ -165,9 +170,9 @@
       this.ownership,
       {
         sendFacts,
-        sendOrder: (id, bornAt, range, orderCount) => {
-          const kind = PeerMessageKind.Order;
-          this.mesh.sendAll({kind, id, bornAt, range, orderCount});
+        handleOrder: order => {
+          this.applyOrder(order);
+          this.mesh.sendAll({kind: PeerMessageKind.Order, ...order});
         },
       },
       () => this.mesh.listLive().length,
@@ -292,6 +297,12 @@
     this.checkReady();
   }
 
+  private applyOrder(order: Omit<OrderMessage, 'kind'>): void {
+    const {id, bornAt, range, orderCount, cutsRequests} = order;
+    this.endpoints.applyOrder(id, bornAt, range, orderCount);
+    if (cutsRequests) this.paths.dropRidersOutside(id, range);
+  }
+
   private checkStalls(): void {
     for (const path of this.paths.listStalled()) {
       this.metrics.count(Counter.Stalls);
