--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,10 +1,11 @@
 import jsdoc from 'eslint-plugin-jsdoc';
 import tseslint from 'typescript-eslint';
 import {fileNameRule} from './scripts/lint/file_name_rule.js';
+import {platformNamesRule} from './scripts/lint/platform_names_rule.js';
 import {verbRule} from './scripts/lint/verb_rule.js';
 
 /** Forbids a package from importing the workspace packages not named here. */
-function allowOnly(directory, allowed) {
+function allowOnly(directory, allowed, folder = 'packages') {
   const all = [
     'shared',
     'decisions',
@@ -12,6 +13,9 @@
     'cli',
     'stand-ins',
     'scenarios',
+    'framing',
+    'gateway',
+    'platform',
   ];
   const paths = all
     .filter(name => !allowed.includes(name))
@@ -29,26 +33,35 @@
     });
   }
   return {
-    files: [`packages/${directory}/src/**/*.ts`],
+    files: [`${folder}/${directory}/src/**/*.ts`.replace(/^\//, '')],
     rules: {'no-restricted-imports': ['error', {paths, patterns}]},
   };
 }
 
 export default tseslint.config(
-  {ignores: ['**/node_modules/**', '**/dist/**']},
+  {ignores: ['**/node_modules/**', '**/dist/**', 'target/**']},
   ...tseslint.configs.recommended.map(config => ({
     ...config,
     files: ['**/*.ts'],
   })),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {
         projectService: true,
         tsconfigRootDir: import.meta.dirname,
       },
     },
-    plugins: {local: {rules: {verb: verbRule, fileName: fileNameRule}}, jsdoc},
+    plugins: {
+      local: {
+        rules: {
+          verb: verbRule,
+          fileName: fileNameRule,
+          platformNames: platformNamesRule,
+        },
+      },
+      jsdoc,
+    },
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': [
@@ -79,7 +92,7 @@
     },
   },
   {
-    files: ['packages/*/__tests__/**/*.ts'],
+    files: ['packages/*/__tests__/**/*.ts', 'platform/__tests__/**/*.ts'],
     rules: {
       'max-lines': 'off',
       'max-lines-per-function': 'off',
@@ -89,6 +102,10 @@
   },
   {
     files: ['packages/*/src/**/*.ts'],
+    rules: {'local/platformNames': 'error'},
+  },
+  {
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     rules: {
       'jsdoc/require-jsdoc': [
         'error',
@@ -107,7 +124,10 @@
   },
   allowOnly('shared', ['shared']),
   allowOnly('decisions', ['shared', 'decisions']),
-  allowOnly('router', ['shared', 'decisions', 'router']),
+  allowOnly('framing', ['shared', 'framing']),
+  allowOnly('router', ['shared', 'decisions', 'framing', 'router']),
+  allowOnly('gateway', ['shared', 'decisions', 'framing', 'gateway']),
+  allowOnly('platform', ['shared', 'decisions', 'gateway', 'platform'], ''),
   allowOnly('stand-ins', ['shared', 'stand-ins']),
   allowOnly('scenarios', ['shared', 'decisions', 'stand-ins', 'scenarios']),
 );
--- a/packages/decisions/src/stages/plan_bridge.ts
+++ b/packages/decisions/src/stages/plan_bridge.ts
@@ -29,9 +29,9 @@
   if (plan.size === 0) return undefined;
   const empty = group.filter(({held}) => held === undefined);
   for (const gap of listGaps(plan, model.layerCount)) {
-    const room = (one: PlannedEndpoint) =>
+    const countFitting = (one: PlannedEndpoint) =>
       countFittingLayers(one, options.bridgeTokens, model);
-    const index = empty.findIndex(one => room(one) >= countLayers(gap));
+    const index = empty.findIndex(one => countFitting(one) >= countLayers(gap));
     if (index !== -1) {
       const [spare] = empty.splice(index, 1);
       plan.set(spare!.id, {range: gap, isUrgent: true});
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -185,7 +185,7 @@
   const isFresh = group.every(({held}) => held === undefined);
   const goal = isFresh ? options.goalTokens : options.repairTokens;
   const tokens = findTokens(group, model, goal);
-  const ordered = isFresh ? mixSizes(group) : sortMembers(group, gap);
+  const ordered = isFresh ? sortMixed(group) : sortMembers(group, gap);
   const members = ordered.map(endpoint => ({
     endpoint,
     size: endpoint.held === undefined ? 0 : countLayers(endpoint.held),
@@ -318,7 +318,7 @@
  * Spreads large endpoints evenly among small ones: a large neighbour can
  * bridge the loss of a small endpoint at once.
  */
-function mixSizes(group: readonly PlannedEndpoint[]): PlannedEndpoint[] {
+function sortMixed(group: readonly PlannedEndpoint[]): PlannedEndpoint[] {
   const sorted = [...group].sort(
     (a, b) => b.sizeMegabytes - a.sizeMegabytes || (a.id < b.id ? -1 : 1),
   );
--- /dev/null
+++ b/packages/gateway/__tests__/endpoint_table.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {LayerRange} from '@zinniaspindle/shared';
+import {EndpointTable} from '../src/fleet/endpoint_table.js';
+import type {EndpointEntry} from '../src/ports/index.js';
+
+const id = 'e1';
+
+function makeEntry(changes: Partial<EndpointEntry> = {}): EndpointEntry {
+  return {
+    id,
+    service: 'letters',
+    address: '10.0.0.1:80',
+    dataCentre: 'a',
+    slots: 10,
+    isDraining: false,
+    bornAt: 100,
+    kind: 'card',
+    held: undefined,
+    ...changes,
+  };
+}
+
+function makeTable(): {table: EndpointTable; clock: {now: number}} {
+  const clock = {now: 1000};
+  const table = new EndpointTable(
+    () => undefined,
+    () => clock.now,
+  );
+  table.applyEntry(makeEntry());
+  return {table, clock};
+}
+
+function report(
+  table: EndpointTable,
+  orderCount: number,
+  held: LayerRange | undefined,
+  bornAt = 100,
+): boolean {
+  return table.applyReport({id, bornAt, orderCount, held});
+}
+
+test('an order takes the layers that it does not name at once', () => {
+  const {table} = makeTable();
+  report(table, 1, {first: 13, end: 18});
+  table.applyOrder(id, 100, {first: 16, end: 22}, 2);
+  assert.deepEqual(table.find(id)!.held, {first: 16, end: 18});
+});
+
+test('layers only grow from one order to the next', () => {
+  const {table} = makeTable();
+  table.applyOrder(id, 100, {first: 28, end: 35}, 2);
+  assert.equal(report(table, 2, {first: 28, end: 35}), true);
+  assert.equal(report(table, 2, {first: 29, end: 35}), false);
+  assert.deepEqual(table.find(id)!.held, {first: 28, end: 35});
+});
+
+test('a report from before an order does not undo it', () => {
+  const {table} = makeTable();
+  report(table, 1, {first: 0, end: 5});
+  table.applyOrder(id, 100, {first: 2, end: 7}, 2);
+  report(table, 1, {first: 0, end: 5});
+  assert.equal(table.find(id)!.orderCount, 2);
+  assert.deepEqual(table.find(id)!.held, {first: 2, end: 5});
+});
+
+test('a count that stays lower was lost by the endpoint', () => {
+  const {table, clock} = makeTable();
+  table.applyOrder(id, 100, {first: 2, end: 7}, 2);
+  clock.now += 2000;
+  report(table, 1, {first: 0, end: 5});
+  assert.equal(table.find(id)!.orderCount, 1);
+});
+
+test('a restarted endpoint holds nothing of before', () => {
+  const {table} = makeTable();
+  report(table, 3, {first: 0, end: 5});
+  table.applyOrder(id, 100, {first: 0, end: 7}, 4);
+  table.applyEntry(makeEntry({bornAt: 200}));
+  const state = table.find(id)!;
+  assert.equal(state.held, undefined);
+  assert.equal(state.orderCount, 0);
+  assert.equal(table.findPending(state), undefined);
+});
+
+test('an entry that lags does not undo what was asked', () => {
+  const {table, clock} = makeTable();
+  report(table, 1, {first: 0, end: 5});
+  clock.now += 1000;
+  table.applyEntry(makeEntry({held: undefined}));
+  assert.deepEqual(table.find(id)!.held, {first: 0, end: 5});
+  clock.now += 6000;
+  table.applyEntry(makeEntry({held: {first: 0, end: 4}}));
+  assert.deepEqual(table.find(id)!.held, {first: 0, end: 4});
+});
+
+test('a removal is put off while the store recovers', () => {
+  const {table, clock} = makeTable();
+  table.removeEntry(id, clock.now + 2300);
+  assert.ok(table.find(id) !== undefined);
+  table.applyEntry(makeEntry());
+  clock.now += 3000;
+  table.expireLapsed();
+  assert.ok(table.find(id) !== undefined);
+  table.removeEntry(id, clock.now + 2300);
+  clock.now += 2300;
+  table.expireLapsed();
+  assert.equal(table.find(id), undefined);
+});
+
+test('suspicions keep work away and end by themselves', () => {
+  const {table, clock} = makeTable();
+  const state = table.find(id)!;
+  table.recordSuspicion(state, clock.now + 500, 'test');
+  assert.equal(table.isUsable(state), false);
+  clock.now += 500;
+  assert.equal(table.isUsable(state), true);
+});
--- /dev/null
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -0,0 +1,244 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {Result} from 'true-myth';
+import {EndpointTable} from '../src/fleet/endpoint_table.js';
+import {Metrics} from '../src/log/metrics.js';
+import {OrderRunner} from '../src/orders/order_runner.js';
+import {Ownership} from '../src/orders/ownership.js';
+import type {OrderMessage} from '../src/peers/messages.js';
+import {
+  EndpointErrorCode,
+  makeEndpointError,
+  makeStoreError,
+  OrderOutcome,
+  StoreErrorCode,
+  type Configuration,
+  type EndpointCalls,
+  type GroupView,
+  type RangeOrder,
+  type Store,
+  type StoreError,
+} from '../src/ports/index.js';
+
+const ignore = () => undefined;
+
+/** Lets promises that are settled already run on. */
+function runPending(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
+function makeOwnership(answers: Array<Result<GroupView, StoreError>>) {
+  const clock = {now: 0};
+  const calls = {joins: 0, leaves: 0};
+  const store = {
+    joinOwners: () => {
+      calls.joins += 1;
+      return Promise.resolve(answers.shift()!);
+    },
+    releaseOwnership: () => {
+      calls.leaves += 1;
+      return Promise.resolve(Result.ok(undefined));
+    },
+  } as Partial<Store> as Store;
+  const ownership = new Ownership(
+    store,
+    'vm-1',
+    ignore,
+    new Metrics(),
+    () => clock.now,
+  );
+  return {clock, calls, ownership};
+}
+
+function makeView(generation: number, isOwner: boolean) {
+  return Result.ok<GroupView, StoreError>({generation, isOwner});
+}
+
+const lost = Result.err<GroupView, StoreError>(
+  makeStoreError(StoreErrorCode.Lost, 'no answer'),
+);
+
+test('the owner holds the token of its generation', async () => {
+  const {ownership} = makeOwnership([makeView(7, true)]);
+  ownership.poll(0, false);
+  await runPending();
+  assert.equal(ownership.findToken(), 7);
+});
+
+test('nobody joins beside an owner that is heard', () => {
+  const {ownership, calls} = makeOwnership([]);
+  ownership.poll(0, true);
+  ownership.poll(5, false);
+  assert.equal(calls.joins, 0);
+});
+
+test('an outage of the store does not end the ownership', async () => {
+  const {ownership, clock} = makeOwnership([makeView(7, true), lost]);
+  ownership.poll(0, false);
+  await runPending();
+  clock.now += 1000;
+  ownership.poll(0, false);
+  await runPending();
+  assert.equal(ownership.findToken(), 7);
+});
+
+test('a fenced owner stands down until the store names it again', async () => {
+  const {ownership, clock} = makeOwnership([
+    makeView(7, true),
+    makeView(9, true),
+  ]);
+  ownership.poll(0, false);
+  await runPending();
+  ownership.handleFenced();
+  assert.equal(ownership.findToken(), undefined);
+  clock.now += 1000;
+  ownership.poll(0, false);
+  await runPending();
+  assert.equal(ownership.findToken(), 9);
+});
+
+test('an answer of an older generation is not believed', async () => {
+  const {ownership, clock} = makeOwnership([
+    makeView(9, false),
+    makeView(8, true),
+  ]);
+  ownership.poll(0, false);
+  await runPending();
+  clock.now += 1000;
+  ownership.poll(0, false);
+  await runPending();
+  assert.equal(ownership.findToken(), undefined);
+});
+
+const configuration = {
+  services: new Map([
+    [
+      'letters',
+      {
+        name: 'letters',
+        model: {
+          shape: {
+            layerCount: 8,
+            layerMegabytes: 100,
+            tokenMegabytesPerLayer: 0.001,
+            stepMilliseconds: 1,
+            promptTokensPerMillisecond: 100,
+          },
+          kinds: new Map([
+            ['card', {name: 'card', sizeMegabytes: 2000, pace: 1}],
+          ]),
+          loadMilliseconds: 100,
+          usualAnswerTokens: 10,
+        },
+      },
+    ],
+  ]),
+} as Partial<Configuration> as Configuration;
+
+async function makeRunner(outcome: () => OrderOutcome | undefined) {
+  const {ownership, clock} = makeOwnership([makeView(3, true)]);
+  ownership.poll(0, false);
+  await runPending();
+  const table = new EndpointTable(ignore, () => clock.now);
+  const orders: RangeOrder[] = [];
+  const calls: EndpointCalls = {
+    fetchReport: () => {
+      const code = EndpointErrorCode.Silent;
+      return Promise.resolve(Result.err(makeEndpointError(code, 'silent')));
+    },
+    sendOrder: order => {
+      orders.push(order);
+      const answer = outcome();
+      if (answer !== undefined) return Promise.resolve(Result.ok(answer));
+      const code = EndpointErrorCode.Silent;
+      return Promise.resolve(Result.err(makeEndpointError(code, 'silent')));
+    },
+  };
+  const listeners = {
+    sendFacts: ignore,
+    handleOrder: (order: Omit<OrderMessage, 'kind'>) => {
+      table.applyOrder(order.id, order.bornAt, order.range, order.orderCount);
+    },
+  };
+  const runner = new OrderRunner(
+    table,
+    calls,
+    ownership,
+    listeners,
+    () => 1,
+    ignore,
+    new Metrics(),
+    () => clock.now,
+  );
+  for (const id of ['e1', 'e2']) {
+    table.applyEntry({
+      id,
+      service: 'letters',
+      address: `${id}:1`,
+      dataCentre: 'a',
+      slots: 10,
+      isDraining: false,
+      bornAt: 1,
+      kind: 'card',
+      held: undefined,
+    });
+  }
+  const run = async (passed: number) => {
+    clock.now += passed;
+    runner.run(configuration);
+    await runPending();
+  };
+  return {table, orders, run, ownership, clock};
+}
+
+test('the first plan waits until no endpoint is added any more', async () => {
+  const {orders, run} = await makeRunner(() => OrderOutcome.Begun);
+  await run(0);
+  assert.equal(orders.length, 0);
+  await run(800);
+  assert.equal(orders.length, 2);
+  assert.equal(orders[0]!.fencingToken, 3);
+});
+
+test('an order under way is not given again', async () => {
+  const {orders, run} = await makeRunner(() => OrderOutcome.Begun);
+  await run(0);
+  await run(800);
+  await run(500);
+  await run(500);
+  assert.equal(orders.length, 2);
+});
+
+test('an order without an answer expects the same count again', async () => {
+  const {orders, run} = await makeRunner(() => undefined);
+  await run(0);
+  await run(800);
+  await run(500);
+  assert.equal(orders.length, 4);
+  const counts = new Set(orders.map(one => one.expectedOrderCount));
+  assert.deepEqual([...counts], [0]);
+});
+
+test('an owner that an endpoint fences off gives no further order', async () => {
+  const {orders, run, ownership} = await makeRunner(() => OrderOutcome.Fenced);
+  await run(0);
+  await run(800);
+  await run(500);
+  assert.equal(ownership.findToken(), undefined);
+  assert.equal(orders.length, 2);
+});
+
+test('an endpoint is lost only when a second VM says so', async () => {
+  const {table, orders, run, clock} = await makeRunner(
+    () => OrderOutcome.Begun,
+  );
+  await run(0);
+  await run(800);
+  const state = table.find('e1')!;
+  state.doubt.failedProbes = 5;
+  await run(300);
+  assert.equal(orders.length, 2);
+  state.doubt.accusers.set('vm-2', clock.now);
+  await run(300);
+  assert.ok(orders.some(one => one.endpointId === 'e2' && one.range.end === 8));
+});
--- /dev/null
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {EndpointTable} from '../src/fleet/endpoint_table.js';
+import {PathTable} from '../src/fleet/path_table.js';
+import type {ServiceModel} from '../src/ports/index.js';
+
+const model: ServiceModel = {
+  shape: {
+    layerCount: 4,
+    layerMegabytes: 100,
+    tokenMegabytesPerLayer: 0.01,
+    stepMilliseconds: 1,
+    promptTokensPerMillisecond: 100,
+  },
+  kinds: new Map([['card', {name: 'card', sizeMegabytes: 1000, pace: 1}]]),
+  loadMilliseconds: 100,
+  usualAnswerTokens: 10,
+};
+
+function makePaths() {
+  const clock = {now: 1000};
+  const getNow = () => clock.now;
+  const write = () => undefined;
+  const endpoints = new EndpointTable(write, getNow);
+  for (const dataCentre of ['a', 'b']) {
+    for (const first of [0, 2]) {
+      endpoints.applyEntry({
+        id: `${dataCentre}${first}`,
+        service: 'letters',
+        address: `10.0.0.${first}:80`,
+        dataCentre,
+        slots: 4,
+        isDraining: false,
+        bornAt: 1,
+        kind: 'card',
+        held: {first, end: first + 2},
+      });
+    }
+  }
+  const noLoad = () => ({streams: 0, tokens: 0});
+  const paths = new PathTable(endpoints, 'a', noLoad, write, getNow);
+  return {clock, endpoints, paths};
+}
+
+function makeRider() {
+  const rider = {stalls: 0, handleStall: () => undefined as void};
+  rider.handleStall = () => {
+    rider.stalls += 1;
+  };
+  return rider;
+}
+
+test('a suspected endpoint breaks its path until it is cleared', () => {
+  const {clock, endpoints, paths} = makePaths();
+  assert.equal(paths.list('letters', model).length, 2);
+  const state = endpoints.find('a2')!;
+  endpoints.recordSuspicion(state, clock.now + 1000, 'test');
+  const crossing = paths.list('letters', model);
+  assert.ok(
+    crossing.every(({parts}) => parts.every(one => one.endpoint.id !== 'a2')),
+  );
+  endpoints.removeSuspicion(state);
+  assert.equal(paths.list('letters', model).length, 2);
+});
+
+test('silence of a path with streams is found, and progress ends it', () => {
+  const {clock, paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  const tickets = [1, 2].map(() => paths.reserve(path, 10, makeRider()));
+  for (const ticket of tickets) paths.recordProgress(ticket);
+  clock.now += 70;
+  assert.equal(paths.listStalled().length, 0);
+  clock.now += 20;
+  assert.deepEqual(paths.listStalled(), [path]);
+  assert.equal(paths.isGivenUp(path), false);
+  paths.recordProgress(tickets[0]!);
+  clock.now += 60;
+  assert.equal(paths.listStalled().length, 0);
+});
+
+test('a path that stays silent is given up though its endpoints answer', () => {
+  const {clock, paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  paths.recordProgress(paths.reserve(path, 10, makeRider()));
+  clock.now += 900;
+  paths.listStalled();
+  assert.equal(paths.isGivenUp(path), true);
+});
+
+test('all streams leave a path through an endpoint that is down', () => {
+  const {paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  const rider = makeRider();
+  paths.reserve(path, 10, rider);
+  paths.dropRidersThrough('none');
+  assert.equal(rider.stalls, 0);
+  paths.dropRidersThrough(path.parts[1]!.endpoint.id);
+  assert.equal(rider.stalls, 1);
+  assert.notEqual(paths.pick('letters', model, 10)?.key, path.key);
+});
+
+test('streams stay when the layers they need are kept', () => {
+  const {paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  const rider = makeRider();
+  paths.reserve(path, 10, rider);
+  const {endpoint, layers} = path.parts[0]!;
+  paths.dropRidersOutside(endpoint.id, {...layers, end: layers.end + 1});
+  assert.equal(rider.stalls, 0);
+  paths.dropRidersOutside(endpoint.id, {...layers, end: layers.end - 1});
+  assert.equal(rider.stalls, 1);
+});
+
+test('a burst is spread over paths and refused beyond their slots', () => {
+  const {paths} = makePaths();
+  const counts = new Map<string, number>();
+  for (;;) {
+    const path = paths.pick('letters', model, 10);
+    if (path === undefined) break;
+    paths.reserve(path, 10, makeRider());
+    counts.set(path.key, (counts.get(path.key) ?? 0) + 1);
+  }
+  assert.deepEqual([...counts.values()], [3, 3]);
+});
+
+test('released places are free again', () => {
+  const {paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  const ticket = paths.reserve(path, 10, makeRider());
+  assert.equal(paths.computeLoad(path).streams, 1);
+  paths.release(ticket);
+  paths.release(ticket);
+  assert.equal(paths.computeLoad(path).streams, 0);
+  assert.deepEqual(paths.listOwnLoads(), []);
+});
+
+test('a pause of the process is no silence of its paths', () => {
+  const {clock, paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  paths.recordProgress(paths.reserve(path, 10, makeRider()));
+  clock.now += 5000;
+  paths.resumeWatches();
+  assert.equal(paths.listStalled().length, 0);
+});
--- /dev/null
+++ b/packages/gateway/__tests__/small_parts.test.ts
@@ -0,0 +1,164 @@
+import assert from 'node:assert/strict';
+import {Writable} from 'node:stream';
+import {test} from 'node:test';
+import {LineWriter} from '../src/log/line_writer.js';
+import {Counter, Latency, Metrics} from '../src/log/metrics.js';
+import {PeerPhase} from '../src/peers/messages.js';
+import type {Configuration, Route} from '../src/ports/index.js';
+import {RouteKind} from '../src/ports/index.js';
+import {EventSplitter} from '../src/requests/event_splitter.js';
+import {pickTarget, RouteIndex} from '../src/requests/route_index.js';
+import {RepeatBudgets} from '../src/requests/repeat_budgets.js';
+import {listCallerAddresses} from '../src/root/list_addresses.js';
+import {PauseWatch} from '../src/root/pause_watch.js';
+
+function makeRoute(name: string, pathPrefix: string): Route {
+  return {
+    name,
+    host: 'h',
+    pathPrefix,
+    kind: RouteKind.Safe,
+    timeoutMilliseconds: 1000,
+    targetMilliseconds: 100,
+    priority: 0,
+    targets: [{service: 's', weight: 1}],
+    attempts: 1,
+    isPublic: false,
+    isResumable: false,
+  };
+}
+
+function makePeer(callerAddress: string, phase: PeerPhase, isHeard: boolean) {
+  return {callerAddress, phase, isHeard};
+}
+
+test('the longest prefix of a host wins', () => {
+  const routes = [makeRoute('short', '/a/'), makeRoute('long', '/a/b/')];
+  const index = new RouteIndex({
+    routes,
+  } as Partial<Configuration> as Configuration);
+  assert.equal(index.find('h', '/a/b/c')?.name, 'long');
+  assert.equal(index.find('h', '/a/c?x=/a/b/')?.name, 'short');
+  assert.equal(index.find('h', '/a')?.name, undefined);
+  assert.equal(index.find('other', '/a/b/c'), undefined);
+});
+
+test('targets are picked by weight', () => {
+  const targets = [
+    {service: 'a', weight: 90},
+    {service: 'b', weight: 10},
+  ];
+  assert.equal(pickTarget(targets, 0.89), 'a');
+  assert.equal(pickTarget(targets, 0.9), 'b');
+  assert.equal(pickTarget(targets, 0.999), 'b');
+});
+
+test('events are split at their ends, wherever chunks end', () => {
+  const text = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda';
+  for (let size = 1; size <= text.length; size += 1) {
+    const splitter = new EventSplitter();
+    let whole = '';
+    let lastId: string | undefined;
+    for (let at = 0; at < text.length; at += size) {
+      const events = splitter.accept(Buffer.from(text.slice(at, at + size)));
+      whole += events?.bytes.toString() ?? '';
+      lastId = events?.lastId ?? lastId;
+    }
+    assert.equal(whole, 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', `size ${size}`);
+    assert.equal(lastId, '2');
+    assert.equal(splitter.hasRest(), true);
+  }
+});
+
+test('an event may begin with another line than its id', () => {
+  const splitter = new EventSplitter();
+  const events = splitter.accept(
+    Buffer.from('weight-versions: 2\nid: 7\ndata: a\n\n'),
+  );
+  assert.equal(events?.lastId, '7');
+  assert.equal(splitter.hasRest(), false);
+});
+
+test('callers are sent to the ready VMs that are heard', () => {
+  const peers = [
+    makePeer('b', PeerPhase.Ready, true),
+    makePeer('c', PeerPhase.Ready, false),
+    makePeer('d', PeerPhase.Starting, true),
+  ];
+  assert.deepEqual(listCallerAddresses('a', PeerPhase.Ready, peers), [
+    'a',
+    'b',
+  ]);
+  assert.deepEqual(listCallerAddresses('a', PeerPhase.Leaving, peers), ['b']);
+});
+
+test('a VM that hears nobody names all that it knows', () => {
+  const peers = [1, 2, 3, 4, 5].map(number =>
+    makePeer(`p${number}`, PeerPhase.Ready, false),
+  );
+  assert.equal(listCallerAddresses('a', PeerPhase.Ready, peers).length, 6);
+});
+
+test('a pause shows in late timers and in the time of day', () => {
+  const clock = {monotonic: 0, wall: 0};
+  const watch = new PauseWatch(
+    40,
+    () => clock.monotonic,
+    () => clock.wall,
+  );
+  clock.monotonic += 45;
+  clock.wall += 45;
+  assert.equal(watch.measure(), 0);
+  clock.monotonic += 40;
+  clock.wall += 3040;
+  assert.equal(watch.measure(), 3000);
+  clock.monotonic += 1040;
+  clock.wall += 1040;
+  assert.equal(watch.measure(), 1000);
+});
+
+test('a slow reader of logs loses lines and blocks nobody', () => {
+  const written: string[] = [];
+  const output = new Writable({
+    highWaterMark: 1,
+    write: (chunk: Buffer) => {
+      written.push(chunk.toString()); // Never done: the reader is stuck.
+    },
+  });
+  const writer = new LineWriter(output);
+  writer.write('first');
+  writer.writeAll();
+  for (let i = 0; i < 3000; i += 1) writer.write('x'.repeat(100));
+  writer.writeAll();
+  assert.deepEqual(written, ['first\n']);
+  output.emit('drain');
+  writer.writeAll();
+  output.destroy();
+});
+
+test('repeats are bounded by requests and the share of the slack', () => {
+  const budgets = new RepeatBudgets(
+    {
+      graceMilliseconds: 0,
+      retryRatio: 0.2,
+      retryWindowMilliseconds: 10_000,
+      retrySlack: 120,
+    },
+    () => 12,
+  );
+  let repeats = 0;
+  while (budgets.takeRepeat('s')) repeats += 1;
+  assert.equal(repeats, 8);
+  for (let i = 0; i < 100; i += 1) budgets.recordFresh('s');
+  while (budgets.takeRepeat('s')) repeats += 1;
+  assert.ok(repeats <= 8 + 20, `${repeats}`);
+});
+
+test('metrics are rendered one a line', () => {
+  const metrics = new Metrics();
+  metrics.count(Counter.Requests);
+  metrics.record(Latency.Answer, 12.4);
+  const text = metrics.render();
+  assert.match(text, /^zinniaspindle_gateway_requests_total 1$/m);
+  assert.match(text, /answer_milliseconds\{quantile="0.5"\} 12$/m);
+});
--- /dev/null
+++ b/packages/gateway/__tests__/topic_state.test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {TopicState} from '../src/following/topic_state.js';
+import {computePatience} from '../src/following/topic_follower.js';
+import {Topic, type KeyedRecord} from '../src/ports/index.js';
+
+function makeRecord(key: string, offset: number, text?: string): KeyedRecord {
+  const value = text === undefined ? undefined : Buffer.from(text);
+  return {key, offset, value};
+}
+
+function makeState(): {state: TopicState; applied: string[]} {
+  const applied: string[] = [];
+  const state = new TopicState(Topic.Endpoints, ({key, value, offset}) => {
+    applied.push(`${key}@${offset}=${value?.toString() ?? 'gone'}`);
+  });
+  return {state, applied};
+}
+
+test('records before the first snapshot are not taken', () => {
+  const {state} = makeState();
+  assert.equal(state.acceptBatch(0, [makeRecord('a', 0, 'x')], 10), false);
+});
+
+test('consecutive records move the position on', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 3, 'x')], 4, 10);
+  assert.equal(state.acceptBatch(4, [makeRecord('a', 4, 'y')], 20), true);
+  assert.deepEqual(applied, ['a@3=x', 'a@4=y']);
+  assert.equal(state.next, 5);
+  assert.equal(state.asOf, 20);
+});
+
+test('a gap is reported and nothing is taken', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([], 4, 10);
+  assert.equal(state.acceptBatch(6, [makeRecord('a', 6, 'y')], 20), false);
+  assert.deepEqual(applied, []);
+  assert.equal(state.asOf, 10);
+});
+
+test('records that are known already change nothing', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 3, 'x')], 4, 10);
+  state.acceptBatch(3, [makeRecord('a', 3, 'x')], 20);
+  assert.deepEqual(applied, ['a@3=x']);
+});
+
+test('an older snapshot does not take the position back', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 3, 'x')], 4, 10);
+  state.acceptNewest([makeRecord('a', 1, 'w')], 2, 20);
+  assert.equal(state.next, 4);
+  assert.deepEqual(applied, ['a@3=x']);
+});
+
+test('keys that a snapshot lacks are gone', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 1, 'x'), makeRecord('b', 2, 'y')], 3, 1);
+  state.acceptNewest([makeRecord('b', 2, 'y')], 5, 2);
+  assert.deepEqual(applied, ['a@1=x', 'b@2=y', 'a@5=gone']);
+  assert.equal(state.listNewest().length, 1);
+});
+
+test('a record without a value drops its key', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 1, 'x')], 2, 1);
+  state.acceptBatch(2, [makeRecord('a', 2)], 2);
+  assert.equal(applied.at(-1), 'a@2=gone');
+  assert.equal(state.listNewest().length, 0);
+});
+
+test('the age of a peer counts only at the same position or before', () => {
+  const {state} = makeState();
+  state.acceptNewest([], 4, 10);
+  state.updateAge(5, 30);
+  assert.equal(state.asOf, 10);
+  state.updateAge(4, 25);
+  assert.equal(state.asOf, 25);
+  state.expireAge();
+  assert.equal(state.asOf, -Infinity);
+});
+
+test('the first VM reads at once, the others one after the other', () => {
+  const options = {
+    firstMilliseconds: 0,
+    othersMilliseconds: 1250,
+    stepMilliseconds: 60,
+    maxMilliseconds: 1550,
+    waitMilliseconds: 1000,
+  };
+  assert.equal(computePatience(0, options), 0);
+  assert.equal(computePatience(1, options), 1310);
+  assert.equal(computePatience(300, options), 1550);
+});
--- /dev/null
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -0,0 +1,146 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import net, {type AddressInfo} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {test} from 'node:test';
+import type {ExchangeCodec} from '../src/ports/index.js';
+import {Upstream, UpstreamEnd} from '../src/requests/upstream.js';
+
+const codec = {
+  decodeAnswer: message => ({
+    status: message.statusCode ?? 0,
+    attemptId: String(message.headers['x-id']),
+    hasSeal: true,
+    isNotRun: false,
+    faultAddress: undefined,
+    forwarded: [],
+  }),
+} as Partial<ExchangeCodec> as ExchangeCodec;
+
+interface Outcome {
+  readonly end: UpstreamEnd;
+  readonly body: string;
+}
+
+/** Sends a request to a server that does as it is told with its socket. */
+async function runAgainst(
+  answer: (socket: net.Socket) => void,
+): Promise<Outcome> {
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => answer(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const outcome = await send(`127.0.0.1:${port}`);
+  server.close();
+  return outcome;
+}
+
+function send(address: string): Promise<Outcome> {
+  return new Promise(resolve => {
+    let body = '';
+    const deadline = performance.now() + 2000;
+    const request = {
+      address,
+      method: 'GET',
+      path: '/',
+      headers: ['Host', 'x', 'Connection', 'close'],
+      body: Buffer.alloc(0),
+      attemptId: 'r1',
+      deadline,
+    };
+    const upstream = new Upstream(request, codec, {
+      handleAnswer: () => undefined,
+      handleChunk: chunk => {
+        body += chunk.toString();
+      },
+      handleEnd: end => resolve({end, body}),
+    });
+    assert.ok(upstream);
+  });
+}
+
+const head = 'HTTP/1.1 200 OK\r\nX-Id: r1\r\n';
+
+test('an answer with its length is complete', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.end(`${head}Content-Length: 4\r\n\r\nbody`);
+  });
+  assert.deepEqual(outcome, {end: UpstreamEnd.Complete, body: 'body'});
+});
+
+test('bytes after a complete answer belong to nobody', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.end(`${head}Content-Length: 4\r\n\r\nbody${head}\r\nmore`);
+  });
+  assert.deepEqual(outcome, {end: UpstreamEnd.Complete, body: 'body'});
+});
+
+test('an answer that is shorter than its length is broken', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.end(`${head}Content-Length: 9\r\n\r\nbody`);
+  });
+  assert.equal(outcome.end, UpstreamEnd.Broken);
+});
+
+test('an answer without a length ends with its connection', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.end(`${head}\r\nbody`);
+  });
+  assert.deepEqual(outcome, {end: UpstreamEnd.Complete, body: 'body'});
+});
+
+test('an answer without a length that is reset is broken', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.write(`${head}\r\nbo`, () => {
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+  });
+  assert.equal(outcome.end, UpstreamEnd.Broken);
+});
+
+test('a reset that is read as a plain end is found by a write', async () => {
+  // The end is read first; the reset waits for the next use.
+  const outcome = await runAgainst(socket => {
+    const write = net.Socket.prototype.write;
+    net.Socket.prototype.write = function (
+      this: net.Socket,
+      ...args: unknown[]
+    ): boolean {
+      net.Socket.prototype.write = write;
+      const done = args.at(-1) as (error: Error) => void;
+      queueMicrotask(() => done(new Error('ECONNRESET')));
+      return false;
+    } as typeof write;
+    write.call(socket, `${head}\r\nbo`);
+    socket.end();
+  });
+  assert.equal(outcome.end, UpstreamEnd.Broken);
+});
+
+test('the answer to another request is broken', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.end('HTTP/1.1 200 OK\r\nX-Id: r2\r\nContent-Length: 0\r\n\r\n');
+  });
+  assert.equal(outcome.end, UpstreamEnd.Broken);
+});
+
+test('bytes that are no answer are broken', async () => {
+  const outcome = await runAgainst(socket => {
+    socket.end('garbage\r\n\r\n');
+  });
+  assert.equal(outcome.end, UpstreamEnd.Broken);
+});
+
+test('a refused connection means that nothing was sent', async () => {
+  const server = net.createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  const outcome = await send(`127.0.0.1:${port}`);
+  assert.equal(outcome.end, UpstreamEnd.NotSent);
+});
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,4 +2,5 @@
 export * from './ports/index.js';
 export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
 export {Counter, Latency, Metrics} from './log/metrics.js';
-export {Gateway, type GatewayPorts} from './root/gateway.js';
+export {Gateway} from './root/gateway.js';
+export type {GatewayPorts} from './root/gateway_parts.js';
--- a/packages/gateway/src/orders/ownership.ts
+++ b/packages/gateway/src/orders/ownership.ts
@@ -65,7 +65,7 @@
     if (!this.isMember) return;
     this.isMember = false;
     this.metrics.count(Counter.StoreCalls);
-    const left = await this.store.leaveOwners(this.vm);
+    const left = await this.store.releaseOwnership(this.vm);
     if (left.isErr) this.metrics.count(Counter.StoreFailures);
     this.joinAt = this.getNow() + joinMilliseconds;
   }
--- a/packages/gateway/src/ports/store.ts
+++ b/packages/gateway/src/ports/store.ts
@@ -57,7 +57,7 @@
     generation: number,
     ttlMilliseconds: number,
   ): Promise<Result<GroupView, StoreError>>;
-  leaveOwners(member: string): Promise<Result<void, StoreError>>;
+  releaseOwnership(member: string): Promise<Result<void, StoreError>>;
 }
 
 /** Decodes what others write to the store; undefined for what is malformed. */
--- /dev/null
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -0,0 +1,247 @@
+import type {Instant} from '@zinniaspindle/shared';
+import {DirectoryServer} from '../directory/directory_server.js';
+import type {EndpointFacts} from '../fleet/endpoint_state.js';
+import {EndpointTable} from '../fleet/endpoint_table.js';
+import {PathTable} from '../fleet/path_table.js';
+import {Probes} from '../fleet/probes.js';
+import {Knowledge} from '../following/knowledge.js';
+import {
+  TopicFollower,
+  type FollowOptions,
+} from '../following/topic_follower.js';
+import type {EventLog} from '../log/event_log.js';
+import {Metrics} from '../log/metrics.js';
+import {OrderRunner} from '../orders/order_runner.js';
+import {Ownership} from '../orders/ownership.js';
+import {
+  PeerMessageKind,
+  PeerPhase,
+  type OrderMessage,
+} from '../peers/messages.js';
+import {PeerHandler} from '../peers/peer_handler.js';
+import {PeerMesh} from '../peers/peer_mesh.js';
+import {
+  Topic,
+  type DirectoryCodec,
+  type EndpointCalls,
+  type ExchangeCodec,
+  type GatewaySettings,
+  type RecordCodec,
+  type Store,
+} from '../ports/index.js';
+import {CallerServer} from '../requests/caller_server.js';
+import {RepeatBudgets} from '../requests/repeat_budgets.js';
+import {listCallerAddresses} from './list_addresses.js';
+
+/** What a gateway is built on. */
+export interface GatewayPorts {
+  readonly store: Store;
+  readonly records: RecordCodec;
+  readonly exchange: ExchangeCodec;
+  readonly directory: DirectoryCodec;
+  readonly endpoints: EndpointCalls;
+}
+
+/** What the parts share. */
+export interface GatewayContext {
+  readonly settings: GatewaySettings;
+  readonly ports: GatewayPorts;
+  readonly log: EventLog;
+  readonly getNow: () => Instant;
+  readonly getPhase: () => PeerPhase;
+}
+
+/** The endpoints and the paths through them, as this VM sees them. */
+interface FleetParts {
+  readonly metrics: Metrics;
+  readonly endpoints: EndpointTable;
+  readonly paths: PathTable;
+  readonly probes: Probes;
+}
+
+/** What this VM learns from the store and from peers, and tells them. */
+interface NewsParts {
+  readonly knowledge: Knowledge;
+  readonly followers: readonly TopicFollower[];
+  readonly mesh: PeerMesh;
+  readonly peerHandler: PeerHandler;
+}
+
+/** All parts of one entry VM. */
+export interface GatewayParts extends FleetParts, NewsParts {
+  readonly ownership: Ownership;
+  readonly orders: OrderRunner;
+  readonly callers: CallerServer;
+  readonly directory: DirectoryServer;
+}
+
+/** Changes must be in force, and leaving endpoints left alone, within 2 s. */
+const followOptions: FollowOptions = {
+  firstMilliseconds: 0,
+  othersMilliseconds: 1250,
+  stepMilliseconds: 60,
+  maxMilliseconds: 1550,
+  waitMilliseconds: 1000,
+};
+
+/** Builds the parts of an entry VM; nothing runs before it is started. */
+export function buildParts(context: GatewayContext): GatewayParts {
+  // Parts call one another; each call comes after all have been built.
+  const getParts = () => parts;
+  const fleet = buildFleet(context, getParts);
+  const news = buildNews(context, fleet, getParts);
+  const orders = buildOrders(context, fleet, news.mesh);
+  const serving = buildServing(context, fleet, news.mesh);
+  const parts: GatewayParts = {...fleet, ...news, ...orders, ...serving};
+  return parts;
+}
+
+function buildFleet(
+  {settings, ports, log, getNow}: GatewayContext,
+  getParts: () => GatewayParts,
+): FleetParts {
+  const metrics = new Metrics();
+  const endpoints = new EndpointTable(log.write, getNow);
+  const paths = new PathTable(
+    endpoints,
+    settings.dataCentre,
+    first => getParts().mesh.computeLoad(first),
+    log.write,
+    getNow,
+  );
+  const listeners = {
+    handleDown: (id: string) => paths.dropRidersThrough(id),
+    sendFacts: (facts: EndpointFacts) => {
+      getParts().mesh.sendAll({kind: PeerMessageKind.Facts, facts});
+    },
+    sendAccusation: (id: string, bornAt: Instant) => {
+      const kind = PeerMessageKind.Accusation;
+      getParts().mesh.sendAll({kind, id, bornAt});
+    },
+  };
+  const calls = ports.endpoints;
+  const probes = new Probes(endpoints, calls, listeners, metrics, getNow);
+  return {metrics, endpoints, paths, probes};
+}
+
+function buildNews(
+  context: GatewayContext,
+  fleet: FleetParts,
+  getParts: () => GatewayParts,
+): NewsParts {
+  const {settings, ports, log, getNow} = context;
+  const knowledge = new Knowledge(
+    ports.records,
+    fleet.endpoints,
+    log.write,
+    getNow,
+    configuration => getParts().callers.applyConfiguration(configuration),
+  );
+  const peerHandler = new PeerHandler(
+    knowledge,
+    fleet.endpoints,
+    fleet.probes,
+    order => applyOrder(fleet, order),
+    (peer, message) => getParts().mesh.sendTo(peer, message),
+    () => getParts().mesh.listLive().length,
+    getNow,
+  );
+  const {peers, callers} = settings.listen;
+  const mesh = new PeerMesh(
+    {
+      vm: settings.vm,
+      startedAt: Date.now(),
+      peerAddress: `${peers.host}:${peers.port}`,
+      callerAddress: `${callers.host}:${callers.port}`,
+    },
+    (peer, message) => peerHandler.handle(peer, message),
+    log.write,
+    getNow,
+  );
+  const topics = [Topic.Configuration, Topic.Endpoints] as const;
+  const followers = topics.map(
+    topic =>
+      new TopicFollower(
+        knowledge.topics[topic],
+        ports.store,
+        followOptions,
+        (from, records) => {
+          peerHandler.sendRecords(topic, from, records, message => {
+            mesh.sendAll(message);
+          });
+        },
+        () => knowledge.checkOutage(),
+        log.write,
+        fleet.metrics,
+        getNow,
+      ),
+  );
+  return {knowledge, followers, mesh, peerHandler};
+}
+
+function buildOrders(
+  {settings, ports, log, getNow}: GatewayContext,
+  fleet: FleetParts,
+  mesh: PeerMesh,
+): Pick<GatewayParts, 'ownership' | 'orders'> {
+  const {metrics, endpoints} = fleet;
+  const {vm} = settings;
+  const {store} = ports;
+  const ownership = new Ownership(store, vm, log.write, metrics, getNow);
+  const listeners = {
+    sendFacts: (facts: EndpointFacts) => {
+      mesh.sendAll({kind: PeerMessageKind.Facts, facts});
+    },
+    handleOrder: (order: Omit<OrderMessage, 'kind'>) => {
+      applyOrder(fleet, order);
+      mesh.sendAll({kind: PeerMessageKind.Order, ...order});
+    },
+  };
+  const orders = new OrderRunner(
+    endpoints,
+    ports.endpoints,
+    ownership,
+    listeners,
+    () => mesh.listLive().length,
+    log.write,
+    metrics,
+    getNow,
+  );
+  return {ownership, orders};
+}
+
+function buildServing(
+  {settings, ports, log, getNow, getPhase}: GatewayContext,
+  {metrics, endpoints, paths, probes}: FleetParts,
+  mesh: PeerMesh,
+): Pick<GatewayParts, 'callers' | 'directory'> {
+  const countVms = () => mesh.listKnown().length + 1;
+  const callers = new CallerServer({
+    codec: ports.exchange,
+    endpoints,
+    paths,
+    probes,
+    budgets: new RepeatBudgets(settings.bounds, countVms),
+    metrics,
+    writeEvent: log.write,
+    getNow,
+    isStopping: () => getPhase() === PeerPhase.Leaving,
+  });
+  const {host, port} = settings.listen.callers;
+  const directory = new DirectoryServer(ports.directory, {
+    listAddresses: () =>
+      listCallerAddresses(`${host}:${port}`, getPhase(), mesh.listKnown()),
+    isReady: () => getPhase() === PeerPhase.Ready,
+    renderMetrics: () => metrics.render(),
+  });
+  return {callers, directory};
+}
+
+function applyOrder(
+  {endpoints, paths}: FleetParts,
+  order: Omit<OrderMessage, 'kind'>,
+): void {
+  const {id, bornAt, range, orderCount, cutsRequests} = order;
+  endpoints.applyOrder(id, bornAt, range, orderCount);
+  if (cutsRequests) paths.dropRidersOutside(id, range);
+}
