--- a/packages/decisions/src/stages/endpoint_doubt.ts
+++ b/packages/decisions/src/stages/endpoint_doubt.ts
@@ -1,5 +1,19 @@
 import type {Instant} from '@zinniaspindle/shared';
 
+/** Why a VM finds an endpoint failing. */
+export enum DoubtCause {
+  /** It does not answer. */
+  Silent = 'silent',
+  /** It refuses requests though it has room. */
+  Refusing = 'refusing',
+}
+
+/** A VM's word against an endpoint. */
+export interface Accuser {
+  readonly at: Instant;
+  readonly cause: DoubtCause;
+}
+
 /** What speaks against an endpoint. */
 export interface EndpointDoubt {
   /** Direct questions in a row that got no answer. */
@@ -7,8 +21,8 @@
   /** Requests in a row that it refused though it said that it has room. */
   refusals: number;
   refusedAt: Instant;
-  /** VMs that found it failing, and when they last said so. */
-  readonly accusers: Map<string, Instant>;
+  /** VMs that found it failing, and what they last said. */
+  readonly accusers: Map<string, Accuser>;
 }
 
 /** When doubts become certain. */
@@ -62,8 +76,9 @@
 }
 
 /**
- * Tells whether an endpoint counts as lost: two VMs found it failing, since
- * one alone may itself be cut off. A VM without peers has only its own word.
+ * Tells whether an endpoint counts as lost. One VM may itself be cut off from
+ * it, so that a second must agree; while this VM reaches it, silence counts
+ * only from most VMs. A VM without peers has only its own word.
  */
 export function isLost(
   doubt: EndpointDoubt,
@@ -71,10 +86,14 @@
   now: Instant,
   options: DoubtOptions = defaultDoubtOptions,
 ): boolean {
-  let witnesses = isFailing(doubt, now, options) ? 1 : 0;
-  for (const [vm, at] of doubt.accusers) {
-    if (now - at < options.accusationMilliseconds) witnesses += 1;
-    else doubt.accusers.delete(vm);
+  const isOwn = isFailing(doubt, now, options);
+  let refused = 0;
+  let silent = 0;
+  for (const [vm, {at, cause}] of doubt.accusers) {
+    if (now - at >= options.accusationMilliseconds) doubt.accusers.delete(vm);
+    else if (cause === DoubtCause.Refusing) refused += 1;
+    else silent += 1;
   }
-  return witnesses >= Math.min(2, peers + 1);
+  if (isOwn) return refused + silent >= Math.min(1, peers);
+  return refused >= 2 || silent > peers / 2;
 }
--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -140,7 +140,10 @@
   let {layer} = last;
   for (let at = last.previous; at !== undefined; at = at.previous) {
     const layers = {first: at.layer, end: layer};
-    parts.unshift({endpoint: at.endpoint, layers});
+    const {endpoint} = at;
+    const held = countLayers(endpoint.held!);
+    const roomLayerTokens = computeTokenCapacity(endpoint, held, 1, model);
+    parts.unshift({endpoint, layers, roomLayerTokens});
     layer = at.layer;
   }
   const ranges = parts.map(part => part.layers);
@@ -155,7 +158,7 @@
     key: keys.join(','),
     parts,
     passMilliseconds: last.cost,
-    capacityTokens: computePathCapacity(parts, model),
+    capacityTokens: computePathCapacity(parts),
     slots: hasCrossing(parts) ? Math.min(slots, maxCrossingStreams) : slots,
   };
 }
@@ -165,15 +168,10 @@
   return parts.some(({endpoint}) => endpoint.dataCentre !== dataCentre);
 }
 
-function computePathCapacity(
-  parts: readonly PathPart[],
-  model: StageModel,
-): number {
+function computePathCapacity(parts: readonly PathPart[]): number {
   let least = Infinity;
-  for (const {endpoint, layers} of parts) {
-    const held = countLayers(endpoint.held!);
-    const used = countLayers(layers);
-    least = Math.min(least, computeTokenCapacity(endpoint, held, used, model));
+  for (const {layers, roomLayerTokens} of parts) {
+    least = Math.min(least, roomLayerTokens / countLayers(layers));
   }
   return least;
 }
--- a/packages/decisions/src/stages/pick_path.ts
+++ b/packages/decisions/src/stages/pick_path.ts
@@ -1,10 +1,12 @@
-import type {Random} from '@zinniaspindle/shared';
+import {countLayers, type Random} from '@zinniaspindle/shared';
 import type {StagePath} from './stage_types.js';
 
-/** Streams and tokens that run on a path, over all VMs. */
-export interface PathLoad {
+/** What runs at an endpoint, over all VMs. */
+export interface EndpointLoad {
+  /** Streams whose path begins there. */
   readonly streams: number;
-  readonly tokens: number;
+  /** Tokens of requests times the layers that they pass there. */
+  readonly layerTokens: number;
 }
 
 /** How a path is picked for a request. */
@@ -27,10 +29,20 @@
   jitter: 0.1,
 };
 
-/** Computes how full a path is; 1 is full. */
-export function computeFill(path: StagePath, load: PathLoad): number {
-  const memory = load.tokens / Math.max(1, path.capacityTokens);
-  return Math.max(memory, load.streams / Math.max(1, path.slots));
+/** Computes how full a path is with one more request; 1 is full. */
+export function computeFill(
+  path: StagePath,
+  tokens: number,
+  getLoad: (id: string) => EndpointLoad,
+): number {
+  const first = getLoad(path.parts[0]!.endpoint.id);
+  let fill = (first.streams + 1) / Math.max(1, path.slots);
+  for (const {endpoint, layers, roomLayerTokens} of path.parts) {
+    const added = tokens * countLayers(layers);
+    const {layerTokens} = getLoad(endpoint.id);
+    fill = Math.max(fill, (layerTokens + added) / Math.max(1, roomLayerTokens));
+  }
+  return fill;
 }
 
 /**
@@ -40,7 +52,7 @@
 export function pickPath(
   paths: readonly StagePath[],
   tokens: number,
-  getLoad: (path: StagePath) => PathLoad,
+  getLoad: (id: string) => EndpointLoad,
   dataCentre: string,
   random: Random,
   options: PickOptions = defaultPickOptions,
@@ -52,9 +64,7 @@
   let best: StagePath | undefined;
   let least = Infinity;
   for (const path of paths) {
-    const load = getLoad(path);
-    const after = {streams: load.streams + 1, tokens: load.tokens + tokens};
-    const fill = computeFill(path, after);
+    const fill = computeFill(path, tokens, getLoad);
     if (fill > options.fullShare) continue;
     const isNear = path.parts[0]!.endpoint.dataCentre === dataCentre;
     const isSlow = path.passMilliseconds > fastest * options.slowRatio;
--- a/packages/decisions/src/stages/stage_types.ts
+++ b/packages/decisions/src/stages/stage_types.ts
@@ -32,6 +32,8 @@
 export interface PathPart {
   readonly endpoint: StageEndpoint;
   readonly layers: LayerRange;
+  /** Tokens times layers of requests that fit the endpoint's memory. */
+  readonly roomLayerTokens: number;
 }
 
 /** A chain of endpoints that runs every layer once, in order. */
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -5,7 +5,6 @@
   isGivenUp,
   isStalled,
   pickPath,
-  type PathLoad,
   type PathWatch,
   type StagePath,
 } from '@zinniaspindle/decisions';
@@ -19,6 +18,7 @@
 import type {ServiceModel} from '../ports/index.js';
 import {hasAllLayers} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
+import type {LoadBook} from './load_book.js';
 
 /** A stream that runs on a path; told when the path falls silent. */
 export interface PathRider {
@@ -53,15 +53,11 @@
 export class PathTable {
   private readonly cache = new Map<string, CachedPaths>();
   private readonly watched = new Map<string, WatchedPath>();
-  private readonly ownLoads = new Map<
-    string,
-    {streams: number; tokens: number}
-  >();
 
   constructor(
     private readonly endpoints: EndpointTable,
     private readonly dataCentre: string,
-    private readonly getPeerLoad: (first: string) => PathLoad,
+    private readonly loads: LoadBook,
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
   ) {}
@@ -78,6 +74,7 @@
     if (isFresh) return cached.paths;
     const stages = this.endpoints.listStages(service, model);
     const paths = findPaths(stages, model.shape);
+    for (const path of paths) this.loads.addPath(path);
     this.cache.set(service, {
       revision: this.endpoints.revision,
       model,
@@ -109,28 +106,12 @@
     return pickPath(
       paths,
       tokens,
-      path => this.computeLoad(path),
+      id => this.loads.computeLoad(id),
       this.dataCentre,
       Math.random,
     );
   }
 
-  /** Computes the load of a path over all VMs. */
-  computeLoad(path: StagePath): PathLoad {
-    const first = path.parts[0]!.endpoint.id;
-    const own = this.ownLoads.get(first);
-    const peers = this.getPeerLoad(first);
-    return {
-      streams: peers.streams + (own?.streams ?? 0),
-      tokens: peers.tokens + (own?.tokens ?? 0),
-    };
-  }
-
-  /** Lists the loads of this VM by the first endpoint of paths. */
-  listOwnLoads(): Array<[string, PathLoad]> {
-    return [...this.ownLoads].filter(([, {streams}]) => streams > 0);
-  }
-
   /** Takes a place on a path for a request. */
   reserve(path: StagePath, tokens: number, rider: PathRider): PathTicket {
     const ticket: PathTicket = {path, tokens, hasStarted: false};
@@ -139,7 +120,7 @@
     if (watched.riders.size === 0) watch.progressAt = this.getNow();
     watch.waiting += 1;
     watched.riders.set(ticket, rider);
-    this.addLoad(path, 1, tokens);
+    this.loads.addOwn(path, 1, tokens);
     return ticket;
   }
 
@@ -159,7 +140,7 @@
     if (!watched.riders.delete(ticket)) return;
     if (ticket.hasStarted) watched.watch.started -= 1;
     else watched.watch.waiting -= 1;
-    this.addLoad(ticket.path, -1, -ticket.tokens);
+    this.loads.addOwn(ticket.path, -1, -ticket.tokens);
   }
 
   /** Keeps new work off a path for a time. */
@@ -241,12 +222,4 @@
     }
     return watched;
   }
-
-  private addLoad(path: StagePath, streams: number, tokens: number): void {
-    const first = path.parts[0]!.endpoint.id;
-    const load = this.ownLoads.get(first) ?? {streams: 0, tokens: 0};
-    load.streams += streams;
-    load.tokens += tokens;
-    this.ownLoads.set(first, load);
-  }
 }
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -1,4 +1,5 @@
 import {
+  DoubtCause,
   isFailing,
   recordRefusal,
   type StagePath,
@@ -15,8 +16,12 @@
 
 /** What a failed or successful question to an endpoint is told to. */
 export interface ProbeListeners {
-  /** An endpoint did not answer, this many times in a row. */
-  readonly sendAccusation: (id: string, bornAt: Instant) => void;
+  /** An endpoint does not answer, or refuses requests though it has room. */
+  readonly sendAccusation: (
+    id: string,
+    bornAt: Instant,
+    cause: DoubtCause,
+  ) => void;
   /** An endpoint is down: nothing listens at its address. */
   readonly handleDown: (id: string) => void;
   /** An endpoint answered something that was not known. */
@@ -109,7 +114,8 @@
     if (!isFailing(state.doubt, askedAt)) return;
     const until = askedAt + failingMilliseconds;
     this.table.recordSuspicion(state, until, 'refuses work with room left');
-    this.listeners.sendAccusation(id, state.bornAt);
+    const cause = DoubtCause.Refusing;
+    this.listeners.sendAccusation(id, state.bornAt, cause);
   }
 
   /** Asks the endpoints that failed before whether they are back. */
@@ -139,7 +145,8 @@
       const isDown = report.error.code === EndpointErrorCode.Unreachable;
       if (isDown) this.listeners.handleDown(id);
       if (isDown || isFailing(state.doubt, now)) {
-        this.listeners.sendAccusation(id, state.bornAt);
+        const cause = DoubtCause.Silent;
+        this.listeners.sendAccusation(id, state.bornAt, cause);
       }
       return false;
     }
--- a/packages/gateway/src/following/knowledge.ts
+++ b/packages/gateway/src/following/knowledge.ts
@@ -1,3 +1,4 @@
+import {isFailing} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {WriteEvent} from '../log/event_log.js';
@@ -11,6 +12,12 @@
 
 /** Entries that lapsed in an outage are back within 2 s of its end. */
 const lapseGraceMilliseconds = 2300;
+/**
+ * An entry that vanishes without notice may only have missed its beats, and is
+ * back with the next one, after 1.2 s. No work may reach an endpoint 2 s after
+ * the store removed it; this counts from the last time it was surely listed.
+ */
+const removalMilliseconds = 1300;
 /** A longer gap in the knowledge of endpoints counts as an outage. */
 const outageMilliseconds = 2500;
 
@@ -78,10 +85,7 @@
   private applyEndpoint(record: KeyedRecord): void {
     const {key, value} = record;
     if (value === undefined) {
-      this.endpoints.removeEntry(
-        key,
-        Math.max(this.getNow(), this.recoveringUntil),
-      );
+      this.endpoints.removeEntry(key, this.computeRemoval(key));
       return;
     }
     const entry = this.codec.decodeEndpoint(key, value);
@@ -89,6 +93,18 @@
     else this.endpoints.applyEntry(entry);
   }
 
+  private computeRemoval(id: string): Instant {
+    const now = this.getNow();
+    const state = this.endpoints.find(id);
+    const isBelieved =
+      state === undefined ||
+      state.entry.isDraining ||
+      isFailing(state.doubt, now);
+    if (isBelieved) return Math.max(now, this.recoveringUntil);
+    const listedAt = this.topics[Topic.Endpoints].asOf;
+    return Math.max(listedAt + removalMilliseconds, this.recoveringUntil);
+  }
+
   private refuseRecord(topic: Topic, {key, offset}: KeyedRecord): void {
     this.writeEvent(GatewayEvent.RecordRefused, {topic, key, offset});
   }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -1,6 +1,8 @@
+import type {DoubtCause} from '@zinniaspindle/decisions';
 import {LayerError, type Instant, type LayerRange} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
+import type {LoadRow} from '../fleet/load_book.js';
 import type {Topic} from '../ports/index.js';
 
 /** Kinds of messages between VMs. */
@@ -43,9 +45,6 @@
   readonly ageMilliseconds: number;
 }
 
-/** Streams and tokens of a VM by the first endpoint of their path. */
-export type LoadRow = readonly [first: string, streams: number, tokens: number];
-
 /** Sent a few times a second. */
 export interface Beat {
   readonly kind: PeerMessageKind.Beat;
@@ -86,11 +85,12 @@
   readonly rows: readonly RecordRow[];
 }
 
-/** Says that an endpoint does not answer a VM. */
+/** Says that an endpoint does not answer a VM, or refuses its requests. */
 export interface Accusation {
   readonly kind: PeerMessageKind.Accusation;
   readonly id: string;
   readonly bornAt: Instant;
+  readonly cause: DoubtCause;
 }
 
 /** What an endpoint answered to a VM. */
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -135,11 +135,12 @@
   }
 
   /** What a peer says of an endpoint is checked, not believed. */
-  private acceptAccusation(peer: Peer, {id, bornAt}: Accusation): void {
+  private acceptAccusation(peer: Peer, accusation: Accusation): void {
+    const {id, bornAt, cause} = accusation;
     const state = this.endpoints.find(id);
     if (state === undefined || state.bornAt !== bornAt) return;
     const now = this.getNow();
-    state.doubt.accusers.set(peer.vm, now);
+    state.doubt.accusers.set(peer.vm, {at: now, cause});
     if (isLost(state.doubt, this.countPeers(), now)) {
       const until = now + lostMilliseconds;
       this.endpoints.recordSuspicion(
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -1,7 +1,7 @@
 import net from 'node:net';
 import {encodeFrame, FrameReader} from '@zinniaspindle/framing';
-import type {PathLoad} from '@zinniaspindle/decisions';
 import {describeError, GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import type {LoadBook} from '../fleet/load_book.js';
 import type {WriteEvent} from '../log/event_log.js';
 import type {ListenAddress} from '../ports/index.js';
 import {
@@ -32,7 +32,6 @@
   heardAt: Instant;
   /** Whether it was heard in time when last looked at. */
   isHeard: boolean;
-  loads: ReadonlyMap<string, PathLoad>;
 }
 
 /** Handles a message of a peer, other than hellos and the phase of beats. */
@@ -50,6 +49,7 @@
 
   constructor(
     private readonly own: Omit<Hello, 'kind' | 'known'>,
+    private readonly loads: LoadBook,
     private readonly handleMessage: HandleMessage,
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
@@ -107,19 +107,6 @@
     );
   }
 
-  /** Sums the load that live peers have on a path. */
-  computeLoad(first: string): PathLoad {
-    let streams = 0;
-    let tokens = 0;
-    for (const {isHeard, loads} of this.peers.values()) {
-      const load = isHeard ? loads.get(first) : undefined;
-      if (load === undefined) continue;
-      streams += load.streams;
-      tokens += load.tokens;
-    }
-    return {streams, tokens};
-  }
-
   /** Looks for peers that fell silent, and forgets those long gone. */
   checkSilence(): void {
     const now = this.getNow();
@@ -127,6 +114,7 @@
       const silentMs = Math.round(now - peer.heardAt);
       if (peer.isHeard && silentMs > silentMilliseconds) {
         peer.isHeard = false;
+        this.loads.removePeer(vm);
         this.writeEvent(GatewayEvent.PeerLost, {peer: vm, silentMs});
       }
       if (silentMs > forgetMilliseconds) this.peers.delete(vm);
@@ -212,7 +200,6 @@
       isOwner: false,
       heardAt: this.getNow(),
       isHeard: true,
-      loads: new Map(),
     };
     this.peers.set(peer.vm, peer);
     const {vm, peerAddress: address} = peer;
@@ -230,10 +217,6 @@
     }
     peer.phase = beat.phase;
     peer.isOwner = beat.isOwner;
-    const loads = new Map<string, PathLoad>();
-    for (const [first, streams, tokens] of beat.loads) {
-      loads.set(first, {streams, tokens});
-    }
-    peer.loads = loads;
+    this.loads.setPeer(peer.vm, beat.loads);
   }
 }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -145,19 +145,13 @@
   }
 
   private sendBeat(): void {
-    const {mesh, ownership, peerHandler, paths} = this.parts;
+    const {mesh, ownership, peerHandler, loads} = this.parts;
     mesh.sendAll({
       kind: PeerMessageKind.Beat,
       phase: this.phase,
       isOwner: ownership.findToken() !== undefined,
       topics: peerHandler.listAges(),
-      loads: paths
-        .listOwnLoads()
-        .map(([first, {streams, tokens}]) => [
-          first,
-          streams,
-          Math.round(tokens),
-        ]),
+      loads: loads.listOwn(),
     });
   }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -1,9 +1,11 @@
+import type {DoubtCause} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {DirectoryServer} from '../directory/directory_server.js';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
+import {LoadBook} from '../fleet/load_book.js';
 import {PathTable} from '../fleet/path_table.js';
-import {Probes} from '../fleet/probes.js';
+import {Probes, type ProbeListeners} from '../fleet/probes.js';
 import {Knowledge} from '../following/knowledge.js';
 import {
   TopicFollower,
@@ -55,6 +57,7 @@
 interface FleetParts {
   readonly metrics: Metrics;
   readonly endpoints: EndpointTable;
+  readonly loads: LoadBook;
   readonly paths: PathTable;
   readonly probes: Probes;
 }
@@ -102,26 +105,27 @@
 ): FleetParts {
   const metrics = new Metrics();
   const endpoints = new EndpointTable(log.write, getNow);
+  const loads = new LoadBook();
   const paths = new PathTable(
     endpoints,
     settings.dataCentre,
-    first => getParts().mesh.computeLoad(first),
+    loads,
     log.write,
     getNow,
   );
-  const listeners = {
+  const listeners: ProbeListeners = {
     handleDown: (id: string) => paths.dropRidersThrough(id),
     sendFacts: (facts: EndpointFacts) => {
       getParts().mesh.sendAll({kind: PeerMessageKind.Facts, facts});
     },
-    sendAccusation: (id: string, bornAt: Instant) => {
+    sendAccusation: (id: string, bornAt: Instant, cause: DoubtCause) => {
       const kind = PeerMessageKind.Accusation;
-      getParts().mesh.sendAll({kind, id, bornAt});
+      getParts().mesh.sendAll({kind, id, bornAt, cause});
     },
   };
   const calls = ports.endpoints;
   const probes = new Probes(endpoints, calls, listeners, metrics, getNow);
-  return {metrics, endpoints, paths, probes};
+  return {metrics, endpoints, loads, paths, probes};
 }
 
 function buildNews(
@@ -154,6 +158,7 @@
       peerAddress: `${peers.host}:${peers.port}`,
       callerAddress: `${callers.host}:${callers.port}`,
     },
+    fleet.loads,
     (peer, message) => peerHandler.handle(peer, message),
     log.write,
     getNow,
