--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,6 @@
 /** The gateway: an entry VM that serves routes of opaque requests. */
 export * from './ports/index.js';
 export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
-export {Counter, Latency, Metrics} from './log/metrics.js';
+export {Counter, gatewayMetricTexts, Latency, Metrics} from './log/metrics.js';
 export {Gateway} from './root/gateway.js';
 export type {GatewayPorts} from './root/gateway_parts.js';
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -23,6 +23,25 @@
   EventGap = 'event_gap_milliseconds',
 }
 
+/** What each metric of the gateway says; the source of docs/METRICS.md. */
+export const gatewayMetricTexts: Readonly<Record<Counter | Latency, string>> = {
+  [Counter.Requests]: 'Requests of callers whose head was read.',
+  [Counter.Answered]: 'Requests answered with an answer of an endpoint.',
+  [Counter.Refused]: 'Requests refused with 429 or 503: not run.',
+  [Counter.Failed]: 'Requests failed by the VM itself, or broken off.',
+  [Counter.Abandoned]: 'Requests whose caller left before the end.',
+  [Counter.Retries]: 'Requests sent once more before their answer began.',
+  [Counter.Resumed]: 'Streams that went on elsewhere after their last event.',
+  [Counter.Stalls]: 'Times that the endpoints of a silent path were asked.',
+  [Counter.StoreCalls]: 'Calls to the store.',
+  [Counter.StoreFailures]: 'Calls to the store that failed.',
+  [Counter.Orders]: 'Orders sent to endpoints.',
+  [Counter.Probes]: 'Reports asked of endpoints.',
+  [Latency.Answer]: 'Time from a request to the end of its answer.',
+  [Latency.FirstEvent]: 'Time from a request to the first event of its stream.',
+  [Latency.EventGap]: 'Time between two events of a stream.',
+};
+
 const prefix = 'zinniaspindle_gateway_';
 const maxMilliseconds = 60_000;
 const percentiles = [50, 95, 99, 99.9];
--- a/scripts/generate_docs.ts
+++ b/scripts/generate_docs.ts
@@ -2,6 +2,7 @@
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {metricTexts, settingSections} from '../packages/router/src/index.js';
+import {gatewayMetricTexts, Latency} from '../packages/gateway/src/index.js';
 import type {SettingField} from '../packages/router/src/index.js';
 import {eventTexts} from '../packages/shared/src/index.js';
 
@@ -105,7 +106,23 @@
   ]);
   const table = renderTable(['name', 'kind', 'unit', 'meaning'], rows);
   const text = 'Sent as StatsD over UDP with the tag `vm`.';
-  return `${['# Metrics', notice, text, table].join('\n\n')}\n`;
+  const parts = ['# Metrics', notice, text, table, ...renderGatewayMetrics()];
+  return `${parts.join('\n\n')}\n`;
+}
+
+function renderGatewayMetrics(): string[] {
+  const latencies = new Set<string>(Object.values(Latency));
+  const rows = Object.entries(gatewayMetricTexts).map(([name, text]) => [
+    `\`zinniaspindle_gateway_${name}\``,
+    latencies.has(name) ? 'summary' : 'counter',
+    latencies.has(name) ? 'ms' : 'count',
+    text,
+  ]);
+  return [
+    '## Gateway',
+    'Served as text on the metrics address, `/metrics`.',
+    renderTable(['name', 'kind', 'unit', 'meaning'], rows),
+  ];
 }
 
 if (process.argv[1] === fileURLToPath(import.meta.url)) {
