--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -6,6 +6,7 @@
   createPathWatch,
   findGap,
   findPaths,
+  isGivenUp,
   isStalled,
   pickPath,
   planRanges,
@@ -251,3 +252,12 @@
   const relieved = applyPlan([...repaired, spare]);
   assert.deepEqual(applyPlan(relieved), relieved);
 });
+
+test('a path whose first events do not come is asked, then given up', () => {
+  const watch = {...createPathWatch(), waiting: 2, progressAt: 1000};
+  assert.equal(isStalled(watch, 1250), false);
+  assert.equal(isStalled(watch, 1251), true);
+  assert.equal(isStalled({...watch, checkedAt: 1251}, 1400), false);
+  assert.equal(isGivenUp(watch, 2800), false);
+  assert.equal(isGivenUp(watch, 2801), true);
+});
--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -8,17 +8,23 @@
   readonly singleMilliseconds: number;
   /** Wait for a first event on a path without other streams. */
   readonly firstMilliseconds: number;
+  /** The same, after which the path is given up although its endpoints answer. */
+  readonly certainFirstMilliseconds: number;
   /** Silence after which a path is given up although its endpoints answer. */
   readonly certainMilliseconds: number;
   /** Time for which a stalled path takes no new work. */
   readonly avoidMilliseconds: number;
 }
 
-/** Events come every 30 ms; a gap above 200 ms is late (site files). */
+/**
+ * First events come after 50 ms, the next every 30 ms; a gap above 200 ms is
+ * late (site files).
+ */
 export const defaultStallOptions: StallOptions = {
   sharedMilliseconds: 80,
   singleMilliseconds: 120,
-  firstMilliseconds: 900,
+  firstMilliseconds: 250,
+  certainFirstMilliseconds: 1800,
   certainMilliseconds: 800,
   avoidMilliseconds: 1500,
 };
@@ -66,6 +72,6 @@
   const wait =
     watch.started > 0
       ? options.certainMilliseconds
-      : 2 * options.firstMilliseconds;
+      : options.certainFirstMilliseconds;
   return now - watch.progressAt > wait;
 }
--- a/packages/gateway/__tests__/small_parts.test.ts
+++ b/packages/gateway/__tests__/small_parts.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import {LineWriter} from '../src/log/line_writer.js';
 import {Counter, Latency, Metrics} from '../src/log/metrics.js';
+import {computeBeatPeriod} from '../src/peers/beat_period.js';
 import {PeerPhase} from '../src/peers/messages.js';
 import type {Configuration, Route} from '../src/ports/index.js';
 import {RouteKind} from '../src/ports/index.js';
@@ -162,3 +163,10 @@
   assert.match(text, /^zinniaspindle_gateway_requests_total 1$/m);
   assert.match(text, /answer_milliseconds\{quantile="0.5"\} 12$/m);
 });
+
+test('beats come less often in a large fleet', () => {
+  assert.equal(computeBeatPeriod(0), 250);
+  assert.equal(computeBeatPeriod(14), 250);
+  assert.equal(computeBeatPeriod(40), 500);
+  assert.equal(computeBeatPeriod(340), 1000);
+});
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -12,10 +12,11 @@
   type Hello,
   type PeerMessage,
 } from './messages.js';
+import {computeBeatPeriod} from './beat_period.js';
 import {PeerLink} from './peer_link.js';
 
-/** Beats are sent every 250 ms; three in a row may be lost or late. */
-const silentMilliseconds = 1000;
+/** Three beats in a row may be lost or late. */
+const silentPeriods = 4;
 /** A VM that is gone this long is no longer called. */
 const forgetMilliseconds = 30_000;
 /** VMs that start together are told of in one message. */
@@ -110,9 +111,10 @@
   /** Looks for peers that fell silent, and forgets those long gone. */
   checkSilence(): void {
     const now = this.getNow();
+    const patience = silentPeriods * computeBeatPeriod(this.peers.size);
     for (const [vm, peer] of this.peers) {
       const silentMs = Math.round(now - peer.heardAt);
-      if (peer.isHeard && silentMs > silentMilliseconds) {
+      if (peer.isHeard && silentMs > patience) {
         peer.isHeard = false;
         this.loads.removePeer(vm);
         this.writeEvent(GatewayEvent.PeerLost, {peer: vm, silentMs});
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -15,6 +15,10 @@
 const retryAfterMilliseconds = 900;
 const retrySpreadMilliseconds = 600;
 
+/** A stream that paused already goes before new ones, whose urgency is 5. */
+const resumedUrgency = 1;
+/** Share of the time to the first event for which a request waits for a path. */
+const waitedShare = 0.4;
 /** Callers leave a stream after a gap of 2 s. */
 const resumeMilliseconds = 1700;
 const pollMilliseconds = 40;
@@ -95,13 +99,19 @@
     this.cancelTry(TryEnd.Broken, 'path is silent');
   }
 
-  /** Finds a path; a stream that has begun waits for one for a while. */
+  /**
+   * Finds a path. A new request waits for one only while it can still be in
+   * time, a stream that has begun until its caller would leave.
+   */
   private async findPath(tokens: number): Promise<StagePath | undefined> {
-    const {serving, service} = this.context;
-    const waitUntil = this.lastEventAt + resumeMilliseconds;
+    const {serving, service, route} = this.context;
+    const patience = this.hasBegun
+      ? resumeMilliseconds
+      : waitedShare * route.targetMilliseconds;
+    const waitUntil = this.lastEventAt + patience;
     for (;;) {
       const path = serving.paths.pick(service.name, this.model, tokens);
-      const isOver = !this.hasBegun || isPast(waitUntil, serving.getNow());
+      const isOver = isPast(waitUntil, serving.getNow());
       if (path !== undefined || isOver || this.isAbandoned) return path;
       await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
     }
@@ -136,7 +146,7 @@
       deadline,
       now: serving.getNow(),
       accountName: account?.name,
-      urgency: undefined,
+      urgency: this.hasBegun ? resumedUrgency : undefined,
       parts: path.parts,
       lastEventId: this.lastEventId,
       bodyBytes: body.length,
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -4,6 +4,7 @@
 import {directorySeconds} from '../directory/directory_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Counter} from '../log/metrics.js';
+import {computeBeatPeriod} from '../peers/beat_period.js';
 import {PeerMessageKind, PeerPhase} from '../peers/messages.js';
 import {Topic, type GatewaySettings} from '../ports/index.js';
 import {
@@ -32,6 +33,7 @@
     Date.now,
   );
   private phase = PeerPhase.Starting;
+  private beatAt: Instant = -Infinity;
   private isPublished = false;
   private isPublishing = false;
 
@@ -63,7 +65,7 @@
     const {tasks} = this;
     tasks.start('tick', tickMilliseconds, () => this.runTick());
     tasks.start('stalls', stallMilliseconds, () => this.checkStalls());
-    tasks.start('beat', beatMilliseconds, () => this.sendBeat());
+    tasks.start('beat', beatMilliseconds, () => this.sendBeatInTurn());
     tasks.start('orders', orderMilliseconds, () => {
       orders.run(knowledge.findConfiguration());
     });
@@ -144,7 +146,16 @@
     this.sendBeat();
   }
 
+  private sendBeatInTurn(): void {
+    const now = getMonotonic();
+    const period = computeBeatPeriod(this.parts.mesh.listKnown().length);
+    // A timer that is a little late must not double the period.
+    if (now - this.beatAt < period - beatMilliseconds / 2) return;
+    this.sendBeat();
+  }
+
   private sendBeat(): void {
+    this.beatAt = getMonotonic();
     const {mesh, ownership, peerHandler, loads} = this.parts;
     mesh.sendAll({
       kind: PeerMessageKind.Beat,
