--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -12,6 +12,8 @@
   readonly certainFirstMilliseconds: number;
   /** Silence after which a path is given up although its endpoints answer. */
   readonly certainMilliseconds: number;
+  /** Time for which a path is not asked again after its endpoints answered. */
+  readonly quietMilliseconds: number;
   /** Time for which a stalled path takes no new work. */
   readonly avoidMilliseconds: number;
 }
@@ -26,6 +28,7 @@
   firstMilliseconds: 250,
   certainFirstMilliseconds: 1800,
   certainMilliseconds: 800,
+  quietMilliseconds: 400,
   avoidMilliseconds: 1500,
 };
 
@@ -39,13 +42,22 @@
   progressAt: Instant;
   /** When its silence was last looked into. */
   checkedAt: Instant;
+  /** Its endpoints are not asked before this instant. */
+  quietUntil: Deadline;
   /** The path takes no new work before this instant. */
   avoidUntil: Deadline;
 }
 
 /** Creates the watch of a path without streams. */
 export function createPathWatch(): PathWatch {
-  return {started: 0, waiting: 0, progressAt: 0, checkedAt: 0, avoidUntil: 0};
+  return {
+    started: 0,
+    waiting: 0,
+    progressAt: 0,
+    checkedAt: 0,
+    quietUntil: 0,
+    avoidUntil: 0,
+  };
 }
 
 /**
@@ -57,6 +69,7 @@
   now: Instant,
   options: StallOptions = defaultStallOptions,
 ): boolean {
+  if (now < watch.quietUntil) return false;
   const silent = now - Math.max(watch.progressAt, watch.checkedAt);
   if (watch.started >= 2) return silent > options.sharedMilliseconds;
   if (watch.started === 1) return silent > options.singleMilliseconds;
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -188,3 +188,19 @@
   clock.now += 200;
   assert.equal(paths.listStalled().length, 1);
 });
+
+test('a slow path whose endpoints answer is not asked all the time', () => {
+  const {clock, paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  const tickets = [1, 2].map(() => paths.reserve(path, 10, makeRider()));
+  for (const ticket of tickets) paths.recordProgress(ticket);
+  let asked = 0;
+  for (let passed = 0; passed < 8000; passed += 20) {
+    clock.now += 20;
+    if (passed % 300 === 0) paths.recordProgress(tickets[0]!);
+    if (paths.listStalled().length === 0) continue;
+    asked += 1;
+    paths.recordAnswers(path);
+  }
+  assert.ok(asked <= 20, `${asked}`);
+});
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -145,17 +145,6 @@
     this.loads.addOwn(ticket.path, -1, -ticket.tokens);
   }
 
-  /** Keeps new work off a path for a time. */
-  refuseUntil(path: StagePath, until: Instant): void {
-    const {watch} = this.getWatched(path);
-    watch.avoidUntil = Math.max(watch.avoidUntil, until);
-  }
-
-  /** Lets new work go to a path again. */
-  removeAvoidance(path: StagePath): void {
-    this.getWatched(path).watch.avoidUntil = 0;
-  }
-
   /** Restarts the watch of all paths, as after a pause of the process. */
   resumeWatches(): void {
     const now = this.getNow();
@@ -179,6 +168,12 @@
     return stalled;
   }
 
+  /** Leaves a path alone for a while whose endpoints have all answered. */
+  recordAnswers(path: StagePath): void {
+    const until = this.getNow() + defaultStallOptions.quietMilliseconds;
+    this.getWatched(path).watch.quietUntil = until;
+  }
+
   /** Tells whether a path is silent for so long that it must be given up. */
   isGivenUp(path: StagePath): boolean {
     return isGivenUp(this.getWatched(path).watch, this.getNow());
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -62,9 +62,12 @@
 
   /**
    * Asks all endpoints of a path; handleSilence is called as soon as one of
-   * them takes longer to answer than any that is up.
+   * them takes longer to answer than any that is up. Tells whether all did.
    */
-  async probePath(path: StagePath, handleSilence: () => void): Promise<void> {
+  async probePath(
+    path: StagePath,
+    handleSilence: () => void,
+  ): Promise<boolean> {
     let waiting = path.parts.length;
     const timer = setTimeout(handleSilence, promptMilliseconds);
     const probes = path.parts.map(async ({endpoint}) => {
@@ -73,6 +76,7 @@
       if (waiting === 0) clearTimeout(timer);
     });
     await Promise.all(probes);
+    return waiting === 0;
   }
 
   /** Asks an endpoint, once more after a failure; tells whether it answered. */
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -132,7 +132,10 @@
     for (const path of paths.listStalled()) {
       metrics.count(Counter.Stalls);
       if (paths.isGivenUp(path)) paths.dropRiders(path);
-      void probes.probePath(path, () => paths.dropRiders(path));
+      const drop = () => paths.dropRiders(path);
+      void probes.probePath(path, drop).then(isUp => {
+        if (isUp) paths.recordAnswers(path);
+      });
     }
   }
 
