--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -21,7 +21,7 @@
 import type {LoadBook} from './load_book.js';
 
 /** A stream that runs on a path; told when the path falls silent. */
-export interface PathRider {
+export interface PathStream {
   /** Called once the path's streams have been silent for too long. */
   handleStall(): void;
   /** Whether the stream is not read, since its caller is slow. */
@@ -29,7 +29,7 @@
 }
 
 /** A request's place on a path, until it is released. */
-export interface PathTicket {
+export interface PathReservation {
   readonly path: StagePath;
   readonly tokens: number;
   hasStarted: boolean;
@@ -38,7 +38,7 @@
 interface WatchedPath {
   readonly path: StagePath;
   readonly watch: PathWatch;
-  readonly riders: Map<PathTicket, PathRider>;
+  readonly streams: Map<PathReservation, PathStream>;
 }
 
 interface CachedPaths {
@@ -115,34 +115,38 @@
   }
 
   /** Takes a place on a path for a request. */
-  reserve(path: StagePath, tokens: number, rider: PathRider): PathTicket {
-    const ticket: PathTicket = {path, tokens, hasStarted: false};
+  reserve(
+    path: StagePath,
+    tokens: number,
+    stream: PathStream,
+  ): PathReservation {
+    const reservation: PathReservation = {path, tokens, hasStarted: false};
     const watched = this.getWatched(path);
     const {watch} = watched;
-    if (watched.riders.size === 0) watch.progressAt = this.getNow();
+    if (watched.streams.size === 0) watch.progressAt = this.getNow();
     watch.waiting += 1;
-    watched.riders.set(ticket, rider);
+    watched.streams.set(reservation, stream);
     this.loads.addOwn(path, 1, tokens);
-    return ticket;
+    return reservation;
   }
 
   /** Notes that an event came on a path. */
-  recordProgress(ticket: PathTicket): void {
-    const {watch} = this.getWatched(ticket.path);
+  recordProgress(reservation: PathReservation): void {
+    const {watch} = this.getWatched(reservation.path);
     watch.progressAt = this.getNow();
-    if (ticket.hasStarted) return;
-    ticket.hasStarted = true;
+    if (reservation.hasStarted) return;
+    reservation.hasStarted = true;
     watch.waiting -= 1;
     watch.started += 1;
   }
 
   /** Gives a request's place back. */
-  release(ticket: PathTicket): void {
-    const watched = this.getWatched(ticket.path);
-    if (!watched.riders.delete(ticket)) return;
-    if (ticket.hasStarted) watched.watch.started -= 1;
+  release(reservation: PathReservation): void {
+    const watched = this.getWatched(reservation.path);
+    if (!watched.streams.delete(reservation)) return;
+    if (reservation.hasStarted) watched.watch.started -= 1;
     else watched.watch.waiting -= 1;
-    this.loads.addOwn(ticket.path, -1, -ticket.tokens);
+    this.loads.addOwn(reservation.path, -1, -reservation.tokens);
   }
 
   /** Restarts the watch of all paths, as after a pause of the process. */
@@ -155,12 +159,12 @@
   listStalled(): StagePath[] {
     const now = this.getNow();
     const stalled: StagePath[] = [];
-    for (const [key, {watch, path, riders}] of this.watched) {
-      if (riders.size === 0) {
+    for (const [key, {watch, path, streams}] of this.watched) {
+      if (streams.size === 0) {
         if (isPast(watch.avoidUntil, now)) this.watched.delete(key);
         continue;
       }
-      if (hasOnlyPaused(riders.values())) watch.progressAt = now;
+      if (hasOnlyPaused(streams.values())) watch.progressAt = now;
       if (!isStalled(watch, now)) continue;
       watch.checkedAt = now;
       stalled.push(path);
@@ -180,49 +184,49 @@
   }
 
   /** Moves all streams that run through an endpoint elsewhere. */
-  dropRidersThrough(id: string): void {
-    for (const {path, riders} of [...this.watched.values()]) {
-      if (riders.size === 0) continue;
+  dropStreamsThrough(id: string): void {
+    for (const {path, streams} of [...this.watched.values()]) {
+      if (streams.size === 0) continue;
       const isOnPath = path.parts.some(({endpoint}) => endpoint.id === id);
-      if (isOnPath) this.dropRiders(path);
+      if (isOnPath) this.dropStreams(path);
     }
   }
 
   /** Moves the streams elsewhere that need layers which an endpoint gives up. */
-  dropRidersOutside(id: string, range: LayerRange): void {
-    for (const {path, riders} of [...this.watched.values()]) {
-      if (riders.size === 0) continue;
+  dropStreamsOutside(id: string, range: LayerRange): void {
+    for (const {path, streams} of [...this.watched.values()]) {
+      if (streams.size === 0) continue;
       const part = path.parts.find(({endpoint}) => endpoint.id === id);
       if (part === undefined || hasAllLayers(range, part.layers)) continue;
-      this.dropRiders(path);
+      this.dropStreams(path);
     }
   }
 
   /** Moves all streams of a silent path elsewhere. */
-  dropRiders(path: StagePath): void {
+  dropStreams(path: StagePath): void {
     const now = this.getNow();
-    const {watch, riders} = this.getWatched(path);
+    const {watch, streams} = this.getWatched(path);
     this.writeEvent(GatewayEvent.PathStalled, {
       path: path.key,
       silentMs: Math.round(now - watch.progressAt),
-      streams: riders.size,
+      streams: streams.size,
     });
     watch.avoidUntil = now + defaultStallOptions.avoidMilliseconds;
     watch.progressAt = now;
-    for (const rider of [...riders.values()]) rider.handleStall();
+    for (const stream of [...streams.values()]) stream.handleStall();
   }
 
   private getWatched(path: StagePath): WatchedPath {
     let watched = this.watched.get(path.key);
     if (watched === undefined) {
-      watched = {path, watch: createPathWatch(), riders: new Map()};
+      watched = {path, watch: createPathWatch(), streams: new Map()};
       this.watched.set(path.key, watched);
     }
     return watched;
   }
 }
 
-function hasOnlyPaused(riders: Iterable<PathRider>): boolean {
-  for (const rider of riders) if (!rider.isPaused()) return false;
+function hasOnlyPaused(streams: Iterable<PathStream>): boolean {
+  for (const stream of streams) if (!stream.isPaused()) return false;
   return true;
 }
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -1,6 +1,6 @@
 import type {StagePath} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
-import type {PathRider, PathTicket} from '../fleet/path_table.js';
+import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
 import {EventSplitter} from './event_splitter.js';
@@ -33,9 +33,9 @@
 }
 
 /** Serves a stream of events over paths of a model's endpoints. */
-export class StreamRequest implements PathRider {
+export class StreamRequest implements PathStream {
   private upstream: Upstream | undefined;
-  private ticket: PathTicket | undefined;
+  private reservation: PathReservation | undefined;
   private splitter = new EventSplitter();
   private answer: EndpointAnswer | undefined;
   private failureBody: Buffer[] = [];
@@ -92,15 +92,8 @@
 
   /** Goes on elsewhere when the path has fallen silent. */
   handleStall(): void {
-    const {route} = this.context;
-    if (this.ticket?.hasStarted === true && !route.isResumable) return;
-    if (
-      !this.canTryAgain() ||
-      (this.answer !== undefined && !this.canRepeat())
-    ) {
-      return;
-    }
-    this.cancelTry(TryEnd.Broken, 'path is silent');
+    if (!this.canLeave()) return;
+    this.swapPath('path is silent');
   }
 
   /**
@@ -121,6 +114,20 @@
     }
   }
 
+  /**
+   * Tells whether the request may leave an endpoint that has not said that it
+   * will not run it; what may run once at most must stay.
+   */
+  private canLeave(): boolean {
+    if (!this.context.route.isResumable || !this.canTryAgain()) return false;
+    return this.answer === undefined || this.canRepeat();
+  }
+
+  private swapPath(reason: string): void {
+    if (this.answer === undefined) this.notRun += 1;
+    this.cancelTry(TryEnd.Broken, reason);
+  }
+
   /** Tells whether the caller is slower than the stream. */
   isPaused(): boolean {
     return this.isWaiting;
@@ -148,8 +155,8 @@
     this.splitter = new EventSplitter();
     this.answer = undefined;
     this.failureBody = [];
-    const ticket = serving.paths.reserve(path, tokens, this);
-    this.ticket = ticket;
+    const reservation = serving.paths.reserve(path, tokens, this);
+    this.reservation = reservation;
     const headers = serving.codec.encodeForwarded(request, {
       endpointId: first.id,
       deadline,
@@ -162,12 +169,12 @@
     });
     return new Promise(resolve => {
       const timer = setTimeout(() => {
-        this.cancelQueued(ticket);
+        this.cancelQueued(reservation);
       }, firstEventMilliseconds);
       this.finishTry = (end, reason) => {
         clearTimeout(timer);
         this.finishTry = undefined;
-        serving.paths.release(ticket);
+        serving.paths.release(reservation);
         if (end !== TryEnd.Done) this.reportRetry(first.id, reason);
         resolve(end);
       };
@@ -192,10 +199,11 @@
   }
 
   /** Leaves a path on which others get events and this request gets none. */
-  private cancelQueued(ticket: PathTicket): void {
-    if (ticket.hasStarted || this.hasMoved || this.answer !== undefined) return;
+  private cancelQueued(reservation: PathReservation): void {
+    if (reservation.hasStarted || this.hasMoved || !this.canLeave()) return;
+    if (this.answer !== undefined) return;
     this.hasMoved = true;
-    this.cancelTry(TryEnd.Broken, 'no first event in time');
+    this.swapPath('no first event in time');
   }
 
   private cancelTry(end: TryEnd, reason: string): void {
@@ -221,7 +229,7 @@
     const events = this.splitter.accept(chunk);
     if (events === undefined) return;
     const {serving, response} = this.context;
-    serving.paths.recordProgress(this.ticket!);
+    serving.paths.recordProgress(this.reservation!);
     this.recordEvent();
     if (!this.hasBegun) {
       this.hasBegun = true;
@@ -249,16 +257,16 @@
   private acceptEnd(end: UpstreamEnd, detail: string): void {
     if (end === UpstreamEnd.NotSent) {
       this.notRun += 1;
-      const first = this.ticket!.path.parts[0]!.endpoint.id;
+      const first = this.reservation!.path.parts[0]!.endpoint.id;
       void this.context.serving.probes.checkRefusal(first, detail, undefined);
       this.finishTry?.(TryEnd.NotRun, detail);
       return;
     }
     if (end === UpstreamEnd.Broken) {
       if (this.answer === undefined) this.runs += 1;
-      const {path} = this.ticket!;
+      const {path} = this.reservation!;
       const {probes, paths} = this.context.serving;
-      void probes.probePath(path, () => paths.dropRiders(path));
+      void probes.probePath(path, () => paths.dropStreams(path));
       this.finishTry?.(TryEnd.Broken, detail);
       return;
     }
@@ -275,18 +283,18 @@
   private acceptNotRun(answer: EndpointAnswer): void {
     this.notRun += 1;
     const {serving} = this.context;
-    const {id} = this.ticket!.path.parts[0]!.endpoint;
+    const {id} = this.reservation!.path.parts[0]!.endpoint;
     if (answer.endpointId !== undefined && answer.endpointId !== id) {
       serving.endpoints.removeReplaced(id);
       this.finishTry?.(TryEnd.NotRun, `${answer.endpointId} has the address`);
       return;
     }
     const address =
-      answer.faultAddress ?? this.ticket!.path.parts[0]!.endpoint.address;
+      answer.faultAddress ?? this.reservation!.path.parts[0]!.endpoint.address;
     const fault = serving.endpoints.findAt(address);
     const reason = `status ${answer.status} at ${address}`;
     if (fault !== undefined) {
-      const part = this.ticket!.path.parts.find(
+      const part = this.reservation!.path.parts.find(
         ({endpoint}) => endpoint.id === fault.entry.id,
       );
       void serving.probes.checkRefusal(fault.entry.id, reason, part?.layers);
@@ -304,7 +312,7 @@
       this.finishTry?.(TryEnd.Broken, reason);
       return;
     }
-    const first = this.ticket!.path.parts[0]!.endpoint.id;
+    const first = this.reservation!.path.parts[0]!.endpoint.id;
     sendAnswer(this.context, first, answer, Buffer.concat(this.failureBody));
     this.finishTry?.(TryEnd.Done, reason);
   }
@@ -313,7 +321,7 @@
     const {response, serving} = this.context;
     response.end();
     serving.metrics.count(Counter.Answered);
-    recordDone(this.context, this.ticket!.path.key, this.answer!.status);
+    recordDone(this.context, this.reservation!.path.key, this.answer!.status);
     this.finishTry?.(TryEnd.Done, 'complete');
   }
 
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -131,8 +131,8 @@
     const {paths, probes, metrics} = this.parts;
     for (const path of paths.listStalled()) {
       metrics.count(Counter.Stalls);
-      if (paths.isGivenUp(path)) paths.dropRiders(path);
-      const drop = () => paths.dropRiders(path);
+      if (paths.isGivenUp(path)) paths.dropStreams(path);
+      const drop = () => paths.dropStreams(path);
       void probes.probePath(path, drop).then(isUp => {
         if (isUp) paths.recordAnswers(path);
       });
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -114,7 +114,7 @@
     getNow,
   );
   const listeners: ProbeListeners = {
-    handleDown: (id: string) => paths.dropRidersThrough(id),
+    handleDown: (id: string) => paths.dropStreamsThrough(id),
     sendFacts: (facts: EndpointFacts) => {
       getParts().mesh.sendAll({kind: PeerMessageKind.Facts, facts});
     },
@@ -248,5 +248,5 @@
 ): void {
   const {id, bornAt, range, orderCount, cutsRequests} = order;
   endpoints.applyOrder(id, bornAt, range, orderCount);
-  if (cutsRequests) paths.dropRidersOutside(id, range);
+  if (cutsRequests) paths.dropStreamsOutside(id, range);
 }
