--- a/packages/decisions/src/stages/build_chains.ts
+++ b/packages/decisions/src/stages/build_chains.ts
@@ -1,4 +1,4 @@
-import {countFittingLayers} from './memory.js';
+import {countFittingAll, sortBySize} from './memory.js';
 import type {PlannedEndpoint, RangeOptions} from './plan_ranges.js';
 import type {StageModel} from './stage_types.js';
 
@@ -16,7 +16,7 @@
 ): PlannedEndpoint[][] {
   const count = countChains(members, model, options);
   if (count === 1) return [[...members]];
-  const left = new Set(sortForSplit(members));
+  const left = new Set(sortBySize(members));
   const chains: PlannedEndpoint[][] = [];
   for (let i = 0; i < count; i += 1) {
     chains.push(takeChain(left, model.layerCount));
@@ -37,8 +37,7 @@
   const least = Math.ceil(members.length / maxChainParts);
   const standing = countStanding(members, model.layerCount);
   const tokens = standing > 0 ? options.bridgeTokens : options.goalTokens;
-  let fitting = 0;
-  for (const one of members) fitting += countFittingLayers(one, tokens, model);
+  const fitting = countFittingAll(members, tokens, model);
   const most = Math.max(1, Math.floor(fitting / model.layerCount));
   if (standing === 0) return Math.max(least, most);
   return Math.min(most, Math.max(least, standing));
@@ -63,12 +62,6 @@
   return holders[Math.floor(layerCount / 2)]!;
 }
 
-function sortForSplit(members: readonly PlannedEndpoint[]): PlannedEndpoint[] {
-  return [...members].sort(
-    (a, b) => b.sizeMegabytes - a.sizeMegabytes || (a.id < b.id ? -1 : 1),
-  );
-}
-
 /** Takes the endpoints of one chain, going on behind any gap. */
 function takeChain(
   left: Set<PlannedEndpoint>,
--- a/packages/decisions/src/stages/memory.ts
+++ b/packages/decisions/src/stages/memory.ts
@@ -22,3 +22,23 @@
   const fitting = Math.floor(endpoint.sizeMegabytes / perLayer);
   return Math.min(fitting, model.layerCount);
 }
+
+/** Counts the layers that endpoints can hold together. */
+export function countFittingAll(
+  endpoints: readonly StageEndpoint[],
+  tokens: number,
+  model: StageModel,
+): number {
+  let total = 0;
+  for (const one of endpoints) total += countFittingLayers(one, tokens, model);
+  return total;
+}
+
+/** Sorts endpoints by falling memory. */
+export function sortBySize<Endpoint extends StageEndpoint>(
+  endpoints: readonly Endpoint[],
+): Endpoint[] {
+  return [...endpoints].sort(
+    (a, b) => b.sizeMegabytes - a.sizeMegabytes || (a.id < b.id ? -1 : 1),
+  );
+}
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -1,5 +1,5 @@
 import {countLayers, type LayerRange} from '@zinniaspindle/shared';
-import {countFittingLayers} from './memory.js';
+import {countFittingAll, countFittingLayers, sortBySize} from './memory.js';
 import {planBridge, planRelief} from './plan_bridge.js';
 import {buildChains} from './build_chains.js';
 import type {StageEndpoint, StageModel} from './stage_types.js';
@@ -171,10 +171,7 @@
   model: StageModel,
   options: RangeOptions,
 ): boolean {
-  let fitting = 0;
-  for (const endpoint of members) {
-    fitting += countFittingLayers(endpoint, options.leastTokens, model);
-  }
+  const fitting = countFittingAll(members, options.leastTokens, model);
   return fitting >= model.layerCount;
 }
 
@@ -235,25 +232,15 @@
   const precision = 500;
   let low = 0;
   let high = goal;
-  if (countAll(group, goal, model) >= model.layerCount) return goal;
+  if (countFittingAll(group, goal, model) >= model.layerCount) return goal;
   while (high - low > precision) {
     const middle = (low + high) / 2;
-    if (countAll(group, middle, model) >= model.layerCount) low = middle;
+    if (countFittingAll(group, middle, model) >= model.layerCount) low = middle;
     else high = middle;
   }
   return low;
 }
 
-function countAll(
-  group: readonly StageEndpoint[],
-  tokens: number,
-  model: StageModel,
-): number {
-  let total = 0;
-  for (const one of group) total += countFittingLayers(one, tokens, model);
-  return total;
-}
-
 /** Sorts holders along the layers, with the empty ones at the gap. */
 function sortMembers(
   group: readonly PlannedEndpoint[],
@@ -351,9 +338,7 @@
  * bridge the loss of a small endpoint at once.
  */
 function sortMixed(group: readonly PlannedEndpoint[]): PlannedEndpoint[] {
-  const sorted = [...group].sort(
-    (a, b) => b.sizeMegabytes - a.sizeMegabytes || (a.id < b.id ? -1 : 1),
-  );
+  const sorted = sortBySize(group);
   const smallest = sorted.at(-1)!.sizeMegabytes;
   const large = sorted.filter(one => one.sizeMegabytes > smallest);
   const small = sorted.filter(one => one.sizeMegabytes === smallest);
--- a/packages/gateway/src/directory/directory_server.ts
+++ b/packages/gateway/src/directory/directory_server.ts
@@ -1,5 +1,7 @@
 import http from 'node:http';
-import type {DirectoryCodec, ListenAddress} from '../ports/index.js';
+import type {Address} from '@zinniaspindle/shared';
+import {openServer} from '../open_server.js';
+import type {DirectoryCodec} from '../ports/index.js';
 
 /**
  * Callers keep an answer for this long, some three times as long; a planned
@@ -24,15 +26,12 @@
   ) {}
 
   /** Listens on an address; all addresses answer the same calls. */
-  open({host, port}: ListenAddress): Promise<void> {
+  open(address: Address): Promise<void> {
     const server = http.createServer((request, response) => {
       this.handle(request, response);
     });
     this.servers.push(server);
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(port, host, resolve);
-    });
+    return openServer(server, address);
   }
 
   /** Stops listening. */
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -64,7 +64,7 @@
     private readonly getNow: () => Instant,
   ) {}
 
-  /** Lists the paths of a service's model, one for each data centre at most. */
+  /** Lists the paths of a service's model, some for each data centre. */
   list(service: string, model: ServiceModel): readonly StagePath[] {
     const now = this.getNow();
     const cached = this.cache.get(service);
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -1,3 +1,4 @@
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
   DoubtCause,
   isFailing,
@@ -5,10 +6,12 @@
   type StagePath,
 } from '@zinniaspindle/decisions';
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
+import type {Result} from 'true-myth';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   EndpointErrorCode,
   type EndpointCalls,
+  type EndpointError,
   type EndpointReport,
 } from '../ports/index.js';
 import {
@@ -87,7 +90,7 @@
     this.asking.add(id);
     try {
       if (await this.askOnce(state)) return true;
-      await new Promise(resolve => setTimeout(resolve, confirmMilliseconds));
+      await waitMilliseconds(confirmMilliseconds);
       return await this.askOnce(state);
     } finally {
       this.asking.delete(id);
@@ -110,15 +113,13 @@
     this.table.recordSuspicion(state, now + refusedMilliseconds, reason);
     if (this.asking.has(id)) return;
     this.asking.add(id);
-    this.metrics.count(Counter.Probes);
-    const report = await this.calls.fetchReport(state.entry.address);
+    const report = await this.fetchReport(state);
     this.asking.delete(id);
-    if (this.table.find(id) !== state) return;
+    if (report === undefined) return;
     if (report.isErr) {
       void this.probe(id);
       return;
     }
-    this.acceptReport(state, report.value);
     const {isBusy, memoryFill, held} = report.value;
     const hasRoom = memoryFill < roomyFill && !isBusy;
     if (!hasRoom || !hasAllLayers(held, layers)) return;
@@ -142,26 +143,30 @@
     }
   }
 
-  private async askOnce(state: EndpointState): Promise<boolean> {
+  /**
+   * Asks an endpoint for its report and takes what it tells; undefined when the
+   * endpoint was taken off the list meanwhile.
+   */
+  async fetchReport(
+    state: EndpointState,
+  ): Promise<Result<EndpointReport, EndpointError> | undefined> {
     const {id, address} = state.entry;
     this.metrics.count(Counter.Probes);
     const report = await this.calls.fetchReport(address);
-    if (this.table.find(id) !== state) return false;
+    if (this.table.find(id) !== state) return undefined;
+    if (report.isErr) return report;
+    const {bornAt, orderCount, held} = report.value;
+    const facts = {id, bornAt, orderCount, held};
+    if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
+    return report;
+  }
+
+  private async askOnce(state: EndpointState): Promise<boolean> {
+    const {id} = state.entry;
+    const report = await this.fetchReport(state);
+    if (report === undefined) return false;
     if (report.isErr) {
-      const now = this.getNow();
-      state.doubt.failedProbes += 1;
-      this.failing.set(id, now + repeatMilliseconds);
-      this.table.recordSuspicion(
-        state,
-        now + suspectMilliseconds,
-        report.error.message,
-      );
-      const isDown = report.error.code === EndpointErrorCode.Unreachable;
-      if (isDown) this.listeners.handleDown(id);
-      if (isDown || isFailing(state.doubt, now)) {
-        const cause = DoubtCause.Silent;
-        this.listeners.sendAccusation(id, state.bornAt, cause);
-      }
+      this.acceptSilence(state, report.error);
       return false;
     }
     this.failing.delete(id);
@@ -169,14 +174,20 @@
     if (!isFailing(state.doubt, this.getNow())) {
       this.table.removeSuspicion(state);
     }
-    this.acceptReport(state, report.value);
     return true;
   }
 
-  private acceptReport(state: EndpointState, report: EndpointReport): void {
+  private acceptSilence(state: EndpointState, error: EndpointError): void {
     const {id} = state.entry;
-    const {bornAt, orderCount, held} = report;
-    const facts = {id, bornAt, orderCount, held};
-    if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
+    const now = this.getNow();
+    state.doubt.failedProbes += 1;
+    this.failing.set(id, now + repeatMilliseconds);
+    this.table.recordSuspicion(state, now + suspectMilliseconds, error.message);
+    const isDown = error.code === EndpointErrorCode.Unreachable;
+    if (isDown) this.listeners.handleDown(id);
+    if (isDown || isFailing(state.doubt, now)) {
+      const cause = DoubtCause.Silent;
+      this.listeners.sendAccusation(id, state.bornAt, cause);
+    }
   }
 }
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -79,7 +79,7 @@
     const wait = rank === 0 ? this.options.waitMilliseconds : 0;
     const batch = await store.readRecords(state.topic, from, wait);
     if (batch.isErr) return this.handleFailure(batch.error);
-    const {records} = batch.value;
+    const records = batch.value;
     // A read that waited was up to date when it was answered.
     const asOf = wait > 0 ? this.getNow() : askedAt;
     this.handleNews();
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -11,12 +11,9 @@
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
-import {
-  isSameRange,
-  type EndpointFacts,
-  type EndpointState,
-} from '../fleet/endpoint_state.js';
+import {isSameRange, type EndpointState} from '../fleet/endpoint_state.js';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
+import type {Probes} from '../fleet/probes.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
@@ -28,12 +25,6 @@
 import type {OrderMessage} from '../peers/messages.js';
 import type {Ownership} from './ownership.js';
 
-/** Told of what the owner orders and of what endpoints then report. */
-export interface OrderListeners {
-  readonly handleOrder: (order: Omit<OrderMessage, 'kind'>) => void;
-  readonly sendFacts: (facts: EndpointFacts) => void;
-}
-
 /** The first plan waits until no endpoint was added for this long. */
 const settleMilliseconds = 700;
 /** Reports lag by some hundred ms; a load takes from 200 ms on. */
@@ -49,8 +40,10 @@
   constructor(
     private readonly table: EndpointTable,
     private readonly calls: EndpointCalls,
+    private readonly probes: Probes,
     private readonly ownership: Ownership,
-    private readonly listeners: OrderListeners,
+    /** Told of each order that has begun. */
+    private readonly handleOrder: (order: Omit<OrderMessage, 'kind'>) => void,
     private readonly countPeers: () => number,
     private readonly writeEvent: WriteEvent,
     private readonly metrics: Metrics,
@@ -149,7 +142,7 @@
       this.busyUntil.delete(id);
       return;
     }
-    this.listeners.handleOrder({
+    this.handleOrder({
       id,
       bornAt,
       range,
@@ -160,17 +153,10 @@
   }
 
   private async askReport(state: EndpointState): Promise<void> {
-    const {id, address} = state.entry;
-    this.metrics.count(Counter.Probes);
-    const report = await this.calls.fetchReport(address);
-    if (report.isErr || this.table.find(id) !== state) {
-      if (report.isErr) state.doubt.failedProbes += 1;
-      return;
-    }
-    state.doubt.failedProbes = 0;
-    const {bornAt, orderCount, held} = report.value;
-    const facts = {id, bornAt, orderCount, held};
-    if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
+    const report = await this.probes.fetchReport(state);
+    if (report === undefined) return;
+    if (report.isErr) state.doubt.failedProbes += 1;
+    else state.doubt.failedProbes = 0;
   }
 
   /** Tells whether an endpoint counts for the plan; doubtful ones still do. */
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -1,9 +1,15 @@
 import net from 'node:net';
 import {encodeFrame, FrameReader} from '@zinniaspindle/framing';
-import {describeError, GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {
+  describeError,
+  GatewayEvent,
+  parseAddress,
+  type Address,
+  type Instant,
+} from '@zinniaspindle/shared';
 import type {LoadBook} from '../fleet/load_book.js';
 import type {WriteEvent} from '../log/event_log.js';
-import type {ListenAddress} from '../ports/index.js';
+import {openServer} from '../open_server.js';
 import {
   checkMessage,
   PeerMessageKind,
@@ -57,21 +63,16 @@
   ) {}
 
   /** Listens for peers and calls the ones given. */
-  async open(address: ListenAddress, seeds: readonly string[]): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(address.port, address.host, resolve);
-    });
+  async open(address: Address, seeds: readonly string[]): Promise<void> {
+    await openServer(this.server, address);
     for (const seed of seeds) this.addAddress(seed);
   }
 
   /** Calls a VM at its peer address from now on. */
   addAddress(address: string): void {
     if (address === this.own.peerAddress || this.links.has(address)) return;
-    const at = address.lastIndexOf(':');
-    const port = Number(address.slice(at + 1));
-    if (at <= 0 || !Number.isInteger(port)) return;
-    const host = address.slice(0, at);
+    const {host, port} = parseAddress(address);
+    if (host === '' || !Number.isInteger(port)) return;
     const link = new PeerLink(host, port, () => this.makeHello());
     this.links.set(address, link);
     this.calledSince.set(address, this.getNow());
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -1,19 +1,15 @@
-/** A host and port to listen on. */
-export interface ListenAddress {
-  readonly host: string;
-  readonly port: number;
-}
+import type {Address} from '@zinniaspindle/shared';
 
 /** What a VM knows of itself and its bounds at its start. */
 export interface GatewaySettings {
   readonly vm: string;
   readonly dataCentre: string;
   readonly listen: {
-    readonly callers: ListenAddress;
-    readonly ready: ListenAddress;
-    readonly directory: ListenAddress;
-    readonly peers: ListenAddress;
-    readonly metrics: ListenAddress | undefined;
+    readonly callers: Address;
+    readonly ready: Address;
+    readonly directory: Address;
+    readonly peers: Address;
+    readonly metrics: Address | undefined;
   };
   /** Peer addresses of a few VMs, as host:port; may be out of date. */
   readonly seeds: readonly string[];
--- a/packages/gateway/src/ports/store.ts
+++ b/packages/gateway/src/ports/store.ts
@@ -17,13 +17,6 @@
   readonly offset: number;
 }
 
-/** Consecutive records of a topic. */
-export interface RecordBatch {
-  readonly records: readonly KeyedRecord[];
-  /** Offset at which the next read goes on. */
-  readonly next: number;
-}
-
 /** The newest record of each key. */
 export interface NewestRecords {
   readonly records: readonly KeyedRecord[];
@@ -40,11 +33,12 @@
 
 /** The platform's store, as far as the gateway uses it. */
 export interface Store {
+  /** Reads consecutive records, the first at the offset asked for. */
   readRecords(
     topic: Topic,
     from: number,
     waitMilliseconds: number,
-  ): Promise<Result<RecordBatch, StoreError>>;
+  ): Promise<Result<readonly KeyedRecord[], StoreError>>;
   readNewest(topic: Topic): Promise<Result<NewestRecords, StoreError>>;
   /** Appends a record to a topic of the gateway's own. */
   appendRecord(
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,14 +1,14 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {GatewayEvent} from '@zinniaspindle/shared';
+import {GatewayEvent, type Address} from '@zinniaspindle/shared';
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
   type CallerLimits,
   type CallerRequest,
   type Configuration,
-  type ListenAddress,
 } from '../ports/index.js';
+import {openServer} from '../open_server.js';
 import {FailureReason, type OwnAnswer} from './failure.js';
 import {PlainRequest} from './plain_request.js';
 import {readBody} from './read_body.js';
@@ -49,11 +49,8 @@
   }
 
   /** Starts listening. */
-  open({host, port}: ListenAddress): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+  open(address: Address): Promise<void> {
+    return openServer(this.server, address);
   }
 
   /** Applies a configuration to the requests that come from now on. */
@@ -186,21 +183,13 @@
 }
 
 async function serveRequest(context: RequestContext): Promise<void> {
-  const {serving, service, route, response, deadline} = context;
+  const {serving, service, route, response} = context;
   const {model} = service;
   const isStream = route.kind === RouteKind.Streaming && model !== undefined;
   const job = isStream
     ? new StreamRequest(context, model)
     : new PlainRequest(context);
-  const left = deadline - serving.getNow();
-  const timer = setTimeout(
-    () => {
-      if (job instanceof StreamRequest) job.expire();
-    },
-    Math.max(1, left),
-  );
   response.on('close', () => {
-    clearTimeout(timer);
     if (response.writableFinished) return;
     job.cancel();
     serving.metrics.count(Counter.Abandoned);
--- /dev/null
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -0,0 +1,33 @@
+import type {Forwarding} from '../ports/index.js';
+import type {RequestContext} from './request_context.js';
+import {Upstream, type UpstreamListener} from './upstream.js';
+
+/** The endpoint that a request goes to. */
+export interface UpstreamTarget {
+  readonly id: string;
+  readonly address: string;
+}
+
+/** Sends a caller's request to an endpoint. */
+export function openUpstream(
+  context: RequestContext,
+  {id, address}: UpstreamTarget,
+  forwarding: Pick<Forwarding, 'urgency' | 'parts' | 'lastEventId'>,
+  listener: UpstreamListener,
+): Upstream {
+  const {serving, request, account, method, body, deadline} = context;
+  const headers = serving.codec.encodeForwarded(request, {
+    ...forwarding,
+    endpointId: id,
+    deadline,
+    now: serving.getNow(),
+    accountName: account?.name,
+    bodyBytes: body.length,
+  });
+  const {path, attemptId} = request;
+  return new Upstream(
+    {address, method, path, headers, body, attemptId, deadline},
+    serving.codec,
+    listener,
+  );
+}
--- a/packages/gateway/src/requests/plain_request.ts
+++ b/packages/gateway/src/requests/plain_request.ts
@@ -11,9 +11,11 @@
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
 import {AnswerBuffer} from './answer_buffer.js';
 import {FailureReason, type OwnAnswer} from './failure.js';
-import {recordDone, sendAnswer} from './send_answer.js';
+import {isPromise, isSuccess} from './answer_status.js';
+import {openUpstream} from './open_upstream.js';
+import {recordDone, refuseUnknown, sendAnswer} from './send_answer.js';
 import type {RequestContext} from './request_context.js';
-import {Upstream, UpstreamEnd} from './upstream.js';
+import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** Sends of one request that no endpoint ran. */
 const maxNotRun = 4;
@@ -106,21 +108,9 @@
     endpoint: EndpointState,
     tryDeadline: Deadline,
   ): Promise<TryResult> {
-    const {serving, request, account, method, body, deadline} = this.context;
-    const {id, address} = endpoint.entry;
-    this.tried.add(id);
+    const now = this.context.serving.getNow();
+    this.tried.add(endpoint.entry.id);
     endpoint.running += 1;
-    const now = serving.getNow();
-    const headers = serving.codec.encodeForwarded(request, {
-      endpointId: id,
-      deadline,
-      now,
-      accountName: account?.name,
-      urgency: undefined,
-      parts: undefined,
-      lastEventId: undefined,
-      bodyBytes: body.length,
-    });
     return new Promise(resolve => {
       let answer: EndpointAnswer | undefined;
       const buffer = new AnswerBuffer(this.context);
@@ -135,17 +125,10 @@
         upstream.cancel();
         closeTry(UpstreamEnd.Broken, 'no answer in time');
       }, wait);
-      const upstream = new Upstream(
-        {
-          address,
-          method,
-          path: request.path,
-          headers,
-          body,
-          attemptId: request.attemptId,
-          deadline,
-        },
-        serving.codec,
+      const upstream = openUpstream(
+        this.context,
+        endpoint.entry,
+        {urgency: undefined, parts: undefined, lastEventId: undefined},
         {
           handleAnswer: head => (answer = head),
           handleChunk: chunk => buffer.accept(answer!, chunk, upstream),
@@ -236,15 +219,13 @@
   }
 
   private failUnknown(detail: string): boolean {
-    const {serving, deadline, refuse, request} = this.context;
-    const isLate = isPast(deadline, serving.getNow());
+    const {serving, request} = this.context;
     serving.writeEvent(GatewayEvent.RequestRetried, {
       request: request.attemptId,
       endpoint: 'none',
       reason: detail,
     });
-    if (isLate) refuse({status: 504, reason: FailureReason.Deadline});
-    else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
+    refuseUnknown(this.context);
     return true;
   }
 
@@ -275,7 +256,6 @@
  */
 function isRelayable(answer: EndpointAnswer, kind: RouteKind): boolean {
   const {status} = answer;
-  if (status >= 200 && status < 300) return answer.hasSeal;
-  if (kind === RouteKind.Safe) return true;
-  return status !== 429 && status !== 503 && status !== 408;
+  if (isSuccess(status)) return answer.hasSeal;
+  return kind === RouteKind.Safe || !isPromise(status);
 }
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -1,6 +1,7 @@
-import {GatewayEvent} from '@zinniaspindle/shared';
+import {GatewayEvent, isPast} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, RawHeaders} from '../ports/index.js';
+import {FailureReason} from './failure.js';
 import type {RequestContext} from './request_context.js';
 
 /** Writes the head of an endpoint's answer to the caller. */
@@ -34,6 +35,17 @@
   recordDone(context, endpoint, answer.status);
 }
 
+/** Answers a caller whose request may have run without an answer. */
+export function refuseUnknown({
+  serving,
+  deadline,
+  refuse,
+}: RequestContext): void {
+  const isLate = isPast(deadline, serving.getNow());
+  if (isLate) refuse({status: 504, reason: FailureReason.Deadline});
+  else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
+}
+
 /** Logs and measures a request that was answered. */
 export function recordDone(
   context: RequestContext,
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -1,3 +1,4 @@
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import type {StagePath} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
@@ -5,9 +6,16 @@
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
 import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
-import {recordDone, sendAnswer, writeHead} from './send_answer.js';
+import {isPromise, isSuccess} from './answer_status.js';
+import {openUpstream} from './open_upstream.js';
+import {
+  recordDone,
+  refuseUnknown,
+  sendAnswer,
+  writeHead,
+} from './send_answer.js';
 import type {RequestContext} from './request_context.js';
-import {Upstream, UpstreamEnd} from './upstream.js';
+import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** Sends of one request that no endpoint ran. */
 const maxNotRun = 4;
@@ -60,6 +68,7 @@
   /** Tries paths until the stream is complete or no try is left. */
   async run(): Promise<void> {
     const {serving, service, deadline} = this.context;
+    this.startDeadline();
     serving.budgets.recordFresh(service.name);
     for (;;) {
       const tokens = this.predictTokens();
@@ -81,8 +90,15 @@
     this.cancelTry(TryEnd.Broken, 'caller left');
   }
 
+  private startDeadline(): void {
+    const {serving, response, deadline} = this.context;
+    const left = Math.max(1, deadline - serving.getNow());
+    const timer = setTimeout(() => this.expire(), left);
+    response.on('close', () => clearTimeout(timer));
+  }
+
   /** Ends the stream at its deadline. */
-  expire(): void {
+  private expire(): void {
     this.isAbandoned = true;
     this.cancelTry(TryEnd.Broken, 'deadline');
     const {refuse} = this.context;
@@ -113,7 +129,7 @@
       const path = serving.paths.pick(service.name, this.model, tokens);
       const isOver = isPast(waitUntil, serving.getNow());
       if (path !== undefined || isOver || this.isAbandoned) return path;
-      await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
+      await waitMilliseconds(pollMilliseconds);
     }
   }
 
@@ -129,8 +145,8 @@
   private hasOtherPath(): boolean {
     const {serving, service} = this.context;
     const tokens = this.predictTokens();
-    const path = serving.paths.pick(service.name, this.model, tokens);
-    return path !== undefined && path.key !== this.reservation?.path.key;
+    // A path that has stalled is not picked for a while.
+    return serving.paths.pick(service.name, this.model, tokens) !== undefined;
   }
 
   private swapPath(reason: string): void {
@@ -160,23 +176,13 @@
   }
 
   private runTry(path: StagePath, tokens: number): Promise<TryEnd> {
-    const {serving, request, account, method, body, deadline} = this.context;
+    const {serving} = this.context;
     const first = path.parts[0]!.endpoint;
     this.splitter = new EventSplitter();
     this.answer = undefined;
     this.failureBody = [];
     const reservation = serving.paths.reserve(path, tokens, this);
     this.reservation = reservation;
-    const headers = serving.codec.encodeForwarded(request, {
-      endpointId: first.id,
-      deadline,
-      now: serving.getNow(),
-      accountName: account?.name,
-      urgency: this.hasBegun ? resumedUrgency : undefined,
-      parts: path.parts,
-      lastEventId: this.lastEventId,
-      bodyBytes: body.length,
-    });
     return new Promise(resolve => {
       const timer = setTimeout(() => {
         this.cancelQueued(reservation);
@@ -188,17 +194,14 @@
         if (end !== TryEnd.Done) this.reportRetry(first.id, reason);
         resolve(end);
       };
-      this.upstream = new Upstream(
+      this.upstream = openUpstream(
+        this.context,
+        first,
         {
-          address: first.address,
-          method,
-          path: request.path,
-          headers,
-          body,
-          attemptId: request.attemptId,
-          deadline,
+          urgency: this.hasBegun ? resumedUrgency : undefined,
+          parts: path.parts,
+          lastEventId: this.lastEventId,
         },
-        serving.codec,
         {
           handleAnswer: answer => this.acceptAnswer(answer),
           handleChunk: chunk => this.acceptChunk(chunk),
@@ -293,20 +296,18 @@
   private acceptNotRun(answer: EndpointAnswer): void {
     this.notRun += 1;
     const {serving} = this.context;
-    const {id} = this.reservation!.path.parts[0]!.endpoint;
-    if (answer.endpointId !== undefined && answer.endpointId !== id) {
-      serving.endpoints.removeReplaced(id);
+    const {parts} = this.reservation!.path;
+    const first = parts[0]!.endpoint;
+    if (answer.endpointId !== undefined && answer.endpointId !== first.id) {
+      serving.endpoints.removeReplaced(first.id);
       this.finishTry?.(TryEnd.NotRun, `${answer.endpointId} has the address`);
       return;
     }
-    const address =
-      answer.faultAddress ?? this.reservation!.path.parts[0]!.endpoint.address;
+    const address = answer.faultAddress ?? first.address;
     const fault = serving.endpoints.findAt(address);
     const reason = `status ${answer.status} at ${address}`;
     if (fault !== undefined) {
-      const part = this.reservation!.path.parts.find(
-        ({endpoint}) => endpoint.id === fault.entry.id,
-      );
+      const part = parts.find(({endpoint}) => endpoint.id === fault.entry.id);
       void serving.probes.checkRefusal(fault.entry.id, reason, part?.layers);
     }
     this.finishTry?.(TryEnd.NotRun, reason);
@@ -318,7 +319,7 @@
       this.finishTry?.(TryEnd.Broken, reason);
       return;
     }
-    if (isPromise(answer.status) || isSuccessStatus(answer.status)) {
+    if (isPromise(answer.status) || isSuccess(answer.status)) {
       this.finishTry?.(TryEnd.Broken, reason);
       return;
     }
@@ -345,15 +346,13 @@
   }
 
   private answerFailure(): void {
-    const {refuse, serving, deadline} = this.context;
+    const {refuse} = this.context;
     if (this.hasBegun) {
       this.closeBroken('no further try is allowed');
       return;
     }
     if (this.runs > 0) {
-      const isLate = isPast(deadline, serving.getNow());
-      if (isLate) refuse({status: 504, reason: FailureReason.Deadline});
-      else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
+      refuseUnknown(this.context);
       return;
     }
     const reason =
@@ -377,11 +376,3 @@
     });
   }
 }
-
-function isPromise(status: number): boolean {
-  return status === 408 || status === 429 || status === 503;
-}
-
-function isSuccessStatus(status: number): boolean {
-  return status >= 200 && status < 300;
-}
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -1,7 +1,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
-import type {Deadline} from '@zinniaspindle/shared';
+import {parseAddress, type Deadline} from '@zinniaspindle/shared';
 import type {
   EndpointAnswer,
   ExchangeCodec,
@@ -59,9 +59,8 @@
     private readonly codec: ExchangeCodec,
     private readonly listener: UpstreamListener,
   ) {
-    const [host, port] = sent.address.split(':');
     this.request = http.request({
-      createConnection: () => this.openConnection(host!, Number(port)),
+      createConnection: () => this.openConnection(),
       method: sent.method,
       path: sent.path,
       headers: sent.headers as unknown as http.OutgoingHttpHeaders,
@@ -92,8 +91,9 @@
     this.message?.resume();
   }
 
-  private openConnection(host: string, port: number): net.Socket {
-    const socket = net.connect({host, port, allowHalfOpen: true});
+  private openConnection(): net.Socket {
+    const address = parseAddress(this.sent.address);
+    const socket = net.connect({...address, allowHalfOpen: true});
     socket.setNoDelay(true);
     socket.once('connect', () => {
       this.isConnected = true;
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -1,6 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {sortByWeight} from '@zinniaspindle/decisions';
-import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {formatAddress, GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import {directorySeconds} from '../directory/directory_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Counter} from '../log/metrics.js';
@@ -178,8 +178,7 @@
   }
 
   private getPeerAddress(): string {
-    const {host, port} = this.settings.listen.peers;
-    return `${host}:${port}`;
+    return formatAddress(this.settings.listen.peers);
   }
 
   /** Tells the store and the VMs listed there where this VM hears peers. */
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -1,5 +1,5 @@
 import type {DoubtCause} from '@zinniaspindle/decisions';
-import type {Instant} from '@zinniaspindle/shared';
+import {formatAddress, type Instant} from '@zinniaspindle/shared';
 import {DirectoryServer} from '../directory/directory_server.js';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
@@ -155,8 +155,8 @@
     {
       vm: settings.vm,
       startedAt: Date.now(),
-      peerAddress: `${peers.host}:${peers.port}`,
-      callerAddress: `${callers.host}:${callers.port}`,
+      peerAddress: formatAddress(peers),
+      callerAddress: formatAddress(callers),
     },
     fleet.loads,
     (peer, message) => peerHandler.handle(peer, message),
@@ -193,20 +193,16 @@
   const {vm} = settings;
   const {store} = ports;
   const ownership = new Ownership(store, vm, log.write, metrics, getNow);
-  const listeners = {
-    sendFacts: (facts: EndpointFacts) => {
-      mesh.sendAll({kind: PeerMessageKind.Facts, facts});
-    },
-    handleOrder: (order: Omit<OrderMessage, 'kind'>) => {
-      applyOrder(fleet, order);
-      mesh.sendAll({kind: PeerMessageKind.Order, ...order});
-    },
+  const handleOrder = (order: Omit<OrderMessage, 'kind'>) => {
+    applyOrder(fleet, order);
+    mesh.sendAll({kind: PeerMessageKind.Order, ...order});
   };
   const orders = new OrderRunner(
     endpoints,
     ports.endpoints,
+    fleet.probes,
     ownership,
-    listeners,
+    handleOrder,
     () => mesh.listLive().length,
     log.write,
     metrics,
@@ -232,10 +228,10 @@
     getNow,
     isStopping: () => getPhase() === PeerPhase.Leaving,
   });
-  const {host, port} = settings.listen.callers;
+  const ownAddress = formatAddress(settings.listen.callers);
   const directory = new DirectoryServer(ports.directory, {
     listAddresses: () =>
-      listCallerAddresses(`${host}:${port}`, getPhase(), mesh.listKnown()),
+      listCallerAddresses(ownAddress, getPhase(), mesh.listKnown()),
     isReady: () => getPhase() === PeerPhase.Ready,
     renderMetrics: () => metrics.render(),
   });
--- a/packages/gateway/src/root/run_stop.ts
+++ b/packages/gateway/src/root/run_stop.ts
@@ -1,3 +1,4 @@
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {GatewayEvent} from '@zinniaspindle/shared';
 import type {EventLog} from '../log/event_log.js';
 import type {CallerServer} from '../requests/caller_server.js';
@@ -34,6 +35,5 @@
 }
 
 function waitUntil(instant: number): Promise<void> {
-  const left = Math.max(0, instant - Date.now());
-  return new Promise(resolve => setTimeout(resolve, left));
+  return waitMilliseconds(Math.max(0, instant - Date.now()));
 }
--- a/packages/router/src/endpoints/stream_driver.ts
+++ b/packages/router/src/endpoints/stream_driver.ts
@@ -2,15 +2,11 @@
 import {
   describeError,
   EngineRefusal,
+  parseAddress,
   StreamEventKind,
 } from '@zinniaspindle/shared';
 import type {EngineProblem, StreamRequest} from '@zinniaspindle/shared';
-import {
-  buildJsonHeaders,
-  parseAddress,
-  parseJson,
-  runOnConnect,
-} from '../http/exchange.js';
+import {buildJsonHeaders, parseJson, runOnConnect} from '../http/exchange.js';
 import {EndpointError, EndpointErrorCode} from './errors.js';
 import {findRefusal} from './find_refusal.js';
 import {LineReader} from './line_reader.js';
--- a/packages/router/src/http/exchange.ts
+++ b/packages/router/src/http/exchange.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import {describeError} from '@zinniaspindle/shared';
+import {describeError, parseAddress} from '@zinniaspindle/shared';
 import type {Deadline} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import {HttpErrorCode, makeHttpError} from './errors.js';
@@ -29,15 +29,6 @@
 /** The outcome of an exchange. */
 export type ExchangeResult = Result<ExchangeAnswer, HttpError>;
 
-/** Splits host:port into options of Node's HTTP client. */
-export function parseAddress(address: string): {host: string; port: number} {
-  const colon = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, colon),
-    port: Number(address.slice(colon + 1)),
-  };
-}
-
 /** Runs one request and reads its whole answer; never rejects. */
 export function runExchange(options: ExchangeOptions): Promise<ExchangeResult> {
   return new Promise(resolve => startExchange(options, resolve));
--- a/packages/router/src/http/http_server.ts
+++ b/packages/router/src/http/http_server.ts
@@ -1,11 +1,10 @@
 import http from 'node:http';
-import {describeError, FinalAnswer} from '@zinniaspindle/shared';
+import {describeError, FinalAnswer, parseAddress} from '@zinniaspindle/shared';
 import type {Problem} from '@zinniaspindle/shared';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {CallerError, CallerErrorCode, toProblem} from '../callers/errors.js';
 import {sendProblem} from './answers.js';
-import {parseAddress} from './exchange.js';
 import {HttpErrorCode, makeHttpError} from './errors.js';
 import type {HttpError} from './errors.js';
 import {findRoute} from './route_table.js';
--- a/packages/router/src/peers/peer_links.ts
+++ b/packages/router/src/peers/peer_links.ts
@@ -1,6 +1,6 @@
 import net from 'node:net';
+import {parseAddress} from '@zinniaspindle/shared';
 import type {VmId} from '@zinniaspindle/shared';
-import {parseAddress} from '../http/exchange.js';
 import {encodeFrame} from '@zinniaspindle/framing';
 import {peerProtocolVersion} from './messages.js';
 import type {PeerEnvelope, PeerHello} from './messages.js';
--- a/packages/router/src/peers/peer_server.ts
+++ b/packages/router/src/peers/peer_server.ts
@@ -1,9 +1,8 @@
 import net from 'node:net';
-import {describeError} from '@zinniaspindle/shared';
+import {describeError, parseAddress} from '@zinniaspindle/shared';
 import type {VmId} from '@zinniaspindle/shared';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
-import {parseAddress} from '../http/exchange.js';
 import {makePeerError, PeerErrorCode} from '@zinniaspindle/framing';
 import type {PeerError} from '@zinniaspindle/framing';
 import {FrameReader} from '@zinniaspindle/framing';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 /** Types and small functions that every package uses; free of platform code. */
+export * from './address.js';
 export * from './answers.js';
 export * from './ids.js';
 export * from './instant.js';
