perf(placement): load as few layers as the loss of several stages takes

Cause: where a gap could not be bridged, missing layers were added beside the first gap only. Ruled out: waiting between chains (the next starts as soon as one is whole). Change: ranges are fitted by dynamic programming over the layers, with a cost for the total and the largest load; empty endpoints go to the widest gap.

--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -332,3 +332,38 @@
   assert.ok(patient.length > 0);
   assert.ok(patient.every(({isUrgent}) => !isUrgent));
 });
+
+/** Layers that each endpoint has to load for a plan. */
+function countLoads(
+  before: readonly PlannedEndpoint[],
+  after: readonly PlannedEndpoint[],
+): number[] {
+  return after.map(({id, held}) => {
+    const had = before.find(one => one.id === id)!.held;
+    if (held === undefined) return 0;
+    const kept =
+      had === undefined
+        ? 0
+        : Math.min(had.end, held.end) - Math.max(had.first, held.first);
+    return held.end - held.first - Math.max(0, kept);
+  });
+}
+
+// Endpoints cut off in three places of one chain at once; each layer that
+// moves loads for 175 ms, six endpoints at a time.
+test('the loss of three stages moves few layers', () => {
+  const standing = applyPlan(makeCentre('b', {a100s: 1, l4: 5, t4: 8}));
+  const inOrder = [...standing].sort((a, b) => a.held!.first - b.held!.first);
+  const lost = [2, 6, 10].map(index => inOrder[index]!);
+  const left = standing.filter(one => !lost.includes(one));
+  const after = applyPlan(left);
+  assert.equal(findGap(after, 80), -1);
+  const loads = countLoads(left, after);
+  const missing = lost.reduce(
+    (sum, {held}) => sum + held!.end - held!.first,
+    0,
+  );
+  const loaded = loads.reduce((sum, load) => sum + load, 0);
+  assert.ok(loaded <= missing * 1.5, `${loaded} layers for ${missing} lost`);
+  assert.ok(Math.max(...loads) <= 6, `${loads.join(' ')} layers`);
+});
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -2,6 +2,7 @@
 import {countFittingAll, countFittingLayers, sortBySize} from './memory.js';
 import {planBridge, planRelief} from './plan_bridge.js';
 import {buildChains} from './build_chains.js';
+import {fitRanges} from './fit_ranges.js';
 import type {StageEndpoint, StageModel} from './stage_types.js';
 
 /** How ranges are planned. */
@@ -188,21 +189,19 @@
   model: StageModel,
   options: RangeOptions,
 ): GroupPlan {
-  const gap = findGap(group, model.layerCount);
-  if (gap === -1) {
+  if (findGap(group, model.layerCount) === -1) {
     return {ranges: planRelief(group, model, options), isMove: false};
   }
   const bridge = planBridge(group, model, options);
   if (bridge !== undefined) return {ranges: bridge, isMove: false};
   if (!mayMove) return {ranges: new Map(), isMove: false};
-  const ranges = planAnew(group, gap, hasOther, model, options);
+  const ranges = planAnew(group, hasOther, model, options);
   return {ranges, isMove: true};
 }
 
-/** Lays all ranges out again, moving those near the gap first. */
+/** Lays all ranges out: evenly at first, later with as few loads as it takes. */
 function planAnew(
   group: readonly PlannedEndpoint[],
-  gap: number,
   hasOther: boolean,
   model: StageModel,
   options: RangeOptions,
@@ -210,17 +209,19 @@
   const isFresh = group.every(({held}) => held === undefined);
   const goal = isFresh ? options.goalTokens : options.repairTokens;
   const tokens = findTokens(group, model, goal);
-  const ordered = isFresh ? sortMixed(group) : sortMembers(group, gap);
+  const ordered = isFresh ? sortMixed(group) : sortMembers(group, model);
   const members = ordered.map(endpoint => ({
     endpoint,
-    size: endpoint.held === undefined ? 0 : countLayers(endpoint.held),
+    held: endpoint.held,
+    size: 0,
     cap: countFittingLayers(endpoint, tokens, model),
   }));
-  for (const member of members) member.size = Math.min(member.size, member.cap);
-  if (isFresh) addEvenly(members, model.layerCount);
-  else addNearest(members, gap, model.layerCount);
-  removeSurplus(members, model.layerCount);
-  return buildPlan(members, hasOther, model.layerCount);
+  if (!isFresh) {
+    const ranges = fitRanges(members, model.layerCount) ?? [];
+    return buildPlan(ordered, ranges, hasOther);
+  }
+  addEvenly(members, model.layerCount);
+  return buildPlan(ordered, stackRanges(members), hasOther);
 }
 
 /** Finds the most tokens, up to a goal, beside which all layers fit. */
@@ -241,17 +242,46 @@
   return low;
 }
 
-/** Sorts holders along the layers, with the empty ones at the gap. */
+/** Sorts holders along the layers, each empty endpoint at the widest gap. */
 function sortMembers(
   group: readonly PlannedEndpoint[],
-  gap: number,
+  model: StageModel,
 ): PlannedEndpoint[] {
-  const holders = sortHolders(group);
+  const sorted = sortHolders(group);
   const empty = group.filter(({held}) => held === undefined);
   empty.sort((a, b) => (a.id < b.id ? -1 : 1));
-  const position = holders.findIndex(({held}) => held!.first > gap);
-  const at = position === -1 ? holders.length : position;
-  return [...holders.slice(0, at), ...empty, ...holders.slice(at)];
+  const filled = new Map<PlannedEndpoint | undefined, number>();
+  for (const endpoint of empty) {
+    const place = findWidestGap(sorted, filled, model.layerCount);
+    sorted.splice(place, 0, endpoint);
+    const fitting = countFittingLayers(endpoint, 0, model);
+    const next = sorted[place + 1];
+    filled.set(next, (filled.get(next) ?? 0) + fitting);
+  }
+  return sorted;
+}
+
+/** Finds where in a chain most layers are missing, beside those filled. */
+function findWidestGap(
+  sorted: readonly PlannedEndpoint[],
+  filled: ReadonlyMap<PlannedEndpoint | undefined, number>,
+  layerCount: number,
+): number {
+  let widest = -Infinity;
+  let place = sorted.length;
+  let reached = 0;
+  for (let i = 0; i <= sorted.length; i += 1) {
+    const next = sorted[i];
+    if (next !== undefined && next.held === undefined) continue;
+    const width =
+      (next?.held!.first ?? layerCount) - reached - (filled.get(next) ?? 0);
+    if (width > widest) {
+      widest = width;
+      place = i;
+    }
+    reached = Math.max(reached, next?.held!.end ?? reached);
+  }
+  return place;
 }
 
 /** Gives layers one by one to the endpoint whose pass stays the shortest. */
@@ -273,62 +303,26 @@
   return (member.size + 1) * member.endpoint.pace;
 }
 
-/** Fills empty endpoints first, then the ones nearest to the gap. */
-function addNearest(
-  members: readonly Member[],
-  gap: number,
-  layerCount: number,
-): void {
-  let missing = layerCount - countSizes(members);
-  const byDistance = [...members].sort(
-    (a, b) => computeDistance(a, gap) - computeDistance(b, gap),
-  );
-  for (const member of byDistance) {
-    if (missing <= 0) return;
-    const added = Math.min(missing, member.cap - member.size);
-    member.size += added;
-    missing -= added;
-  }
-}
-
-function computeDistance({endpoint}: Member, gap: number): number {
-  const {held} = endpoint;
-  if (held === undefined) return -1;
-  return held.first > gap ? held.first - gap : Math.max(0, gap - held.end);
-}
-
-/** Takes overlapping layers from the endpoints with the longest passes. */
-function removeSurplus(members: readonly Member[], layerCount: number): void {
-  for (let over = countSizes(members) - layerCount; over > 0; over -= 1) {
-    let worst = members[0]!;
-    for (const member of members) {
-      const isWorse =
-        member.size * member.endpoint.pace > worst.size * worst.endpoint.pace;
-      if (isWorse) worst = member;
-    }
-    worst.size -= 1;
+/** Turns sizes into ranges, one behind the other. */
+function stackRanges(members: readonly Member[]): LayerRange[] {
+  const ranges: LayerRange[] = [];
+  let first = 0;
+  for (const {size} of members) {
+    ranges.push({first, end: first + size});
+    first += size;
   }
-}
-
-function countSizes(members: readonly Member[]): number {
-  let total = 0;
-  for (const {size} of members) total += size;
-  return total;
+  return ranges;
 }
 
 function buildPlan(
-  members: readonly Member[],
+  endpoints: readonly PlannedEndpoint[],
+  ranges: readonly LayerRange[],
   isUrgent: boolean,
-  layerCount: number,
 ): RangePlan {
   const plan = new Map<string, PlannedRange>();
-  let first = 0;
-  for (const {endpoint, size} of members) {
-    const end = Math.min(first + size, layerCount);
-    if (end > first) {
-      plan.set(endpoint.id, {range: {first, end}, isUrgent});
-    }
-    first = end;
+  for (const [index, range] of ranges.entries()) {
+    if (countLayers(range) === 0) continue;
+    plan.set(endpoints[index]!.id, {range, isUrgent});
   }
   return plan;
 }
