--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -4,6 +4,7 @@
 import {
   computeTokenCapacity,
   createPathWatch,
+  defaultRangeOptions,
   findGap,
   findPaths,
   isGivenUp,
@@ -367,3 +368,45 @@
   assert.ok(loaded <= missing * 1.5, `${loaded} layers for ${missing} lost`);
   assert.ok(Math.max(...loads) <= 6, `${loads.join(' ')} layers`);
 });
+
+// A data centre whose first stage is gone keeps the rest of its chain at work,
+// and takes no more of another's memory than the lost layers need.
+test('a path borrows the lost layers only, the first ones too', () => {
+  const fleet = applyPlan(makeFleet());
+  for (const layer of [0, 40]) {
+    const lost = fleet.find(
+      ({dataCentre, held}) =>
+        dataCentre === 'b' && held!.first <= layer && layer < held!.end,
+    )!;
+    const paths = findPaths(
+      fleet.filter(one => one !== lost),
+      model,
+    );
+    const mixed = paths.find(
+      ({parts}) =>
+        new Set(parts.map(part => part.endpoint.dataCentre)).size > 1,
+    );
+    let borrowed = 0;
+    for (const {endpoint, layers} of mixed?.parts ?? []) {
+      if (endpoint.dataCentre !== 'b') borrowed += layers.end - layers.first;
+    }
+    assert.equal(borrowed, lost.held!.end - lost.held!.first);
+  }
+});
+
+// Endpoints that leave serve what they have for two seconds; its streams end
+// meanwhile, and the other chains take what comes.
+test('streams of a leaving endpoint run on while others take new ones', () => {
+  const fleet = applyPlan(makeFleet());
+  const leaving = fleet.filter(({id}) => id === 'a-a100s-0');
+  const rest = fleet.filter(one => !leaving.includes(one));
+  const plan = planRanges(rest, model, defaultRangeOptions, leaving);
+  assert.ok(plan.size > 0);
+  assert.ok([...plan.values()].every(({isUrgent}) => !isUrgent));
+  // Two chains out of three at once: the repair cannot wait.
+  const also = fleet.filter(({id}) => id === 'b-a100s-0');
+  const fewer = rest.filter(one => !also.includes(one));
+  const both = [...leaving, ...also];
+  const hurried = planRanges(fewer, model, defaultRangeOptions, both);
+  assert.ok([...hurried.values()].some(({isUrgent}) => isUrgent));
+});
--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -20,6 +20,11 @@
    * the others whole; more than a faster endpoint can save.
    */
   readonly overlapMilliseconds: number;
+  /**
+   * Added for each layer of another data centre, so that a path goes back to
+   * its own endpoints and borrows no more than it lacks.
+   */
+  readonly borrowedMilliseconds: number;
   /** Parts that endpoints accept in one path. */
   readonly maxParts: number;
   /**
@@ -34,10 +39,18 @@
   hopMilliseconds: 0.1,
   crossingMilliseconds: 3,
   overlapMilliseconds: 2,
+  borrowedMilliseconds: 0.5,
   maxParts: 32,
   maxCrossingStreams: 24,
 };
 
+/** What a search for the paths of a data centre goes by. */
+interface PathSearch {
+  readonly centre: string;
+  readonly model: StageModel;
+  readonly options: PathOptions;
+}
+
 interface Entry {
   readonly endpoint: StageEndpoint;
   readonly layer: number;
@@ -47,7 +60,7 @@
 
 /**
  * Finds the paths of each data centre: as many as its endpoints hold without
- * sharing one, else the cheapest that starts in it. Endpoints must be fit for
+ * sharing one, else one that borrows the layers that it lacks. Endpoints must be fit for
  * new work.
  */
 export function findPaths(
@@ -59,9 +72,9 @@
   const centres = new Set(holders.map(({dataCentre}) => dataCentre));
   const paths: StagePath[] = [];
   for (const centre of [...centres].sort()) {
-    const near = findSeparatePaths(holders, centre, model, options);
-    const crossing =
-      near.length > 0 ? undefined : findPath(holders, centre, model, options);
+    const search = {centre, model, options};
+    const near = findSeparatePaths(holders, search);
+    const crossing = near.length > 0 ? undefined : findPath(holders, search);
     paths.push(...near, ...(crossing === undefined ? [] : [crossing]));
   }
   return paths;
@@ -69,14 +82,12 @@
 
 function findSeparatePaths(
   holders: readonly StageEndpoint[],
-  centre: string,
-  model: StageModel,
-  options: PathOptions,
+  search: PathSearch,
 ): StagePath[] {
   const paths: StagePath[] = [];
-  let left = holders.filter(({dataCentre}) => dataCentre === centre);
+  let left = holders.filter(({dataCentre}) => dataCentre === search.centre);
   for (;;) {
-    const path = findPath(left, centre, model, options);
+    const path = findPath(left, search);
     if (path === undefined) return paths;
     paths.push(path);
     const used = new Set(path.parts.map(({endpoint}) => endpoint));
@@ -91,14 +102,13 @@
  */
 function findPath(
   holders: readonly StageEndpoint[],
-  centre: string,
-  model: StageModel,
-  options: PathOptions,
+  search: PathSearch,
 ): StagePath | undefined {
+  const {model, options} = search;
   const layers: Map<string, Entry>[] = [];
   for (let i = 0; i <= model.layerCount; i += 1) layers.push(new Map());
   for (const endpoint of holders) {
-    if (endpoint.dataCentre !== centre || endpoint.held!.first !== 0) continue;
+    if (endpoint.held!.first !== 0) continue;
     const entry = {endpoint, layer: 0, cost: 0, previous: undefined};
     layers[0]!.set(endpoint.id, entry);
   }
@@ -107,29 +117,35 @@
     for (const entry of entries.values()) {
       const {held} = entry.endpoint;
       if (held!.end === model.layerCount) {
-        const end = closePart(entry, model.layerCount, model);
+        const end = closePart(entry, model.layerCount, search);
         if (best === undefined || end.cost < best.cost) best = end;
       }
-      addNext(layers, entry, holders, model, options);
+      addNext(layers, entry, holders, search);
     }
   }
   return best === undefined ? undefined : buildPath(best, model, options);
 }
 
-function closePart(entry: Entry, layer: number, model: StageModel): Entry {
-  const perLayer =
-    (entry.endpoint.pace * model.stepMilliseconds) / model.layerCount;
+function closePart(
+  entry: Entry,
+  layer: number,
+  {centre, model, options}: PathSearch,
+): Entry {
+  const {endpoint} = entry;
+  const step = (endpoint.pace * model.stepMilliseconds) / model.layerCount;
+  const isOwn = endpoint.dataCentre === centre;
+  const perLayer = step + (isOwn ? 0 : options.borrowedMilliseconds);
   const cost = entry.cost + (layer - entry.layer) * perLayer;
-  return {endpoint: entry.endpoint, layer, cost, previous: entry};
+  return {endpoint, layer, cost, previous: entry};
 }
 
 function addNext(
   layers: readonly Map<string, Entry>[],
   entry: Entry,
   holders: readonly StageEndpoint[],
-  model: StageModel,
-  options: PathOptions,
+  search: PathSearch,
 ): void {
+  const {options} = search;
   const {end} = entry.endpoint.held!;
   for (const next of holders) {
     const {held} = next;
@@ -141,7 +157,7 @@
       const hop =
         (isNear ? options.hopMilliseconds : options.crossingMilliseconds) +
         (isAdjacent ? 0 : options.overlapMilliseconds);
-      const cost = closePart(entry, layer, model).cost + hop;
+      const cost = closePart(entry, layer, search).cost + hop;
       const known = layers[layer]!.get(next.id);
       if (known !== undefined && known.cost <= cost) continue;
       layers[layer]!.set(next.id, {
--- a/packages/decisions/src/stages/fit_ranges.ts
+++ b/packages/decisions/src/stages/plan_least_loads.ts
@@ -25,7 +25,7 @@
  * load as little as they can beside what they hold. Undefined when they cannot
  * hold all layers. An endpoint that is left out gets an empty range.
  */
-export function fitRanges(
+export function planLeastLoads(
   members: readonly FittedMember[],
   layerCount: number,
 ): LayerRange[] | undefined {
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -2,7 +2,7 @@
 import {countFittingAll, countFittingLayers, sortBySize} from './memory.js';
 import {planBridge, planRelief} from './plan_bridge.js';
 import {buildChains} from './build_chains.js';
-import {fitRanges} from './fit_ranges.js';
+import {planLeastLoads} from './plan_least_loads.js';
 import type {StageEndpoint, StageModel} from './stage_types.js';
 
 /** How ranges are planned. */
@@ -32,6 +32,9 @@
   leastTokens: 30_000,
 };
 
+/** Chains are sized for the load of all at two out of three. */
+const ampleShare = 2 / 3;
+
 /** An endpoint as the plan sees it. */
 export interface PlannedEndpoint extends StageEndpoint {
   /** Whether it is still loading what it should hold. */
@@ -64,11 +67,13 @@
  * Plans a whole chain in each group of endpoints that can hold one. Losses
  * are bridged by the neighbours of the gap where they have room; else the
  * ranges near it move. Endpoints without layers relieve the fullest ones.
+ * Those that leave get no layers, but still serve the streams they have.
  */
 export function planRanges(
   endpoints: readonly PlannedEndpoint[],
   model: StageModel,
   options: RangeOptions = defaultRangeOptions,
+  leaving: readonly StageEndpoint[] = [],
 ): RangePlan {
   const plan = new Map<string, PlannedRange>();
   const groups = buildGroups(endpoints, model, options);
@@ -78,13 +83,11 @@
   for (const group of groups) {
     const isFirst = group.every(({held}) => held === undefined);
     const mayMove = isFirst || isRelaid(group, model) || !isMoving;
-    const hasOther = groups.some(
-      other => other !== group && canTakeOver(other, model),
-    );
+    const isUrgent = isRepairUrgent(group, groups, leaving, model);
     const {ranges, isMove} = planGroup(
       group,
       mayMove,
-      hasOther,
+      isUrgent,
       model,
       options,
     );
@@ -94,6 +97,28 @@
   return plan;
 }
 
+/**
+ * Tells whether the streams on layers that a broken chain gives up should be
+ * moved to another one rather than waited for. Those of a chain that only lacks
+ * endpoints that leave still run; they are waited for while most chains are
+ * whole.
+ */
+function isRepairUrgent(
+  group: readonly PlannedEndpoint[],
+  groups: readonly PlannedEndpoint[][],
+  leaving: readonly StageEndpoint[],
+  model: StageModel,
+): boolean {
+  const whole = groups.filter(
+    other => other !== group && canTakeOver(other, model),
+  );
+  if (whole.length === 0) return false;
+  const {dataCentre} = group[0]!;
+  const near = leaving.filter(one => one.dataCentre === dataCentre);
+  const stillRuns = findGap([...group, ...near], model.layerCount) === -1;
+  return !stillRuns || whole.length < groups.length * ampleShare;
+}
+
 /** Tells whether a chain is whole and could take the streams of another. */
 function canTakeOver(
   group: readonly PlannedEndpoint[],
@@ -185,7 +210,7 @@
 function planGroup(
   group: readonly PlannedEndpoint[],
   mayMove: boolean,
-  hasOther: boolean,
+  isUrgent: boolean,
   model: StageModel,
   options: RangeOptions,
 ): GroupPlan {
@@ -195,14 +220,14 @@
   const bridge = planBridge(group, model, options);
   if (bridge !== undefined) return {ranges: bridge, isMove: false};
   if (!mayMove) return {ranges: new Map(), isMove: false};
-  const ranges = planAnew(group, hasOther, model, options);
+  const ranges = planAnew(group, isUrgent, model, options);
   return {ranges, isMove: true};
 }
 
 /** Lays all ranges out: evenly at first, later with as few loads as it takes. */
 function planAnew(
   group: readonly PlannedEndpoint[],
-  hasOther: boolean,
+  isUrgent: boolean,
   model: StageModel,
   options: RangeOptions,
 ): RangePlan {
@@ -217,11 +242,11 @@
     cap: countFittingLayers(endpoint, tokens, model),
   }));
   if (!isFresh) {
-    const ranges = fitRanges(members, model.layerCount) ?? [];
-    return buildPlan(ordered, ranges, hasOther);
+    const ranges = planLeastLoads(members, model.layerCount) ?? [];
+    return buildPlan(ordered, ranges, isUrgent);
   }
   addEvenly(members, model.layerCount);
-  return buildPlan(ordered, stackRanges(members), hasOther);
+  return buildPlan(ordered, buildRanges(members), isUrgent);
 }
 
 /** Finds the most tokens, up to a goal, beside which all layers fit. */
@@ -304,7 +329,7 @@
 }
 
 /** Turns sizes into ranges, one behind the other. */
-function stackRanges(members: readonly Member[]): LayerRange[] {
+function buildRanges(members: readonly Member[]): LayerRange[] {
   const ranges: LayerRange[] = [];
   let first = 0;
   for (const {size} of members) {
--- /dev/null
+++ b/packages/gateway/__tests__/probes.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {Result} from 'true-myth';
+import {EndpointTable} from '../src/fleet/endpoint_table.js';
+import {Probes} from '../src/fleet/probes.js';
+import {Metrics} from '../src/log/metrics.js';
+import type {EndpointCalls, EndpointReport} from '../src/ports/index.js';
+
+const logNothing = () => undefined;
+const held = {first: 0, end: 8};
+
+/** Probes of one endpoint, whose reports are as old as the lag given. */
+function makeProbes(getFill: (askedAt: number) => number) {
+  const getNow = () => performance.now();
+  const table = new EndpointTable(logNothing, getNow);
+  table.applyEntry({
+    id: 'e1',
+    service: 'letters',
+    address: 'e1:1',
+    dataCentre: 'a',
+    slots: 10,
+    isDraining: false,
+    bornAt: 1,
+    kind: 'card',
+    held,
+  });
+  const fetchReport = () => {
+    const memoryFill = getFill(getNow());
+    const report = {bornAt: 1, orderCount: 1, isBusy: false, held, memoryFill};
+    return Promise.resolve(Result.ok(report as EndpointReport));
+  };
+  const calls = {fetchReport} as Partial<EndpointCalls> as EndpointCalls;
+  const accused: string[] = [];
+  const listeners = {
+    sendFacts: logNothing,
+    sendAccusation: (id: string) => accused.push(id),
+    handleDown: logNothing,
+  };
+  const probes = new Probes(table, calls, listeners, new Metrics(), getNow);
+  return {probes, table, accused};
+}
+
+// Two chains lost their streams at once: the third one's memory fills within
+// 100 ms, and its endpoints' reports show it 200 ms later.
+test('an endpoint that has just filled up is not found failing', async () => {
+  const filledAt = performance.now();
+  const {probes, accused} = makeProbes(askedAt =>
+    askedAt - filledAt < 200 ? 0.3 : 0.95,
+  );
+  const checks: Promise<void>[] = [];
+  for (let i = 0; i < 4; i += 1) {
+    checks.push(probes.checkRefusal('e1', 'status 503', held));
+    await waitMilliseconds(20);
+  }
+  await Promise.all(checks);
+  assert.deepEqual(accused, []);
+});
+
+test('an endpoint that refuses with room left is found failing', async () => {
+  const {probes, accused} = makeProbes(() => 0.3);
+  await probes.checkRefusal('e1', 'status 503', held);
+  await probes.checkRefusal('e1', 'status 503', held);
+  assert.deepEqual(accused, ['e1']);
+});
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -219,6 +219,17 @@
     return stages;
   }
 
+  /** Lists the endpoints of a model that leave, with the layers they hold. */
+  listLeaving(service: string, model: ServiceModel): StageEndpoint[] {
+    const stages: StageEndpoint[] = [];
+    for (const state of this.list(service)) {
+      if (!state.entry.isDraining) continue;
+      const stage = buildStage(state, model, state.held);
+      if (stage !== undefined) stages.push(stage);
+    }
+    return stages;
+  }
+
   /** Finds the order that an endpoint is believed to carry out. */
   findPending(state: EndpointState): EndpointState['pending'] {
     const {pending} = state;
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -100,13 +100,8 @@
     model: ServiceModel,
     tokens: number,
   ): StagePath | undefined {
-    const now = this.getNow();
-    const paths = this.list(service, model).filter(({key}) => {
-      const watched = this.watched.get(key);
-      return watched === undefined || isPast(watched.watch.avoidUntil, now);
-    });
     return pickPath(
-      paths,
+      this.listUsable(service, model),
       tokens,
       id => this.loads.computeLoad(id),
       this.dataCentre,
@@ -114,6 +109,11 @@
     );
   }
 
+  /** Tells whether any path takes work, full ones included. */
+  hasUsable(service: string, model: ServiceModel): boolean {
+    return this.listUsable(service, model).length > 0;
+  }
+
   /** Takes a place on a path for a request. */
   reserve(
     path: StagePath,
@@ -216,6 +216,14 @@
     for (const stream of [...streams.values()]) stream.handleStall();
   }
 
+  private listUsable(service: string, model: ServiceModel): StagePath[] {
+    const now = this.getNow();
+    return this.list(service, model).filter(({key}) => {
+      const watched = this.watched.get(key);
+      return watched === undefined || isPast(watched.watch.avoidUntil, now);
+    });
+  }
+
   private getWatched(path: StagePath): WatchedPath {
     let watched = this.watched.get(path.key);
     if (watched === undefined) {
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -49,10 +49,14 @@
 const failingMilliseconds = 2500;
 /** Fuller endpoints refuse for want of memory. */
 const roomyFill = 0.85;
+/** Reports show memory as it was 200 ms before (site files), plus a margin. */
+const reportLagMilliseconds = 260;
 
 /** Asks endpoints for their reports when their work does not come back. */
 export class Probes {
   private readonly asking = new Set<string>();
+  /** Endpoints of which a refusal is being looked into. */
+  private readonly refusing = new Set<string>();
   private readonly failing = new Map<string, Instant>();
 
   constructor(
@@ -109,28 +113,50 @@
   ): Promise<void> {
     const state = this.table.find(id);
     if (state === undefined) return;
+    const refusedAt = this.getNow();
+    const leftOutUntil = refusedAt + refusedMilliseconds;
+    this.table.recordSuspicion(state, leftOutUntil, reason);
+    if (this.refusing.has(id)) return;
+    this.refusing.add(id);
+    const isUnfounded = await this.isUnfounded(state, layers);
+    this.refusing.delete(id);
+    if (!isUnfounded) return;
+    recordRefusal(state.doubt, refusedAt);
     const now = this.getNow();
-    this.table.recordSuspicion(state, now + refusedMilliseconds, reason);
-    if (this.asking.has(id)) return;
-    this.asking.add(id);
+    if (!isFailing(state.doubt, now)) return;
+    const until = now + failingMilliseconds;
+    this.table.recordSuspicion(state, until, 'refuses work with room left');
+    const cause = DoubtCause.Refusing;
+    this.listeners.sendAccusation(id, state.bornAt, cause);
+  }
+
+  /**
+   * Tells whether an endpoint could have taken the request that it refused. Its
+   * report is late: an endpoint that filled up just now still shows room.
+   */
+  private async isUnfounded(
+    state: EndpointState,
+    layers: LayerRange | undefined,
+  ): Promise<boolean> {
+    if (!(await this.hasRoom(state, layers))) return false;
+    await waitMilliseconds(reportLagMilliseconds);
+    return this.hasRoom(state, layers);
+  }
+
+  private async hasRoom(
+    state: EndpointState,
+    layers: LayerRange | undefined,
+  ): Promise<boolean> {
     const report = await this.fetchReport(state);
-    this.asking.delete(id);
-    if (report === undefined) return;
+    if (report === undefined) return false;
     if (report.isErr) {
-      void this.probe(id);
-      return;
+      void this.probe(state.entry.id);
+      return false;
     }
     const {isBusy, memoryFill, held} = report.value;
-    const hasRoom = memoryFill < roomyFill && !isBusy;
-    if (!hasRoom || !hasAllLayers(held, layers)) return;
-    if (this.table.findPending(state) !== undefined) return;
-    const askedAt = this.getNow();
-    recordRefusal(state.doubt, askedAt);
-    if (!isFailing(state.doubt, askedAt)) return;
-    const until = askedAt + failingMilliseconds;
-    this.table.recordSuspicion(state, until, 'refuses work with room left');
-    const cause = DoubtCause.Refusing;
-    this.listeners.sendAccusation(id, state.bornAt, cause);
+    if (memoryFill >= roomyFill || isBusy) return false;
+    if (!hasAllLayers(held, layers)) return false;
+    return this.table.findPending(state) === undefined;
   }
 
   /** Asks the endpoints that failed before whether they are back. */
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -1,4 +1,5 @@
 import {
+  defaultRangeOptions,
   isLost,
   planRanges,
   type PlannedRange,
@@ -74,7 +75,12 @@
     );
     const isEmpty = stages.every(({held}) => held === undefined);
     if (isEmpty && this.getNow() < this.settledAt) return;
-    const plan = planRanges(stages, model.shape);
+    const plan = planRanges(
+      stages,
+      model.shape,
+      defaultRangeOptions,
+      this.table.listLeaving(service, model),
+    );
     for (const stage of stages) this.updateStage(stage, plan, model, token);
   }
 
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -1,5 +1,9 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
-import type {StagePath} from '@zinniaspindle/decisions';
+import {
+  computePatience,
+  computeReturn,
+  type StagePath,
+} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
@@ -19,14 +23,8 @@
 
 /** Sends of one request that no endpoint ran. */
 const maxNotRun = 4;
-/** A repair of a lost range takes this long; callers spread over the next. */
-const retryAfterMilliseconds = 900;
-const retrySpreadMilliseconds = 600;
-
 /** A stream that paused already goes before new ones, whose urgency is 5. */
 const resumedUrgency = 1;
-/** Share of the time to the first event for which a request waits for a path. */
-const waitedShare = 0.4;
 /** A request that waits this long in a queue goes elsewhere, once. */
 const firstEventMilliseconds = 900;
 /** Callers leave a stream after a gap of 2 s. */
@@ -121,13 +119,13 @@
    */
   private async findPath(tokens: number): Promise<StagePath | undefined> {
     const {serving, service, route} = this.context;
-    const patience = this.hasBegun
-      ? resumeMilliseconds
-      : waitedShare * route.targetMilliseconds;
-    const waitUntil = this.lastEventAt + patience;
     for (;;) {
       const path = serving.paths.pick(service.name, this.model, tokens);
-      const isOver = isPast(waitUntil, serving.getNow());
+      const hasPath = serving.paths.hasUsable(service.name, this.model);
+      const patience = this.hasBegun
+        ? resumeMilliseconds
+        : computePatience(route.targetMilliseconds, hasPath);
+      const isOver = isPast(this.lastEventAt + patience, serving.getNow());
       if (path !== undefined || isOver || this.isAbandoned) return path;
       await waitMilliseconds(pollMilliseconds);
     }
@@ -346,7 +344,7 @@
   }
 
   private answerFailure(): void {
-    const {refuse} = this.context;
+    const {refuse, deadline, serving} = this.context;
     if (this.hasBegun) {
       this.closeBroken('no further try is allowed');
       return;
@@ -357,8 +355,7 @@
     }
     const reason =
       this.notRun > 0 ? FailureReason.EndpointsBusy : FailureReason.NoEndpoint;
-    const spread = Math.random() * retrySpreadMilliseconds;
-    const after = retryAfterMilliseconds + spread;
+    const after = computeReturn(deadline - serving.getNow(), Math.random);
     refuse({status: 503, reason, retryAfterMilliseconds: after});
   }
 
