--- a/packages/gateway/__tests__/small_parts.test.ts
+++ b/packages/gateway/__tests__/small_parts.test.ts
@@ -1,12 +1,19 @@
 import assert from 'node:assert/strict';
 import {Writable} from 'node:stream';
 import {test} from 'node:test';
+import {FrameReader} from '@zinniaspindle/framing';
 import {LineWriter} from '../src/log/line_writer.js';
 import {Counter, Latency, Metrics} from '../src/log/metrics.js';
 import {computeBeatPeriod} from '../src/peers/beat_period.js';
-import {PeerPhase} from '../src/peers/messages.js';
+import {decodeMessage, encodeMessage} from '../src/peers/message_codec.js';
+import {computeRank} from '../src/peers/compute_rank.js';
+import {
+  PeerMessageKind,
+  PeerPhase,
+  type PeerMessage,
+} from '../src/peers/messages.js';
 import type {Configuration, Route} from '../src/ports/index.js';
-import {RouteKind} from '../src/ports/index.js';
+import {RouteKind, Topic} from '../src/ports/index.js';
 import {EventSplitter} from '../src/requests/event_splitter.js';
 import {pickTarget, RouteIndex} from '../src/requests/route_index.js';
 import {RepeatBudgets} from '../src/requests/repeat_budgets.js';
@@ -169,3 +176,53 @@
   assert.equal(computeBeatPeriod(40), 500);
   assert.equal(computeBeatPeriod(340), 1000);
 });
+
+test('the VMs with the fastest links rank first, alike for all', () => {
+  const vms = ['a', 'b', 'c', 'd'].map(vm => ({
+    vm,
+    linkMegabits: vm === 'c' ? 200 : 14,
+  }));
+  const ranks = vms.map(own =>
+    computeRank(
+      own,
+      vms.filter(other => other !== own),
+    ),
+  );
+  assert.equal(ranks[2], 0);
+  assert.deepEqual([...ranks].sort(), [0, 1, 2, 3]);
+});
+
+test('a beat is sent without names and read as it was', () => {
+  const beat: PeerMessage = {
+    kind: PeerMessageKind.Beat,
+    phase: PeerPhase.Ready,
+    isOwner: true,
+    topics: [
+      {topic: Topic.Configuration, next: 7, ageMilliseconds: 20},
+      {topic: Topic.Endpoints, next: 12_345, ageMilliseconds: 950},
+    ],
+    loads: [[4_000_000_000, 'i-12ba9ddaf8', 3, 2400]],
+  };
+  const frame = encodeMessage(beat);
+  const decoded = new FrameReader().accept(frame).unwrapOr([]);
+  assert.deepEqual(decodeMessage(decoded[0]).unwrapOr(undefined), beat);
+  assert.ok(frame.length < 60, `${frame.length} bytes`);
+});
+
+test('a beat that cannot be read is refused', () => {
+  assert.ok(decodeMessage([9, true, [], []]).isErr);
+  assert.ok(decodeMessage([1, true, 'x', []]).isErr);
+  assert.ok(decodeMessage([]).isErr);
+});
+
+test('VMs of a large fleet name different ones, 64 each', () => {
+  const peers: ReturnType<typeof makePeer>[] = [];
+  for (let i = 0; i < 130; i += 1) {
+    peers.push(makePeer(`10.0.0.${i}:80`, PeerPhase.Ready, true));
+  }
+  const first = listCallerAddresses('a:1', PeerPhase.Ready, peers);
+  const second = listCallerAddresses('b:1', PeerPhase.Ready, peers);
+  assert.equal(first.length, 64);
+  const shared = second.filter(address => first.includes(address));
+  assert.ok(shared.length < 50, `${shared.length} named twice`);
+});
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -1,6 +1,5 @@
 import type {DoubtCause} from '@zinniaspindle/decisions';
-import {LayerError, type Instant, type LayerRange} from '@zinniaspindle/shared';
-import {Result} from 'true-myth';
+import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import type {LoadRow} from '../fleet/load_book.js';
 import type {Topic} from '../ports/index.js';
@@ -34,6 +33,8 @@
   readonly peerAddress: string;
   /** Where it hears callers, as host:port. */
   readonly callerAddress: string;
+  /** Rate of its link, in Mbit/s. */
+  readonly linkMegabits: number;
   /** Peer addresses of the VMs that it knows. */
   readonly known: readonly string[];
 }
@@ -121,20 +122,3 @@
   | Accusation
   | FactsMessage
   | OrderMessage;
-
-/** Why a peer's message cannot be used. */
-export enum MessageErrorCode {
-  UnknownKind = 'unknownKind',
-}
-
-const kinds = new Set<unknown>(Object.values(PeerMessageKind));
-
-/** Checks that a decoded frame is a message of a known kind. */
-export function checkMessage(
-  message: unknown,
-): Result<PeerMessage, LayerError<MessageErrorCode>> {
-  const kind = (message as {kind?: unknown} | null)?.kind;
-  if (kinds.has(kind)) return Result.ok(message as PeerMessage);
-  const text = `peer message of unknown kind "${String(kind)}"`;
-  return Result.err(new LayerError(MessageErrorCode.UnknownKind, text));
-}
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -1,5 +1,5 @@
 import net from 'node:net';
-import {encodeFrame} from '@zinniaspindle/framing';
+import {encodeMessage} from './message_codec.js';
 import type {PeerMessage} from './messages.js';
 
 /** A peer that is up accepts within a few ms; a lost packet costs a second. */
@@ -50,7 +50,7 @@
     socket.on('connect', () => {
       clearTimeout(timer);
       this.isOpen = true;
-      socket.write(encodeFrame(this.makeHello()));
+      socket.write(encodeMessage(this.makeHello()));
     });
     socket.on('data', () => undefined); // Peers answer on their own links.
     socket.on('error', () => undefined); // Followed by close.
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -1,5 +1,5 @@
 import net from 'node:net';
-import {encodeFrame, FrameReader} from '@zinniaspindle/framing';
+import {FrameReader} from '@zinniaspindle/framing';
 import {
   describeError,
   GatewayEvent,
@@ -11,13 +11,13 @@
 import type {WriteEvent} from '../log/event_log.js';
 import {openServer} from '../open_server.js';
 import {
-  checkMessage,
   PeerMessageKind,
   PeerPhase,
   type Beat,
   type Hello,
   type PeerMessage,
 } from './messages.js';
+import {decodeMessage, encodeMessage} from './message_codec.js';
 import {computeBeatPeriod} from './beat_period.js';
 import {PeerLink} from './peer_link.js';
 
@@ -25,8 +25,6 @@
 const silentPeriods = 4;
 /** A VM that is gone this long is no longer called. */
 const forgetMilliseconds = 30_000;
-/** VMs that start together are told of in one message. */
-const announceMilliseconds = 100;
 
 /** What this VM knows of another. */
 export interface Peer {
@@ -34,6 +32,7 @@
   readonly startedAt: Instant;
   readonly peerAddress: string;
   readonly callerAddress: string;
+  readonly linkMegabits: number;
   phase: PeerPhase;
   isOwner: boolean;
   heardAt: Instant;
@@ -49,7 +48,6 @@
   private readonly peers = new Map<string, Peer>();
   private readonly links = new Map<string, PeerLink>();
   private readonly calledSince = new Map<string, Instant>();
-  private announceTimer: NodeJS.Timeout | undefined;
   private readonly server = net.createServer(socket => this.accept(socket));
   /** Sockets that peers opened to this VM. */
   private readonly inbound = new Set<net.Socket>();
@@ -81,13 +79,13 @@
   /** Sends a message to all peers. */
   sendAll(message: PeerMessage): void {
     if (this.links.size === 0) return;
-    const frame = encodeFrame(message);
+    const frame = encodeMessage(message);
     for (const link of this.links.values()) link.send(frame);
   }
 
   /** Sends a message to one peer. */
   sendTo(peer: Peer, message: PeerMessage): void {
-    this.links.get(peer.peerAddress)?.send(encodeFrame(message));
+    this.links.get(peer.peerAddress)?.send(encodeMessage(message));
   }
 
   /** Lists the VMs that were heard in time and do not leave. */
@@ -135,7 +133,6 @@
 
   /** Closes all connections. */
   close(): void {
-    clearTimeout(this.announceTimer);
     this.server.close();
     for (const socket of this.inbound) socket.destroy();
     for (const link of this.links.values()) link.close();
@@ -161,7 +158,7 @@
       const messages = reader.accept(chunk);
       if (messages.isErr) return refuse(messages.error.message);
       for (const decoded of messages.value) {
-        const message = checkMessage(decoded);
+        const message = decodeMessage(decoded);
         if (message.isErr) return refuse(message.error.message);
         try {
           peer = this.acceptMessage(peer, message.value);
@@ -199,6 +196,7 @@
       startedAt: hello.startedAt,
       peerAddress: hello.peerAddress,
       callerAddress: hello.callerAddress,
+      linkMegabits: hello.linkMegabits,
       phase: PeerPhase.Starting,
       isOwner: false,
       heardAt: this.getNow(),
@@ -207,10 +205,6 @@
     this.peers.set(peer.vm, peer);
     const {vm, peerAddress: address} = peer;
     this.writeEvent(GatewayEvent.PeerFound, {peer: vm, address});
-    this.announceTimer ??= setTimeout(() => {
-      this.announceTimer = undefined;
-      this.sendAll(this.makeHello());
-    }, announceMilliseconds);
     return peer;
   }
 
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -4,6 +4,8 @@
 export interface GatewaySettings {
   readonly vm: string;
   readonly dataCentre: string;
+  /** Rate of the VM's link, in Mbit/s. */
+  readonly linkMegabits: number;
   readonly listen: {
     readonly callers: Address;
     readonly ready: Address;
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -1,10 +1,10 @@
 import {performance} from 'node:perf_hooks';
-import {sortByWeight} from '@zinniaspindle/decisions';
 import {formatAddress, GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import {directorySeconds} from '../directory/directory_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Counter} from '../log/metrics.js';
 import {computeBeatPeriod} from '../peers/beat_period.js';
+import {computeRank} from '../peers/compute_rank.js';
 import {PeerMessageKind, PeerPhase} from '../peers/messages.js';
 import {Topic, type GatewaySettings} from '../ports/index.js';
 import {
@@ -20,6 +20,12 @@
 /** The stall watch needs to see gaps of 80 ms in time. */
 const stallMilliseconds = 20;
 const beatMilliseconds = 250;
+/** Silent peers are noticed after a second at the earliest. */
+const rankMilliseconds = 200;
+/** VMs start within 0.3 s of each other, and a start takes as long. */
+const acquaintMilliseconds = 600;
+/** As many addresses in the store outlast the loss of any seeds. */
+const publishedVms = 16;
 const orderMilliseconds = 100;
 const publishMilliseconds = 1000;
 
@@ -33,6 +39,9 @@
     Date.now,
   );
   private phase = PeerPhase.Starting;
+  /** The place of this VM among those that live; the first reads the store. */
+  private rank = 0;
+  private startedAt: Instant = -Infinity;
   private beatAt: Instant = -Infinity;
   private isPublished = false;
   private isPublishing = false;
@@ -56,6 +65,7 @@
   async start(): Promise<void> {
     const {listen, seeds, vm, dataCentre} = this.settings;
     const {mesh, directory, callers, orders, knowledge} = this.parts;
+    this.startedAt = getMonotonic();
     this.log.write(GatewayEvent.Started, {vm, dataCentre});
     await mesh.open(listen.peers, seeds);
     await directory.open(listen.ready);
@@ -65,12 +75,12 @@
     const {tasks} = this;
     tasks.start('tick', tickMilliseconds, () => this.runTick());
     tasks.start('stalls', stallMilliseconds, () => this.checkStalls());
+    tasks.start('rank', rankMilliseconds, () => this.updateRank());
     tasks.start('beat', beatMilliseconds, () => this.sendBeatInTurn());
     tasks.start('orders', orderMilliseconds, () => {
       orders.run(knowledge.findConfiguration());
     });
     tasks.start('publish', publishMilliseconds, () => this.publishAddress());
-    this.publishAddress();
     this.runTick();
   }
 
@@ -108,17 +118,20 @@
   private runTick(): void {
     const {followers, mesh, ownership, endpoints, probes} = this.parts;
     this.checkPause();
-    const rank = this.computeRank();
-    for (const follower of followers) follower.poll(rank);
-    if (this.phase !== PeerPhase.Leaving) {
-      ownership.poll(rank, mesh.hasOwner());
-    }
+    for (const follower of followers) follower.poll(this.rank);
+    if (this.isAcquainted()) ownership.poll(this.rank, mesh.hasOwner());
     mesh.checkSilence();
     endpoints.expireLapsed();
     probes.probeFailing();
     this.checkReady();
   }
 
+  /** A VM that has just started does not know yet who owns the orders. */
+  private isAcquainted(): boolean {
+    if (this.phase === PeerPhase.Leaving) return false;
+    return getMonotonic() - this.startedAt >= acquaintMilliseconds;
+  }
+
   private checkPause(): void {
     const pauseMs = this.pauses.measure();
     if (pauseMs === 0) return;
@@ -169,12 +182,8 @@
     });
   }
 
-  /** The place of this VM in an order that all VMs compute alike. */
-  private computeRank(): number {
-    const names = this.parts.mesh.listLive().map(({vm}) => vm);
-    names.push(this.settings.vm);
-    const sorted = sortByWeight('reader', names, name => name);
-    return sorted.indexOf(this.settings.vm);
+  private updateRank(): void {
+    this.rank = computeRank(this.settings, this.parts.mesh.listLive());
   }
 
   private getPeerAddress(): string {
@@ -185,6 +194,7 @@
   private publishAddress(): void {
     if (this.isPublished || this.isPublishing) return;
     if (this.phase === PeerPhase.Leaving) return;
+    if (this.rank >= publishedVms) return;
     this.isPublishing = true;
     void this.publishOnce().finally(() => {
       this.isPublishing = false;
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -157,6 +157,7 @@
       startedAt: Date.now(),
       peerAddress: formatAddress(peers),
       callerAddress: formatAddress(callers),
+      linkMegabits: settings.linkMegabits,
     },
     fleet.loads,
     (peer, message) => peerHandler.handle(peer, message),
--- a/packages/gateway/src/root/list_addresses.ts
+++ b/packages/gateway/src/root/list_addresses.ts
@@ -1,3 +1,4 @@
+import {pickRanked} from '@zinniaspindle/decisions';
 import {PeerPhase} from '../peers/messages.js';
 import type {Peer} from '../peers/peer_mesh.js';
 
@@ -21,5 +22,7 @@
   const listed = isCutOff ? ready : heard;
   const addresses = listed.map(({callerAddress}) => callerAddress);
   if (ownPhase === PeerPhase.Ready) addresses.unshift(ownAddress);
-  return addresses.slice(0, maxAddresses);
+  if (addresses.length <= maxAddresses) return addresses;
+  // Each VM names others, so that callers spread over all.
+  return pickRanked(ownAddress, addresses, maxAddresses);
 }
