--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -108,7 +108,7 @@
   const layers: Map<string, Entry>[] = [];
   for (let i = 0; i <= model.layerCount; i += 1) layers.push(new Map());
   for (const endpoint of holders) {
-    if (endpoint.held!.first !== 0) continue;
+    if (endpoint.held!.first !== 0 || !endpoint.isReachable) continue;
     const entry = {endpoint, layer: 0, cost: 0, previous: undefined};
     layers[0]!.set(endpoint.id, entry);
   }
--- a/packages/decisions/src/stages/stage_types.ts
+++ b/packages/decisions/src/stages/stage_types.ts
@@ -24,6 +24,8 @@
   readonly pace: number;
   /** Requests it runs at once when it is the first of a path. */
   readonly slots: number;
+  /** Whether this VM reaches it; where not, paths cannot begin there. */
+  readonly isReachable: boolean;
   /** The layers it holds now; undefined when it is empty. */
   readonly held: LayerRange | undefined;
 }
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -203,3 +203,23 @@
   }
   assert.ok(asked <= 20, `${asked}`);
 });
+
+// This VM alone is cut off from endpoints that serve all others.
+test('paths pass through endpoints that only others reach', () => {
+  const {clock, endpoints, paths} = makePaths();
+  const removeContact = (id: string) => {
+    const state = endpoints.find(id)!;
+    state.doubt.failedProbes = 2;
+    endpoints.recordSuspicion(state, clock.now + 1500, 'silent');
+    for (const vm of ['vm-1', 'vm-2', 'vm-3']) {
+      endpoints.recordVoucher(id, 1, vm);
+    }
+  };
+  removeContact('a2');
+  const listFirsts = () =>
+    paths.list('letters', model).map(({parts}) => parts[0]!.endpoint.id);
+  assert.deepEqual(listFirsts(), ['a0', 'b0']);
+  removeContact('b0');
+  const starts = listFirsts();
+  assert.ok(starts.length > 0 && !starts.includes('b0'), starts.join(' '));
+});
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -4,7 +4,11 @@
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
-import type {PlannedEndpoint, StageEndpoint} from '@zinniaspindle/decisions';
+import {
+  isVouchedFor,
+  type PlannedEndpoint,
+  type StageEndpoint,
+} from '@zinniaspindle/decisions';
 import type {WriteEvent} from '../log/event_log.js';
 import type {EndpointEntry, ServiceModel} from '../ports/index.js';
 import {
@@ -173,6 +177,16 @@
     state.suspectUntil = Math.max(state.suspectUntil, until);
   }
 
+  /** Notes that a peer reaches an endpoint that was accused. */
+  recordVoucher(id: string, bornAt: Instant, vm: string): void {
+    const state = this.states.get(id);
+    if (state === undefined || state.bornAt !== bornAt) return;
+    const now = this.getNow();
+    const wasUp = isVouchedFor(state.doubt, now);
+    state.doubt.vouchers.set(vm, now);
+    if (!wasUp && isVouchedFor(state.doubt, now)) this.revision += 1;
+  }
+
   /** Lets new work go to an endpoint again. */
   removeSuspicion(state: EndpointState): void {
     state.doubt.failedProbes = 0;
@@ -189,14 +203,21 @@
     return isPast(state.suspectUntil, this.getNow());
   }
 
+  /** Tells whether paths may pass through one that this VM does not reach. */
+  private isUsableBehind(state: EndpointState): boolean {
+    if (state.entry.isDraining) return false;
+    return isVouchedFor(state.doubt, this.getNow());
+  }
+
   /** Lists the endpoints of a model that new work may go through. */
   listStages(service: string, model: ServiceModel): StageEndpoint[] {
     const stages: StageEndpoint[] = [];
     for (const state of this.list(service)) {
-      if (!this.isUsable(state)) continue;
+      const isReachable = this.isUsable(state);
+      if (!isReachable && !this.isUsableBehind(state)) continue;
       const held = this.computeServing(state);
       const stage = buildStage(state, model, held);
-      if (stage !== undefined) stages.push(stage);
+      if (stage !== undefined) stages.push({...stage, isReachable});
     }
     return stages;
   }
@@ -289,5 +310,9 @@
   if (kind === undefined) return undefined;
   const {id, address, dataCentre, slots} = state.entry;
   const {sizeMegabytes, pace} = kind;
-  return {id, address, dataCentre, slots, sizeMegabytes, pace, held};
+  const isReachable = true;
+  return {
+    ...{id, address, dataCentre, slots, sizeMegabytes, pace},
+    ...{isReachable, held},
+  };
 }
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -43,6 +43,8 @@
 const confirmMilliseconds = 60;
 /** An endpoint that is up answers within 3 ms, a slowed VM takes longer. */
 const promptMilliseconds = 30;
+/** An endpoint that answered this lately need not be asked again. */
+const freshMilliseconds = 250;
 /** An endpoint that refuses work is left out until its state is known. */
 const refusedMilliseconds = 300;
 /** One that refuses though it has room is left out for longer. */
@@ -75,9 +77,11 @@
     path: StagePath,
     handleSilence: () => void,
   ): Promise<boolean> {
-    let waiting = path.parts.length;
+    // Of those that this VM does not reach, others say that they are up.
+    const parts = path.parts.filter(({endpoint}) => endpoint.isReachable);
+    let waiting = parts.length;
     const timer = setTimeout(handleSilence, promptMilliseconds);
-    const probes = path.parts.map(async ({endpoint}) => {
+    const probes = parts.map(async ({endpoint}) => {
       if (!(await this.probe(endpoint.id))) return;
       waiting -= 1;
       if (waiting === 0) clearTimeout(timer);
@@ -86,6 +90,12 @@
     return waiting === 0;
   }
 
+  /** Tells whether an endpoint that a peer found failing answers this VM. */
+  async checkAccusation(state: EndpointState): Promise<boolean> {
+    const age = this.getNow() - state.doubt.answeredAt;
+    return age < freshMilliseconds || this.probe(state.entry.id);
+  }
+
   /** Asks an endpoint, once more after a failure; tells whether it answered. */
   async probe(id: string): Promise<boolean> {
     const state = this.table.find(id);
@@ -197,6 +207,7 @@
     }
     this.failing.delete(id);
     state.doubt.failedProbes = 0;
+    state.doubt.answeredAt = this.getNow();
     if (!isFailing(state.doubt, this.getNow())) {
       this.table.removeSuspicion(state);
     }
@@ -211,9 +222,8 @@
     this.table.recordSuspicion(state, now + suspectMilliseconds, error.message);
     const isDown = error.code === EndpointErrorCode.Unreachable;
     if (isDown) this.listeners.handleDown(id);
-    if (isDown || isFailing(state.doubt, now)) {
-      const cause = DoubtCause.Silent;
-      this.listeners.sendAccusation(id, state.bornAt, cause);
-    }
+    const isCertain = isDown || isFailing(state.doubt, now);
+    const cause = isCertain ? DoubtCause.Silent : DoubtCause.Unanswered;
+    this.listeners.sendAccusation(id, state.bornAt, cause);
   }
 }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -12,6 +12,7 @@
   Ask = 'ask',
   Newest = 'newest',
   Accusation = 'accusation',
+  Voucher = 'voucher',
   Facts = 'facts',
   Order = 'order',
 }
@@ -94,6 +95,13 @@
   readonly cause: DoubtCause;
 }
 
+/** Says that an endpoint that another VM found silent answers this one. */
+export interface Voucher {
+  readonly kind: PeerMessageKind.Voucher;
+  readonly id: string;
+  readonly bornAt: Instant;
+}
+
 /** What an endpoint answered to a VM. */
 export interface FactsMessage {
   readonly kind: PeerMessageKind.Facts;
@@ -120,5 +128,6 @@
   | Ask
   | Newest
   | Accusation
+  | Voucher
   | FactsMessage
   | OrderMessage;
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -1,5 +1,6 @@
-import {isLost} from '@zinniaspindle/decisions';
+import {DoubtCause, isLost} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
+import type {EndpointState} from '../fleet/endpoint_state.js';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {Probes} from '../fleet/probes.js';
 import type {Knowledge} from '../following/knowledge.js';
@@ -22,6 +23,8 @@
 const askMilliseconds = 200;
 /** An endpoint that several VMs found failing is left out this long. */
 const lostMilliseconds = 1500;
+/** Many accuse an endpoint at once; one voucher answers them all. */
+const vouchMilliseconds = 300;
 /** Ages beyond this are all the same: too old. */
 const maxAgeMilliseconds = 600_000;
 
@@ -35,6 +38,9 @@
     private readonly probes: Probes,
     private readonly handleOrder: (order: OrderMessage) => void,
     private readonly sendTo: (peer: Peer, message: PeerMessage) => void,
+    private readonly sendAll: (message: PeerMessage) => void,
+    /** Whether this VM is one of the few that vouch in a large fleet. */
+    private readonly mayVouch: () => boolean,
     private readonly countPeers: () => number,
     private readonly getNow: () => Instant,
   ) {}
@@ -54,6 +60,9 @@
         return this.acceptNewest(message);
       case PeerMessageKind.Accusation:
         return this.acceptAccusation(peer, message);
+      case PeerMessageKind.Voucher:
+        this.endpoints.recordVoucher(message.id, message.bornAt, peer.vm);
+        return;
       case PeerMessageKind.Facts:
         this.endpoints.applyReport(message.facts);
         return;
@@ -157,7 +166,22 @@
         'several VMs found it failing',
       );
     }
-    void this.probes.probe(id);
+    void this.checkAccusation(state, cause);
+  }
+
+  /** Asks an accused endpoint, and tells the others when it answers. */
+  private async checkAccusation(
+    state: EndpointState,
+    cause: DoubtCause,
+  ): Promise<void> {
+    const answers = await this.probes.checkAccusation(state);
+    if (!answers || cause === DoubtCause.Refusing) return;
+    const now = this.getNow();
+    const {bornAt, doubt, entry} = state;
+    if (now < doubt.vouchAt || !this.mayVouch()) return;
+    doubt.vouchAt = now + vouchMilliseconds;
+    const {id} = entry;
+    this.sendAll({kind: PeerMessageKind.Voucher, id, bornAt});
   }
 
   private findState(topic: Topic): TopicState | undefined {
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -58,6 +58,7 @@
       log,
       getNow: getMonotonic,
       getPhase: () => this.phase,
+      getRank: () => this.rank,
     });
   }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -51,6 +51,8 @@
   readonly log: EventLog;
   readonly getNow: () => Instant;
   readonly getPhase: () => PeerPhase;
+  /** The place of this VM among those that live. */
+  readonly getRank: () => number;
 }
 
 /** The endpoints and the paths through them, as this VM sees them. */
@@ -87,6 +89,9 @@
   waitMilliseconds: 1000,
 };
 
+/** As many VMs outweigh the few that do not reach an endpoint. */
+const vouchingVms = 16;
+
 /** Builds the parts of an entry VM; nothing runs before it is started. */
 export function buildParts(context: GatewayContext): GatewayParts {
   // Parts call one another; each call comes after all have been built.
@@ -147,6 +152,8 @@
     fleet.probes,
     order => applyOrder(fleet, order),
     (peer, message) => getParts().mesh.sendTo(peer, message),
+    message => getParts().mesh.sendAll(message),
+    () => context.getRank() < vouchingVms,
     () => getParts().mesh.listLive().length,
     getNow,
   );
