--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -32,6 +32,17 @@
   avoidMilliseconds: 1500,
 };
 
+/** VMs that may all ask the endpoints of a slow path again and again. */
+const fewVms = 16;
+
+/** Computes how long a path that answered is not asked again; longer for many VMs. */
+export function computeQuiet(
+  vms: number,
+  options: StallOptions = defaultStallOptions,
+): number {
+  return options.quietMilliseconds * Math.max(1, vms / fewVms);
+}
+
 /** What is seen of one path's streams. */
 export interface PathWatch {
   /** Streams that gave an event already. */
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -1,4 +1,5 @@
 import {
+  computeQuiet,
   createPathWatch,
   defaultStallOptions,
   findPaths,
@@ -173,8 +174,8 @@
   }
 
   /** Leaves a path alone for a while whose endpoints have all answered. */
-  recordAnswers(path: StagePath): void {
-    const until = this.getNow() + defaultStallOptions.quietMilliseconds;
+  recordAnswers(path: StagePath, vms: number): void {
+    const until = this.getNow() + computeQuiet(vms);
     this.getWatched(path).watch.quietUntil = until;
   }
 
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -43,6 +43,8 @@
 const confirmMilliseconds = 60;
 /** An endpoint that is up answers within 3 ms, a slowed VM takes longer. */
 const promptMilliseconds = 30;
+/** Unanswered questions of which all VMs tell; a few go on to tell. */
+const neededWords = 2;
 /** An endpoint that answered this lately need not be asked again. */
 const freshMilliseconds = 250;
 /** An endpoint that refuses work is left out until its state is known. */
@@ -66,6 +68,8 @@
     private readonly calls: EndpointCalls,
     private readonly listeners: ProbeListeners,
     private readonly metrics: Metrics,
+    /** Whether this VM is one of the few whose word counts in a large fleet. */
+    private readonly isJuror: () => boolean,
     private readonly getNow: () => Instant,
   ) {}
 
@@ -101,6 +105,8 @@
     const state = this.table.find(id);
     if (state === undefined) return false;
     if (this.asking.has(id)) return state.doubt.failedProbes === 0;
+    // It is asked again in its time, however many speak against it.
+    if ((this.failing.get(id) ?? 0) > this.getNow()) return false;
     this.asking.add(id);
     try {
       if (await this.askOnce(state)) return true;
@@ -224,6 +230,8 @@
     if (isDown) this.listeners.handleDown(id);
     const isCertain = isDown || isFailing(state.doubt, now);
     const cause = isCertain ? DoubtCause.Silent : DoubtCause.Unanswered;
+    const isKnown = state.doubt.failedProbes > neededWords;
+    if (isKnown && !this.isJuror()) return;
     this.listeners.sendAccusation(id, state.bornAt, cause);
   }
 }
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -148,10 +148,19 @@
   }
 
   private swapPath(reason: string): void {
-    if (this.answer === undefined) this.notRun += 1;
+    if (this.answer === undefined) this.countUnanswered();
     this.cancelTry(TryEnd.Broken, reason);
   }
 
+  /**
+   * Counts a try that is given up without an answer. It may have begun just
+   * now; beside a run that is known, one more could exceed the attempts.
+   */
+  private countUnanswered(): void {
+    if (this.runs > 0) this.runs += 1;
+    else this.notRun += 1;
+  }
+
   /** Tells whether the caller is slower than the stream. */
   isPaused(): boolean {
     return this.isWaiting;
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -142,13 +142,13 @@
   }
 
   private checkStalls(): void {
-    const {paths, probes, metrics} = this.parts;
+    const {mesh, paths, probes, metrics} = this.parts;
     for (const path of paths.listStalled()) {
       metrics.count(Counter.Stalls);
       if (paths.isGivenUp(path)) paths.dropStreams(path);
       const drop = () => paths.dropStreams(path);
       void probes.probePath(path, drop).then(isUp => {
-        if (isUp) paths.recordAnswers(path);
+        if (isUp) paths.recordAnswers(path, mesh.listLive().length + 1);
       });
     }
   }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -89,8 +89,11 @@
   waitMilliseconds: 1000,
 };
 
-/** As many VMs outweigh the few that do not reach an endpoint. */
-const vouchingVms = 16;
+/**
+ * VMs that go on to speak for or against an endpoint. More would send words in
+ * the square of their number.
+ */
+const jurors = 16;
 
 /** Builds the parts of an entry VM; nothing runs before it is started. */
 export function buildParts(context: GatewayContext): GatewayParts {
@@ -105,7 +108,7 @@
 }
 
 function buildFleet(
-  {settings, ports, log, getNow}: GatewayContext,
+  {settings, ports, log, getNow, getRank}: GatewayContext,
   getParts: () => GatewayParts,
 ): FleetParts {
   const metrics = new Metrics();
@@ -129,7 +132,15 @@
     },
   };
   const calls = ports.endpoints;
-  const probes = new Probes(endpoints, calls, listeners, metrics, getNow);
+  const isJuror = () => getRank() < jurors;
+  const probes = new Probes(
+    endpoints,
+    calls,
+    listeners,
+    metrics,
+    isJuror,
+    getNow,
+  );
   return {metrics, endpoints, loads, paths, probes};
 }
 
@@ -153,7 +164,7 @@
     order => applyOrder(fleet, order),
     (peer, message) => getParts().mesh.sendTo(peer, message),
     message => getParts().mesh.sendAll(message),
-    () => context.getRank() < vouchingVms,
+    () => context.getRank() < jurors,
     () => getParts().mesh.listLive().length,
     getNow,
   );
