--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -43,6 +43,14 @@
   return options.quietMilliseconds * Math.max(1, vms / fewVms);
 }
 
+/** Questions a second to one endpoint by all VMs are 50 at most. */
+const freshPerVmMilliseconds = 20;
+
+/** Computes for how long an endpoint that answered a VM is not asked again. */
+export function computeFresh(vms: number): number {
+  return Math.max(0, vms - fewVms) * freshPerVmMilliseconds;
+}
+
 /** What is seen of one path's streams. */
 export interface PathWatch {
   /** Streams that gave an event already. */
--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -168,6 +168,7 @@
     listeners,
     metrics,
     () => true,
+    () => 1,
     getNow,
   );
   const handleOrder = (order: Omit<OrderMessage, 'kind'>) => {
--- a/packages/gateway/src/fleet/probes.ts
+++ b/packages/gateway/src/fleet/probes.ts
@@ -1,5 +1,6 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
+  computeFresh,
   DoubtCause,
   isFailing,
   recordRefusal,
@@ -47,6 +48,8 @@
 const neededWords = 2;
 /** An endpoint that answered this lately need not be asked again. */
 const freshMilliseconds = 250;
+/** Fewer endpoints may well be lost at once, such as a rack of them. */
+const cutOffLeast = 8;
 /** An endpoint that refuses work is left out until its state is known. */
 const refusedMilliseconds = 300;
 /** One that refuses though it has room is left out for longer. */
@@ -70,6 +73,7 @@
     private readonly metrics: Metrics,
     /** Whether this VM is one of the few whose word counts in a large fleet. */
     private readonly isJuror: () => boolean,
+    private readonly countVms: () => number,
     private readonly getNow: () => Instant,
   ) {}
 
@@ -94,10 +98,14 @@
     return waiting === 0;
   }
 
-  /** Tells whether an endpoint that a peer found failing answers this VM. */
+  /**
+   * Tells whether an endpoint that a peer found failing answers this VM. Only
+   * a few VMs ask: those that are cut off accuse all endpoints.
+   */
   async checkAccusation(state: EndpointState): Promise<boolean> {
     const age = this.getNow() - state.doubt.answeredAt;
-    return age < freshMilliseconds || this.probe(state.entry.id);
+    if (age < freshMilliseconds) return true;
+    return this.isJuror() && this.probe(state.entry.id);
   }
 
   /** Asks an endpoint, once more after a failure; tells whether it answered. */
@@ -105,6 +113,8 @@
     const state = this.table.find(id);
     if (state === undefined) return false;
     if (this.asking.has(id)) return state.doubt.failedProbes === 0;
+    const fresh = computeFresh(this.countVms());
+    if (this.getNow() - state.doubt.answeredAt < fresh) return true;
     // It is asked again in its time, however many speak against it.
     if ((this.failing.get(id) ?? 0) > this.getNow()) return false;
     this.asking.add(id);
@@ -203,6 +213,12 @@
     return report;
   }
 
+  /** Tells whether this VM rather than the endpoints has lost its links. */
+  private isCutOff(): boolean {
+    const silent = this.failing.size;
+    return silent >= cutOffLeast && silent > this.table.count() / 2;
+  }
+
   private async askOnce(state: EndpointState): Promise<boolean> {
     const {id} = state.entry;
     const report = await this.fetchReport(state);
@@ -232,6 +248,7 @@
     const cause = isCertain ? DoubtCause.Silent : DoubtCause.Unanswered;
     const isKnown = state.doubt.failedProbes > neededWords;
     if (isKnown && !this.isJuror()) return;
+    if (this.isCutOff()) return;
     this.listeners.sendAccusation(id, state.bornAt, cause);
   }
 }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -139,6 +139,7 @@
     listeners,
     metrics,
     isJuror,
+    () => getParts().mesh.listLive().length + 1,
     getNow,
   );
   return {metrics, endpoints, loads, paths, probes};
