--- a/packages/decisions/src/stages/plan_bridge.ts
+++ b/packages/decisions/src/stages/plan_bridge.ts
@@ -1,4 +1,5 @@
 import {countLayers, type LayerRange} from '@zinniaspindle/shared';
+import {listGaps} from './layer_gaps.js';
 import {computeTokenCapacity, countFittingLayers} from './memory.js';
 import type {
   PlannedEndpoint,
@@ -27,9 +28,9 @@
   for (const {id, held} of group) {
     if (held !== undefined) plan.set(id, {range: held, isUrgent: false});
   }
-  if (plan.size === 0) return undefined;
   const empty = group.filter(({held}) => held === undefined);
-  for (const gap of listGaps(plan, model.layerCount)) {
+  const held = [...plan.values()].map(({range}) => range);
+  for (const gap of listGaps(held, model.layerCount)) {
     const [spare] = empty.splice(0, 1);
     const left =
       spare === undefined
@@ -116,20 +117,6 @@
   plan.set(taker.id, {range: stretched, isUrgent: false});
 }
 
-/** Finds the layers that nobody holds, as ranges. */
-function listGaps(plan: MutablePlan, layerCount: number): LayerRange[] {
-  const ranges = [...plan.values()].map(({range}) => range);
-  ranges.sort((a, b) => a.first - b.first);
-  const gaps: LayerRange[] = [];
-  let reached = 0;
-  for (const {first, end} of ranges) {
-    if (first > reached) gaps.push({first: reached, end: first});
-    reached = Math.max(reached, end);
-  }
-  if (reached < layerCount) gaps.push({first: reached, end: layerCount});
-  return gaps;
-}
-
 /**
  * Gives an empty endpoint what its gap's neighbours do not take: a third each,
  * as far as they have room. Returns what is still missing.
--- a/packages/decisions/src/stages/plan_least_loads.ts
+++ b/packages/decisions/src/stages/plan_least_loads.ts
@@ -1,4 +1,8 @@
-import type {LayerRange} from '@zinniaspindle/shared';
+import {
+  computeOverlap,
+  countLayers,
+  type LayerRange,
+} from '@zinniaspindle/shared';
 
 /** One endpoint of a chain, in the order of their layers. */
 export interface FittedMember {
@@ -73,13 +77,9 @@
 }
 
 /** Counts the layers that an endpoint has to load for a range. */
-export function countLoads(
-  {held}: FittedMember,
-  {first, end}: LayerRange,
-): number {
-  if (held === undefined) return end - first;
-  const kept = Math.min(held.end, end) - Math.max(held.first, first);
-  return end - first - Math.max(0, kept);
+export function countLoads({held}: FittedMember, range: LayerRange): number {
+  const kept = held === undefined ? undefined : computeOverlap(held, range);
+  return countLayers(range) - (kept === undefined ? 0 : countLayers(kept));
 }
 
 function computeCost(member: FittedMember, range: LayerRange): number {
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -1,9 +1,9 @@
 import type {LayerRange} from '@zinniaspindle/shared';
+import {findGap} from './layer_gaps.js';
 import {countFittingAll, countFittingLayers, sortBySize} from './memory.js';
 import {planBridge, planRelief} from './plan_bridge.js';
 import {buildChains} from './build_chains.js';
 import {planRepair} from './plan_repair.js';
-import {sortHolders} from './sort_holders.js';
 import type {StageEndpoint, StageModel} from './stage_types.js';
 
 /** How ranges are planned. */
@@ -76,23 +76,21 @@
 ): RangePlan {
   const plan = new Map<string, PlannedRange>();
   const groups = buildGroups(endpoints, model, options);
+  const whole = groups.filter(group => canTakeOver(group, model)).length;
   // A chain whose streams still run waits until no other moves its ranges.
   let isMoving = groups.some(group => isRelaid(group, model));
   for (const group of groups) {
-    const isFirst = group.every(({held}) => held === undefined);
+    const ranges = planInPlace(group, model, options);
+    for (const [id, range] of ranges ?? []) plan.set(id, range);
+    if (ranges !== undefined) continue;
     const stillRuns = isStillRunning(group, leaving, model);
-    const mayMove =
-      isFirst || isRelaid(group, model) || !isMoving || !stillRuns;
-    const isUrgent = isRepairUrgent(group, groups, stillRuns, model);
-    const {ranges, isMove} = planGroup(
-      group,
-      mayMove,
-      isUrgent,
-      model,
-      options,
-    );
-    if (isMove && !isFirst) isMoving = true;
-    for (const [id, range] of ranges) plan.set(id, range);
+    if (stillRuns && isMoving) continue;
+    isMoving = true;
+    const isUrgent = isRepairUrgent(whole, groups.length, stillRuns);
+    const tokens = findTokens(group, model, options.repairTokens);
+    for (const [id, range] of planRepair(group, tokens, model)) {
+      plan.set(id, {range, isUrgent});
+    }
   }
   return plan;
 }
@@ -115,16 +113,12 @@
  * whole.
  */
 function isRepairUrgent(
-  group: readonly PlannedEndpoint[],
-  groups: readonly PlannedEndpoint[][],
+  wholeChains: number,
+  chains: number,
   stillRuns: boolean,
-  model: StageModel,
 ): boolean {
-  const whole = groups.filter(
-    other => other !== group && canTakeOver(other, model),
-  );
-  if (whole.length === 0) return false;
-  return !stillRuns || whole.length < groups.length * ampleShare;
+  if (wholeChains === 0) return false;
+  return !stillRuns || wholeChains < chains * ampleShare;
 }
 
 /** Tells whether a chain is whole and could take the streams of another. */
@@ -146,19 +140,6 @@
   return loading >= movedEndpoints && findGap(group, model.layerCount) === -1;
 }
 
-/** Finds the first layer that no endpoint of a group holds; -1 for none. */
-export function findGap(
-  endpoints: readonly StageEndpoint[],
-  layerCount: number,
-): number {
-  let reached = 0;
-  for (const {held} of sortHolders(endpoints)) {
-    if (held === undefined || held.first > reached) break;
-    reached = Math.max(reached, held.end);
-  }
-  return reached >= layerCount ? -1 : reached;
-}
-
 /** Joins data centres that cannot hold a chain alone into one group. */
 function buildGroups(
   endpoints: readonly PlannedEndpoint[],
@@ -197,48 +178,31 @@
   return fitting >= model.layerCount;
 }
 
-/** What a group's endpoints should hold, and whether held layers move. */
-interface GroupPlan {
-  readonly ranges: RangePlan;
-  readonly isMove: boolean;
-}
-
-function planGroup(
+/**
+ * Plans a group whose endpoints keep what they hold; undefined for a broken
+ * chain that can only be repaired by moving layers.
+ */
+function planInPlace(
   group: readonly PlannedEndpoint[],
-  mayMove: boolean,
-  isUrgent: boolean,
   model: StageModel,
   options: RangeOptions,
-): GroupPlan {
+): RangePlan | undefined {
   if (findGap(group, model.layerCount) === -1) {
-    return {ranges: planRelief(group, model, options), isMove: false};
+    return planRelief(group, model, options);
   }
-  const bridge = planBridge(group, model, options);
-  if (bridge !== undefined) return {ranges: bridge, isMove: false};
-  if (!mayMove) return {ranges: new Map(), isMove: false};
-  const ranges = planAnew(group, isUrgent, model, options);
-  return {ranges, isMove: true};
+  const isEmpty = group.every(({held}) => held === undefined);
+  if (isEmpty) return planFirst(group, model, options);
+  return planBridge(group, model, options);
 }
 
-/** Lays all ranges out: evenly at first, later with as few loads as it takes. */
-function planAnew(
+/** Lays the ranges of empty endpoints out, evenly by the time of a pass. */
+function planFirst(
   group: readonly PlannedEndpoint[],
-  isUrgent: boolean,
   model: StageModel,
   options: RangeOptions,
 ): RangePlan {
-  const isFresh = group.every(({held}) => held === undefined);
-  const goal = isFresh ? options.goalTokens : options.repairTokens;
-  const tokens = findTokens(group, model, goal);
-  if (!isFresh) {
-    const plan = new Map<string, PlannedRange>();
-    for (const [id, range] of planRepair(group, tokens, model)) {
-      plan.set(id, {range, isUrgent});
-    }
-    return plan;
-  }
-  const ordered = sortMixed(group);
-  const members = ordered.map(endpoint => ({
+  const tokens = findTokens(group, model, options.goalTokens);
+  const members = sortMixed(group).map(endpoint => ({
     endpoint,
     size: 0,
     cap: countFittingLayers(endpoint, tokens, model),
--- a/packages/decisions/src/stages/plan_repair.ts
+++ b/packages/decisions/src/stages/plan_repair.ts
@@ -2,7 +2,6 @@
 import {countFittingLayers} from './memory.js';
 import {countLoads, planLeastLoads} from './plan_least_loads.js';
 import type {FittedMember} from './plan_least_loads.js';
-import {sortHolders} from './sort_holders.js';
 import type {StageEndpoint, StageModel} from './stage_types.js';
 
 /** Endpoints of which pairs are tried; the best ones alone. */
@@ -104,6 +103,17 @@
   return sorted;
 }
 
+/** Sorts the endpoints that hold layers along them. */
+function sortHolders(endpoints: readonly StageEndpoint[]): StageEndpoint[] {
+  const holders = endpoints.filter(({held}) => held !== undefined);
+  return holders.sort(
+    (a, b) =>
+      a.held!.first - b.held!.first ||
+      a.held!.end - b.held!.end ||
+      (a.id < b.id ? -1 : 1),
+  );
+}
+
 /** Finds where in a chain most layers are missing, beside those filled. */
 function findWidestGap(
   sorted: readonly StageEndpoint[],
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -92,13 +92,3 @@
   if (range === undefined) return false;
   return range.first <= other.first && range.end >= other.end;
 }
-
-/** Computes the layers that both ranges have. */
-export function computeOverlap(
-  a: LayerRange,
-  b: LayerRange,
-): LayerRange | undefined {
-  const first = Math.max(a.first, b.first);
-  const end = Math.min(a.end, b.end);
-  return end > first ? {first, end} : undefined;
-}
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -1,4 +1,5 @@
 import {
+  computeOverlap,
   GatewayEvent,
   isPast,
   type Instant,
@@ -12,7 +13,6 @@
 import type {WriteEvent} from '../log/event_log.js';
 import type {EndpointEntry, ServiceModel} from '../ports/index.js';
 import {
-  computeOverlap,
   createEndpointState,
   formatHeld,
   hasAllLayers,
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -39,8 +39,8 @@
     private readonly handleOrder: (order: OrderMessage) => void,
     private readonly sendTo: (peer: Peer, message: PeerMessage) => void,
     private readonly sendAll: (message: PeerMessage) => void,
-    /** Whether this VM is one of the few that vouch in a large fleet. */
-    private readonly mayVouch: () => boolean,
+    /** Whether this VM is one of the few whose word counts in a large fleet. */
+    private readonly isJuror: () => boolean,
     private readonly countPeers: () => number,
     private readonly getNow: () => Instant,
   ) {}
@@ -178,7 +178,7 @@
     if (!answers || cause === DoubtCause.Refusing) return;
     const now = this.getNow();
     const {bornAt, doubt, entry} = state;
-    if (now < doubt.vouchAt || !this.mayVouch()) return;
+    if (now < doubt.vouchAt || !this.isJuror()) return;
     doubt.vouchAt = now + vouchMilliseconds;
     const {id} = entry;
     this.sendAll({kind: PeerMessageKind.Voucher, id, bornAt});
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -90,9 +90,14 @@
 
   /** Lists the VMs that were heard in time and do not leave. */
   listLive(): Peer[] {
-    return [...this.peers.values()].filter(
-      ({isHeard, phase}) => isHeard && phase !== PeerPhase.Leaving,
-    );
+    return [...this.peers.values()].filter(isLive);
+  }
+
+  /** Counts the VMs that were heard in time and do not leave. */
+  countLive(): number {
+    let count = 0;
+    for (const peer of this.peers.values()) if (isLive(peer)) count += 1;
+    return count;
   }
 
   /** Tells whether a live VM owns the orders to endpoints. */
@@ -217,3 +222,7 @@
     this.loads.setPeer(peer.vm, beat.loads);
   }
 }
+
+function isLive({isHeard, phase}: Peer): boolean {
+  return isHeard && phase !== PeerPhase.Leaving;
+}
--- a/packages/gateway/src/requests/stream_request.ts
+++ b/packages/gateway/src/requests/stream_request.ts
@@ -121,12 +121,13 @@
     const {serving, service, route} = this.context;
     for (;;) {
       const path = serving.paths.pick(service.name, this.model, tokens);
+      if (path !== undefined || this.isAbandoned) return path;
       const hasPath = serving.paths.hasUsable(service.name, this.model);
       const patience = this.hasBegun
         ? resumeMilliseconds
         : computePatience(route.targetMilliseconds, hasPath);
-      const isOver = isPast(this.lastEventAt + patience, serving.getNow());
-      if (path !== undefined || isOver || this.isAbandoned) return path;
+      const waitUntil = this.lastEventAt + patience;
+      if (isPast(waitUntil, serving.getNow())) return undefined;
       await waitMilliseconds(pollMilliseconds);
     }
   }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -148,7 +148,7 @@
       if (paths.isGivenUp(path)) paths.dropStreams(path);
       const drop = () => paths.dropStreams(path);
       void probes.probePath(path, drop).then(isUp => {
-        if (isUp) paths.recordAnswers(path, mesh.listLive().length + 1);
+        if (isUp) paths.recordAnswers(path, mesh.countLive() + 1);
       });
     }
   }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -95,6 +95,10 @@
  */
 const jurors = 16;
 
+function isJuror(rank: number): boolean {
+  return rank < jurors;
+}
+
 /** Builds the parts of an entry VM; nothing runs before it is started. */
 export function buildParts(context: GatewayContext): GatewayParts {
   // Parts call one another; each call comes after all have been built.
@@ -132,14 +136,13 @@
     },
   };
   const calls = ports.endpoints;
-  const isJuror = () => getRank() < jurors;
   const probes = new Probes(
     endpoints,
     calls,
     listeners,
     metrics,
-    isJuror,
-    () => getParts().mesh.listLive().length + 1,
+    () => isJuror(getRank()),
+    () => getParts().mesh.countLive() + 1,
     getNow,
   );
   return {metrics, endpoints, loads, paths, probes};
@@ -165,8 +168,8 @@
     order => applyOrder(fleet, order),
     (peer, message) => getParts().mesh.sendTo(peer, message),
     message => getParts().mesh.sendAll(message),
-    () => context.getRank() < jurors,
-    () => getParts().mesh.listLive().length,
+    () => isJuror(context.getRank()),
+    () => getParts().mesh.countLive(),
     getNow,
   );
   const {peers, callers} = settings.listen;
@@ -223,7 +226,7 @@
     fleet.probes,
     ownership,
     handleOrder,
-    () => mesh.listLive().length,
+    () => mesh.countLive(),
     log.write,
     metrics,
     getNow,
--- a/packages/shared/src/layer_range.ts
+++ b/packages/shared/src/layer_range.ts
@@ -9,6 +9,16 @@
   return range.end - range.first;
 }
 
+/** Computes the layers that both ranges have. */
+export function computeOverlap(
+  a: LayerRange,
+  b: LayerRange,
+): LayerRange | undefined {
+  const first = Math.max(a.first, b.first);
+  const end = Math.min(a.end, b.end);
+  return end > first ? {first, end} : undefined;
+}
+
 /** Tells whether ranges cover layers 0 to layerCount once each, in order. */
 export function isWholeChain(
   ranges: readonly LayerRange[],
