test: ports of test servers come from blocks that no other process uses

Cause: the command line's demo and the fleet of the platform's tests took a port that the kernel gave to a server on port 0, closed that server and let a VM listen there some 0.3 s later, more under load. Any other socket that got the port in between kept the VM from listening ("child peers is down"), or answered in its place.

Change: reservePort of the stand-ins gives ports below the kernel's own, from a block that the process holds by listening on its first port.

--- a/packages/cli/src/demo/entry_fleet.ts
+++ b/packages/cli/src/demo/entry_fleet.ts
@@ -1,15 +1,13 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {isSea} from 'node:sea';
 import {fileURLToPath} from 'node:url';
 import {ListedPurpose, ListedState, toId} from '@zinniaspindle/shared';
 import type {VmId} from '@zinniaspindle/shared';
-import {sendControl, stopChild} from '@zinniaspindle/stand-ins';
+import {reservePort, sendControl, stopChild} from '@zinniaspindle/stand-ins';
 import type {Fleet} from '@zinniaspindle/stand-ins';
 import {hashOperatorToken} from './publish_fleet.js';
 
@@ -82,13 +80,3 @@
   const main = fileURLToPath(new URL('../main.ts', import.meta.url));
   return ['--import', 'tsx', main, ...run];
 }
-
-function reservePort(): Promise<number> {
-  return new Promise(resolve => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const {port} = server.address() as AddressInfo;
-      server.close(() => resolve(port));
-    });
-  });
-}
--- a/packages/scenarios/src/processes/entry_process.ts
+++ b/packages/scenarios/src/processes/entry_process.ts
@@ -1,12 +1,10 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {writeFileSync} from 'node:fs';
-import {createServer} from 'node:net';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {reservePort} from '@zinniaspindle/stand-ins';
 
 const loopback = '127.0.0.1';
-const lowestPort = 20_000;
-const portCount = 12_000;
 const mainFile = fileURLToPath(
   new URL('../../../cli/src/main.ts', import.meta.url),
 );
@@ -79,22 +77,3 @@
 level = error
 `;
 }
-
-/**
- * Finds a port that is free at the moment, below those that the kernel gives
- * to outgoing connections, so that none of these takes it in between.
- */
-async function reservePort(): Promise<number> {
-  for (;;) {
-    const port = lowestPort + Math.floor(Math.random() * portCount);
-    if (await canListen(port)) return port;
-  }
-}
-
-function canListen(port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, loopback, () => server.close(() => resolve(true)));
-  });
-}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -15,6 +15,7 @@
 export type {StandIn} from './http/json_server.js';
 export * from './log_stand_in.js';
 export * from './log_store.js';
+export * from './reserve_port.js';
 export * from './service_stand_in.js';
 export * from './spawn_stand_in.js';
 export * from './start_stand_in.js';
