perf(gateway): less work for each heartbeat and each search of paths

Change: heartbeats change sums by path; those of endpoints are computed when a path is picked. Cached paths expire only while something is suspected, and the flow is skipped where the least held layer allows no more paths. A plan of repairs computes only ranges that the other endpoints can complete.

--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -130,6 +130,7 @@
     left = left.filter(endpoint => !used.has(endpoint));
   }
   const {layerCount} = search.model;
+  if (paths.length >= countLeastHolders(holders, layerCount)) return paths;
   const chains = findDisjointChains(holders, layerCount);
   if (chains.length <= paths.length) return paths;
   // The cheapest paths have taken endpoints that others need.
@@ -141,6 +142,25 @@
   return separate.length > paths.length ? separate : paths;
 }
 
+/** Counts the holders of the layer that the fewest hold; no more paths exist. */
+function countLeastHolders(
+  holders: readonly StageEndpoint[],
+  layerCount: number,
+): number {
+  const changes = new Array<number>(layerCount + 1).fill(0);
+  for (const {held} of holders) {
+    changes[held!.first]! += 1;
+    changes[held!.end]! -= 1;
+  }
+  let count = 0;
+  let least = Infinity;
+  for (let layer = 0; layer < layerCount; layer += 1) {
+    count += changes[layer]!;
+    least = Math.min(least, count);
+  }
+  return least;
+}
+
 /** Counts the hops between data centres. */
 function countCrossings(parts: readonly PathPart[]): number {
   let crossings = 0;
--- a/packages/decisions/src/stages/plan_min_loads.ts
+++ b/packages/decisions/src/stages/plan_min_loads.ts
@@ -38,8 +38,16 @@
   };
   const rows: CostRow[] = [];
   let last = first;
+  let capBefore = 0;
+  let capLeft = 0;
+  for (const {cap} of members) capLeft += cap;
   for (const member of members) {
-    last = addMember(last, member, layerCount);
+    capBefore += member.cap;
+    capLeft -= member.cap;
+    // Beyond these layers, the members on one side could not hold the rest.
+    const least = Math.max(0, layerCount - capLeft);
+    const most = Math.min(layerCount, capBefore);
+    last = addMember(last, member, layerCount, least, most);
     rows.push(last);
   }
   if (last.costs[layerCount] === Infinity) return undefined;
@@ -56,14 +64,17 @@
   before: CostRow,
   member: ChainMember,
   layerCount: number,
+  leastEnd: number,
+  mostEnd: number,
 ): CostRow {
-  const costs: number[] = [];
-  const starts: number[] = [];
-  for (let end = 0; end <= layerCount; end += 1) {
+  const costs = new Array<number>(layerCount + 1).fill(Infinity);
+  const starts = new Array<number>(layerCount + 1).fill(0);
+  for (let end = leastEnd; end <= mostEnd; end += 1) {
     let least = before.costs[end]!;
     let start = end;
     const most = Math.min(member.cap, end);
     for (let first = end - 1; first >= end - most; first -= 1) {
+      if (before.costs[first]! >= least) continue;
       if (member.isFixed && !isWithin(member.held, first, end)) continue;
       const loaded = end - first - countKept(member.held, first, end);
       const cost =
@@ -72,8 +83,8 @@
       least = cost;
       start = first;
     }
-    costs.push(least);
-    starts.push(start);
+    costs[end] = least;
+    starts[end] = start;
   }
   return {costs, starts};
 }
--- a/packages/decisions/src/stages/wait_queue.ts
+++ b/packages/decisions/src/stages/wait_queue.ts
@@ -40,8 +40,7 @@
 
 /**
  * Adds a request behind those that go before it: cut streams first, then by
- * priority, then by age. Nobody behind a request takes a place that it waits
- * for, so that large prompts do not starve.
+ * priority, then by age.
  */
 export function addWaiter<Item extends Waiter>(
   queue: WaitQueue<Item>,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -205,6 +205,15 @@
     this.writeEvent(GatewayEvent.EndpointRecovered, {endpoint});
   }
 
+  /** Tells whether a suspicion, or its refutation, will expire. */
+  hasSuspects(): boolean {
+    const now = this.getNow();
+    for (const {suspectUntil, health} of this.states.values()) {
+      if (!isPast(suspectUntil, now) || health.failedProbes > 0) return true;
+    }
+    return false;
+  }
+
   /** Tells whether an endpoint accepts new requests from this VM. */
   isUsable(state: EndpointState): boolean {
     if (state.entry.isDraining) return false;
--- a/packages/gateway/src/fleet/load_tracker.ts
+++ b/packages/gateway/src/fleet/load_tracker.ts
@@ -22,29 +22,36 @@
   tokens: number;
 }
 
-/** The load of a peer on a path; the path is undefined if this VM does not know it. */
-interface PeerCount {
-  readonly path: StagePath | undefined;
+/** The load of all peers on one path. */
+interface PeerTotal {
   readonly first: string;
-  readonly streams: number;
-  readonly tokens: number;
+  streams: number;
+  tokens: number;
 }
 
 /** Number of recent paths kept to resolve the hashes sent by peers. */
 const maxKnownPaths = 64;
 
-/** Tracks the load of each endpoint from the streams of this VM and its peers. */
+/**
+ * Tracks the load of each endpoint from the streams of this VM and its peers.
+ * Heartbeats of hundreds of peers change the sums of paths; those of endpoints
+ * are computed from them when a path is picked.
+ */
 export class LoadTracker {
-  private readonly totals = new Map<string, EndpointLoad>();
   private readonly own = new Map<string, PathCount>();
-  private readonly peers = new Map<string, readonly PeerCount[]>();
+  private readonly peers = new Map<string, readonly LoadRow[]>();
+  /** Sums over the peers, by the hash of the path. */
+  private readonly peerTotals = new Map<number, PeerTotal>();
   private readonly known = new Map<number, StagePath>();
+  /** Load by endpoint; undefined when a load has changed since it was computed. */
+  private totals: Map<string, EndpointLoad> | undefined;
 
   /** Adds a path to those that rows of peers may refer to. */
   addPath(path: StagePath): void {
     const hash = hashText(path.key);
     this.known.delete(hash);
     this.known.set(hash, path);
+    this.totals = undefined;
     if (this.known.size <= maxKnownPaths) return;
     const [oldest] = this.known.keys();
     this.known.delete(oldest!);
@@ -60,28 +67,28 @@
     count.streams += streams;
     count.tokens += tokens;
     if (count.streams === 0) this.own.delete(path.key);
-    this.addToPath(path, streams, tokens);
+    this.totals = undefined;
   }
 
   /** Replaces the load of a peer. */
   setPeer(vm: string, rows: readonly LoadRow[]): void {
     this.removePeer(vm);
-    const counts = rows.map(([hash, first, streams, tokens]) => ({
-      path: this.known.get(hash),
-      ...{first, streams, tokens},
-    }));
-    this.peers.set(vm, counts);
-    for (const count of counts) this.addCount(count, 1);
+    if (rows.length === 0) return;
+    this.peers.set(vm, rows);
+    for (const row of rows) this.addRow(row, 1);
   }
 
   /** Removes the load of a peer. */
   removePeer(vm: string): void {
-    for (const count of this.peers.get(vm) ?? []) this.addCount(count, -1);
+    const rows = this.peers.get(vm);
+    if (rows === undefined) return;
+    for (const row of rows) this.addRow(row, -1);
     this.peers.delete(vm);
   }
 
   /** Computes the load of an endpoint over all VMs. */
   computeLoad(id: string): EndpointLoad {
+    this.totals ??= this.computeTotals();
     return this.totals.get(id) ?? {streams: 0, layerTokens: 0};
   }
 
@@ -95,29 +102,53 @@
     return rows;
   }
 
-  private addCount(count: PeerCount, sign: number): void {
-    const {path, first, streams, tokens} = count;
-    if (path !== undefined) {
-      this.addToPath(path, sign * streams, sign * tokens);
-    } else {
-      this.addToEndpoint(first, sign * streams, 0);
+  private addRow([hash, first, streams, tokens]: LoadRow, sign: number): void {
+    this.totals = undefined;
+    let total = this.peerTotals.get(hash);
+    if (total === undefined) {
+      total = {first, streams: 0, tokens: 0};
+      this.peerTotals.set(hash, total);
     }
+    total.streams += sign * streams;
+    total.tokens += sign * tokens;
+    if (total.streams === 0 && total.tokens === 0) this.peerTotals.delete(hash);
   }
 
-  private addToPath(path: StagePath, streams: number, tokens: number): void {
-    for (const [index, {endpoint, layers}] of path.parts.entries()) {
-      const layerTokens = tokens * countLayers(layers);
-      this.addToEndpoint(endpoint.id, index === 0 ? streams : 0, layerTokens);
+  private computeTotals(): Map<string, EndpointLoad> {
+    const totals = new Map<string, EndpointLoad>();
+    for (const {path, streams, tokens} of this.own.values()) {
+      addToPath(totals, path, streams, tokens);
+    }
+    for (const [hash, {first, streams, tokens}] of this.peerTotals) {
+      const path = this.known.get(hash);
+      if (path !== undefined) addToPath(totals, path, streams, tokens);
+      else addToEndpoint(totals, first, streams, 0);
     }
+    return totals;
   }
+}
 
-  private addToEndpoint(id: string, streams: number, tokens: number): void {
-    const before = this.computeLoad(id);
-    const load = {
-      streams: before.streams + streams,
-      layerTokens: before.layerTokens + tokens,
-    };
-    if (load.streams <= 0 && load.layerTokens <= 0) this.totals.delete(id);
-    else this.totals.set(id, load);
+function addToPath(
+  totals: Map<string, EndpointLoad>,
+  path: StagePath,
+  streams: number,
+  tokens: number,
+): void {
+  for (const [index, {endpoint, layers}] of path.parts.entries()) {
+    const layerTokens = tokens * countLayers(layers);
+    addToEndpoint(totals, endpoint.id, index === 0 ? streams : 0, layerTokens);
   }
 }
+
+function addToEndpoint(
+  totals: Map<string, EndpointLoad>,
+  id: string,
+  streams: number,
+  layerTokens: number,
+): void {
+  const before = totals.get(id);
+  totals.set(id, {
+    streams: (before?.streams ?? 0) + streams,
+    layerTokens: (before?.layerTokens ?? 0) + layerTokens,
+  });
+}
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -54,7 +54,10 @@
   readonly paths: readonly StagePath[];
 }
 
-/** Suspicions expire without a new revision, so that cached paths expire as well. */
+/**
+ * Suspicions expire without a new revision. While there are some, cached paths
+ * expire as well.
+ */
 const cacheMilliseconds = 500;
 
 /** Picks paths for requests and detects stalled paths. */
@@ -90,7 +93,7 @@
     this.cache.set(service, {
       revision: this.endpoints.revision,
       model,
-      until: now + cacheMilliseconds,
+      until: this.endpoints.hasSuspects() ? now + cacheMilliseconds : Infinity,
       paths,
     });
     const keys = paths.map(({key}) => key).join(' | ');
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -24,6 +24,9 @@
   readonly resolve: (path: StagePath | undefined) => void;
 }
 
+/** Requests without a place after which the others of the queue are not tried. */
+const maxFailures = 40;
+
 /** Gives the places on paths to the requests that wait for them at this VM. */
 export class PathQueue {
   private readonly queues = new Map<string, WaitQueue<PathWaiter>>();
@@ -38,7 +41,8 @@
     const now = this.getNow();
     const queue = this.getQueue(service);
     addWaiter(queue, waiter, now);
-    if (queue.waiters[0] === waiter && this.takePlace(service, queue)) return;
+    const isFirst = queue.waiters[0] === waiter;
+    if (isFirst && this.takePlace(service, queue, waiter)) return;
     const wait = predictWait(queue, waiter, now);
     if (waiter.isResumed || now + wait <= waiter.waitUntil) return;
     this.refuse(queue, waiter);
@@ -52,19 +56,34 @@
   /** Gives free places to the first requests, and refuses the expired ones. */
   run(): void {
     for (const [service, queue] of this.queues) {
-      while (queue.waiters.length > 0 && this.takePlace(service, queue));
+      this.runQueue(service, queue);
       this.expireWaiters(queue);
     }
   }
 
-  private takePlace(service: string, queue: WaitQueue<PathWaiter>): boolean {
-    const [first] = queue.waiters;
-    const {model, tokens} = first!;
-    const path = this.paths.pick(service, model, tokens);
+  /**
+   * Gives places in the order of the queue. A request that finds none is passed
+   * by those behind it; large ones may use room that small ones may not.
+   */
+  private runQueue(service: string, queue: WaitQueue<PathWaiter>): void {
+    let failures = 0;
+    for (const waiter of [...queue.waiters]) {
+      if (this.takePlace(service, queue, waiter)) continue;
+      failures += 1;
+      if (failures >= maxFailures) return;
+    }
+  }
+
+  private takePlace(
+    service: string,
+    queue: WaitQueue<PathWaiter>,
+    waiter: PathWaiter,
+  ): boolean {
+    const path = this.paths.pick(service, waiter.model, waiter.tokens);
     if (path === undefined) return false;
-    removeWaiter(queue, first!);
+    removeWaiter(queue, waiter);
     recordPlaced(queue, this.getNow());
-    first!.resolve(path);
+    waiter.resolve(path);
     return true;
   }
 
