--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -36,13 +36,16 @@
     private readonly getNow: () => Instant,
   ) {}
 
-  /** Gives a request a place at once if none waits before it, or queues it. */
+  /**
+   * Gives a request a place at once if those before it leave one, or queues it,
+   * or refuses it if it would not be served in time.
+   */
   add(service: string, waiter: PathWaiter): void {
     const now = this.getNow();
     const queue = this.getQueue(service);
     addWaiter(queue, waiter, now);
-    const isFirst = queue.waiters[0] === waiter;
-    if (isFirst && this.takePlace(service, queue, waiter)) return;
+    this.runQueue(service, queue);
+    if (!queue.waiters.includes(waiter)) return;
     const wait = predictWait(queue, waiter, now);
     if (waiter.isResumed || now + wait <= waiter.waitUntil) return;
     this.refuse(queue, waiter);
