fix(placement): repairs that load together share the loads at full speed

Cause: each broken chain was repaired as if it alone used the loads that run at full speed. Change: the cost of a repair counts its share of them, and does not favour many small loads where fewer than two run beside each other. Tried and left: chains repaired one after the other.

--- a/packages/decisions/__tests__/plan_chains.test.ts
+++ b/packages/decisions/__tests__/plan_chains.test.ts
@@ -135,6 +135,31 @@
   }
 });
 
+/** Counts the layers loaded after one endpoint of each chain crashed. */
+function countRepairLoads(loadsAtOnce: number): number {
+  const emulator = new PlanEmulator({...model, loadsAtOnce});
+  for (const endpoint of grown) emulator.add(endpoint);
+  emulator.runUntil(60_000);
+  const before = countChains(emulator);
+  const loadedBefore = emulator.loadedLayers;
+  for (const chain of findDisjointChains(emulator.listHeld(), 80)) {
+    emulator.remove(chain[4]!.id);
+  }
+  while (emulator.now < 70_000 && countChains(emulator) < before) {
+    emulator.runUntil(emulator.now + 100);
+  }
+  assert.equal(countChains(emulator), before);
+  assertSound(emulator, 'crash');
+  return emulator.loadedLayers - loadedBefore;
+}
+
+// Where only three endpoints load at full speed, many small loads take longer.
+test('chains that break together load fewer layers where few load at once', () => {
+  const few = countRepairLoads(3);
+  const many = countRepairLoads(36);
+  assert.ok(few < many, `${few} layers, ${many} with many loads at once`);
+});
+
 test('a plan stops changing once the endpoints do', () => {
   for (let seed = 1; seed <= 20; seed += 1) {
     const random = makeRandom(seed);
--- a/packages/decisions/__tests__/plan_emulator.ts
+++ b/packages/decisions/__tests__/plan_emulator.ts
@@ -15,6 +15,8 @@
   readonly base: PlannedEndpoint;
   held: LayerRange | undefined;
   target: LayerRange | undefined;
+  /** Milliseconds that the load still takes at full speed. */
+  loadLeft: number;
   loadedAt: number;
   /** The range it held when it last reported. */
   reported: LayerRange | undefined;
@@ -45,6 +47,7 @@
       base,
       held: undefined,
       target: undefined,
+      loadLeft: 0,
       loadedAt: 0,
       reported: undefined,
       isSuspected: false,
@@ -102,8 +105,16 @@
   }
 
   private resolveLoads(): void {
+    const loading = [...this.endpoints.values()].filter(
+      ({target, loadLeft}) => target !== undefined && loadLeft > 0,
+    );
+    const speed = Math.min(1, this.model.loadsAtOnce / loading.length);
+    for (const one of loading) {
+      one.loadLeft -= planMilliseconds * speed;
+      one.loadedAt = this.now;
+    }
     for (const one of this.endpoints.values()) {
-      if (one.target === undefined || this.now < one.loadedAt) continue;
+      if (one.target === undefined || one.loadLeft > 0) continue;
       one.held = one.target;
       // The report that shows it comes later.
       if (this.now < one.loadedAt + reportLagMilliseconds) continue;
@@ -141,13 +152,10 @@
         : Math.min(one.held.end, range.end) -
           Math.max(one.held.first, range.first);
     const loads = range.end - range.first - Math.max(0, kept);
-    const loading = [...this.endpoints.values()].filter(
-      ({target}) => target !== undefined,
-    ).length;
-    const slowdown = Math.max(1, (loading + 1) / this.model.loadsAtOnce);
     this.loadedLayers += loads;
     one.target = range;
-    one.loadedAt = this.now + loads * layerMilliseconds * slowdown;
+    one.loadLeft = loads * layerMilliseconds;
+    one.loadedAt = this.now;
     const first = Math.max(one.held?.first ?? 0, range.first);
     const end = Math.min(one.held?.end ?? 0, range.end);
     one.held = end > first ? {first, end} : undefined;
--- a/packages/decisions/src/stages/plan_min_loads.ts
+++ b/packages/decisions/src/stages/plan_min_loads.ts
@@ -11,11 +11,11 @@
 }
 
 /**
- * Weight of the squared layer count in the cost of a load. Loads run in
- * parallel, so that the largest determines the time: three loads of 3 layers
- * are better than one of 9.
+ * Weight of the squared layer count in the cost of loads that run in parallel,
+ * so that the largest determines the time: three loads of 3 layers are better
+ * than one of 9.
  */
-const quadraticWeight = 0.25;
+export const parallelLoadWeight = 0.25;
 
 /** Lowest cost to cover the layers up to each index, and where the last range begins. */
 interface CostRow {
@@ -25,12 +25,14 @@
 
 /**
  * Divides all layers among a chain's endpoints, in their order, at the lowest
- * cost of loading layers that they don't hold yet. Undefined if they cannot
+ * cost of loading layers that they don't hold yet: their number, and its square
+ * by a weight for each load. Undefined if they cannot
  * hold all layers. An endpoint that is left out gets an empty range.
  */
 export function planMinLoads(
   members: readonly ChainMember[],
   layerCount: number,
+  quadraticWeight: number,
 ): LayerRange[] | undefined {
   const first: CostRow = {
     costs: listLayers(layerCount, layer => (layer === 0 ? 0 : Infinity)),
@@ -47,7 +49,7 @@
     // Beyond these layers, the members on one side could not hold the rest.
     const least = Math.max(0, layerCount - capLeft);
     const most = Math.min(layerCount, capBefore);
-    last = addMember(last, member, layerCount, least, most);
+    last = addMember(last, member, layerCount, least, most, quadraticWeight);
     rows.push(last);
   }
   if (last.costs[layerCount] === Infinity) return undefined;
@@ -66,6 +68,7 @@
   layerCount: number,
   leastEnd: number,
   mostEnd: number,
+  quadraticWeight: number,
 ): CostRow {
   const costs = new Array<number>(layerCount + 1).fill(Infinity);
   const starts = new Array<number>(layerCount + 1).fill(0);
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -90,6 +90,9 @@
   }
   // A chain that still serves its streams is repaired only while no other is relaid.
   let isMoving = whole.some(group => isRelayoutLoading(group, model));
+  // Chains that are repaired together share the loads at full speed.
+  const loadsAtOnce = model.loadsAtOnce / Math.max(1, broken.length);
+  const sharedModel = {...model, loadsAtOnce};
   for (const group of broken) {
     const ranges = planInPlace(group, model, options);
     for (const [id, range] of ranges ?? []) plan.set(id, range);
@@ -99,7 +102,7 @@
     isMoving = true;
     const isUrgent = isRepairUrgent(loaded, groupCount, stillRuns);
     const tokens = findFittingTokens(group, model, options.repairTokens);
-    for (const [id, range] of planRepair(group, tokens, model)) {
+    for (const [id, range] of planRepair(group, tokens, sharedModel)) {
       plan.set(id, {range, isUrgent});
     }
   }
--- a/packages/decisions/src/stages/plan_repair.ts
+++ b/packages/decisions/src/stages/plan_repair.ts
@@ -1,6 +1,10 @@
 import type {LayerRange} from '@zinniaspindle/shared';
 import {countFittingLayers} from './memory.js';
-import {countLoadedLayers, planMinLoads} from './plan_min_loads.js';
+import {
+  countLoadedLayers,
+  parallelLoadWeight,
+  planMinLoads,
+} from './plan_min_loads.js';
 import type {ChainMember} from './plan_min_loads.js';
 import type {PlannedEndpoint} from './plan_ranges.js';
 import type {StageModel} from './stage_types.js';
@@ -10,6 +14,9 @@
 /** Cost of each loaded layer; breaks ties in favour of the plan that loads less. */
 const loadedLayerCost = 0.05;
 
+/** Loads at full speed from which on a chain's loads are spread. */
+const minParallelLoads = 2;
+
 /** The new ranges of a chain, and what loading them costs. */
 interface Repair {
   readonly ranges: ReadonlyMap<string, LayerRange>;
@@ -71,7 +78,10 @@
     const cap = isLoading ? model.layerCount : fitting;
     return {held, cap, isFixed: isLoading};
   });
-  const planned = planMinLoads(members, model.layerCount);
+  // Loads that cannot run beside each other gain nothing by being small.
+  const isParallel = model.loadsAtOnce >= minParallelLoads;
+  const weight = isParallel ? parallelLoadWeight : 0;
+  const planned = planMinLoads(members, model.layerCount, weight);
   if (planned === undefined) return {ranges: new Map(), cost: Infinity};
   const ranges = new Map<string, LayerRange>();
   let total = 0;
