--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -20,14 +20,12 @@
 } from './messages.js';
 import {decodeMessage, encodeMessage} from './message_codec.js';
 import {computeRankWeight} from './compute_rank.js';
-import {computeHeartbeatPeriod} from './heartbeat_period.js';
+import {
+  computeClosedMessageAt,
+  computeSilenceTimeout,
+} from './heartbeat_period.js';
 import {PeerLink} from './peer_link.js';
 
-/**
- * Heartbeat periods without a message after which a peer is unreachable; three
- * heartbeats in a row may be lost or late.
- */
-const silenceTimeoutPeriods = 4;
 /** After this time without a message, a peer is removed and its link closed. */
 const retentionMilliseconds = 30_000;
 
@@ -131,8 +129,7 @@
   /** Marks silent peers as unreachable, and removes those silent for long. */
   checkSilence(): void {
     const now = this.getNow();
-    const silenceTimeoutMs =
-      silenceTimeoutPeriods * computeHeartbeatPeriod(this.peers.size);
+    const silenceTimeoutMs = computeSilenceTimeout(this.peers.size);
     for (const [vm, peer] of this.peers) {
       const silentMs = Math.round(now - peer.lastMessageAt);
       if (peer.isReachable && silentMs > silenceTimeoutMs) {
@@ -177,7 +174,10 @@
       socket.destroy();
     };
     socket.on('error', () => undefined); // 'close' follows.
-    socket.on('close', () => this.inbound.delete(socket));
+    socket.on('close', () => {
+      this.inbound.delete(socket);
+      if (peer !== undefined) this.handleClosed(peer);
+    });
     socket.on('data', chunk => {
       const messages = reader.accept(chunk);
       if (messages.isErr) return refuse(messages.error.message);
@@ -193,6 +193,12 @@
     });
   }
 
+  private handleClosed(peer: Peer): void {
+    const {size} = this.peers;
+    const now = this.getNow();
+    peer.lastMessageAt = computeClosedMessageAt(peer.lastMessageAt, size, now);
+  }
+
   private acceptMessage(
     peer: Peer | undefined,
     message: PeerMessage,
@@ -214,7 +220,13 @@
     const known = this.peers.get(hello.vm);
     for (const address of hello.known) this.addAddress(address);
     this.addAddress(hello.peerAddress);
-    if (known !== undefined && known.startedAt >= hello.startedAt) return known;
+    if (known !== undefined && known.startedAt >= hello.startedAt) {
+      if (known.startedAt === hello.startedAt) {
+        known.lastMessageAt = this.getNow();
+        known.isReachable = true;
+      }
+      return known;
+    }
     const peer: Peer = {
       vm: hello.vm,
       startedAt: hello.startedAt,
