--- a/packages/decisions/__tests__/plan_chains.test.ts
+++ b/packages/decisions/__tests__/plan_chains.test.ts
@@ -10,50 +10,26 @@
 import type {Random} from '@zinniaspindle/shared';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {PlanEmulator} from './plan_emulator.js';
+import {
+  kinds,
+  makeCentre,
+  makeEndpoint,
+  model as smallModel,
+} from './stage_fixtures.js';
 
 function makeRandom(seed: number): Random {
   const generator = xoroshiro128plus(seed);
   return () => (generator.next() >>> 0) / 2 ** 32;
 }
 
-const model: StageModel = {
-  layerCount: 80,
-  layerMegabytes: 1750,
-  tokenMegabytesPerLayer: 0.00822,
-  stepMilliseconds: 0.85,
-  loadsAtOnce: 36,
-};
+const model: StageModel = {...smallModel, loadsAtOnce: 36};
 
-const kinds = {
-  a100s: {sizeMegabytes: 36_000, pace: 3.1},
-  l4: {sizeMegabytes: 21_600, pace: 16},
-  t4: {sizeMegabytes: 14_400, pace: 15},
-};
 type Kind = keyof typeof kinds;
 
-function makeEndpoint(
-  id: string,
-  kind: Kind,
-  dataCentre: string,
-): PlannedEndpoint {
-  return {
-    ...{id, address: `${id}:1`, dataCentre, slots: 134, held: undefined},
-    ...{isLoading: false, isReachable: true},
-    ...kinds[kind],
-  };
-}
-
 function makeFleet(counts: Readonly<Record<string, readonly number[]>>) {
-  const endpoints: PlannedEndpoint[] = [];
-  for (const [centre, [a100s, l4, t4]] of Object.entries(counts)) {
-    for (const [kind, count] of Object.entries({a100s, l4, t4})) {
-      for (let i = 0; i < count!; i += 1) {
-        const id = `${centre}-${kind}-${i}`;
-        endpoints.push(makeEndpoint(id, kind as Kind, centre));
-      }
-    }
-  }
-  return endpoints;
+  return Object.entries(counts).flatMap(([centre, [a100s, l4, t4]]) =>
+    makeCentre(centre, {a100s: a100s!, l4: l4!, t4: t4!}),
+  );
 }
 
 /** Endpoints of three data centres, of which each holds a few chains. */
--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {isWholeChain, type LayerRange} from '@zinniaspindle/shared';
+import {isWholeChain} from '@zinniaspindle/shared';
 import {
   canCross,
   computeTokenCapacity,
@@ -17,57 +17,9 @@
   takeCrossings,
   type EndpointLoad,
   type PlannedEndpoint,
-  type StageModel,
   type StagePath,
 } from '@zinniaspindle/decisions';
-
-const model: StageModel = {
-  layerCount: 80,
-  layerMegabytes: 1750,
-  tokenMegabytesPerLayer: 0.00822,
-  stepMilliseconds: 0.85,
-  loadsAtOnce: 6,
-};
-
-const kinds = {
-  a100s: {sizeMegabytes: 36_000, pace: 3.1},
-  l4: {sizeMegabytes: 21_600, pace: 16},
-  t4: {sizeMegabytes: 14_400, pace: 15},
-};
-
-function makeEndpoint(
-  id: string,
-  kind: keyof typeof kinds,
-  dataCentre: string,
-  held?: LayerRange,
-): PlannedEndpoint {
-  const address = `${id}:1`;
-  return {
-    ...{
-      id,
-      address,
-      dataCentre,
-      slots: 134,
-      isLoading: false,
-      isReachable: true,
-    },
-    ...kinds[kind],
-    held,
-  };
-}
-
-function makeCentre(
-  name: string,
-  counts: Readonly<Record<keyof typeof kinds, number>>,
-): PlannedEndpoint[] {
-  const endpoints: PlannedEndpoint[] = [];
-  for (const kind of Object.keys(kinds) as Array<keyof typeof kinds>) {
-    for (let i = 0; i < counts[kind]; i += 1) {
-      endpoints.push(makeEndpoint(`${name}-${kind}-${i}`, kind, name));
-    }
-  }
-  return endpoints;
-}
+import {makeCentre, makeEndpoint, model} from './stage_fixtures.js';
 
 /** The endpoints of a typical deployment of three data centres. */
 function makeFleet(): PlannedEndpoint[] {
