fix(following): an outage of four seconds counts as one in every deployment

Cause: the threshold followed the read schedule; with a bound of 4 s an outage below 4.5 s was not noticed, and entries that expired in it were removed at once instead of two seconds after its end. Found by reading the change.

--- a/packages/gateway/src/following/store_replica.ts
+++ b/packages/gateway/src/following/store_replica.ts
@@ -22,10 +22,15 @@
  */
 const removalDelayShare = 0.65;
 /**
- * A time without an update of the endpoints that is longer by this than the age
- * at which every VM reads the store counts as an outage.
+ * A longer time without an update of the endpoints counts as an outage: an entry
+ * expires after 3.6 s of silence, 1.2 s of which may lie before it.
  */
-const outageMarginMilliseconds = 950;
+const outageThresholdMilliseconds = 2500;
+/**
+ * Where VMs read the store less often, a time that is longer by this than the
+ * age at which all of them read it counts as an outage.
+ */
+const outageMarginMilliseconds = 300;
 
 /** This VM's replica of the store's records: configuration and endpoints. */
 export class StoreReplica {
@@ -66,8 +71,10 @@
   checkOutage(): void {
     const state = this.topics[Topic.Endpoints];
     const now = this.getNow();
-    const threshold =
-      this.schedule.maxAgeMilliseconds + outageMarginMilliseconds;
+    const threshold = Math.max(
+      outageThresholdMilliseconds,
+      this.schedule.maxAgeMilliseconds + outageMarginMilliseconds,
+    );
     const isOutage = now - state.asOf > threshold;
     if (state.next !== undefined && isOutage) {
       this.recoveringUntil = now + outageRecoveryMilliseconds;
