fix(placement): loads are followed while endpoints come and go

Cause: while endpoints lost together are still being found there is no plan, and the reports of loading endpoints, which tell all VMs what they may use, were not fetched either. Change: without a plan, only reports are fetched. The test fails without it.

--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -186,8 +186,10 @@
   await runPending();
   const table = new EndpointTable(logNothing, () => clock.now);
   const orders: RangeOrder[] = [];
+  const reports = {count: 0};
   const calls: EndpointCalls = {
     fetchReport: () => {
+      reports.count += 1;
       const code = EndpointErrorCode.TimedOut;
       return Promise.resolve(Result.err(makeEndpointError(code, 'silent')));
     },
@@ -237,7 +239,7 @@
     runner.run(configuration);
     await runPending();
   };
-  return {table, orders, run, ownership, clock};
+  return {table, orders, reports, run, ownership, clock};
 }
 
 test('the first plan waits until no more endpoints are added', async () => {
@@ -292,3 +294,13 @@
   await run(300);
   assert.ok(orders.some(one => one.endpointId === 'e2' && one.range.end === 8));
 });
+
+test('loads are followed while more endpoints are being lost', async () => {
+  const {table, run, reports} = await makeRunner(() => OrderOutcome.Started);
+  await run(0);
+  await run(800);
+  const before = reports.count;
+  table.applyEntry(makeEntry({id: 'e9', address: '10.0.0.9:80'}));
+  await run(300);
+  assert.ok(reports.count > before, `${reports.count}`);
+});
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -39,6 +39,8 @@
 const reportIntervalMilliseconds = 220;
 const retryDelayMilliseconds = 400;
 
+const emptyPlan: RangePlan = new Map();
+
 /** The plan of a service and what it was made of. */
 interface ServicePlan {
   readonly watch: ChangeWatch;
@@ -94,8 +96,8 @@
     );
     const isEmpty = stages.every(({held}) => held === undefined);
     if (isEmpty && this.getNow() < this.settledAt) return;
-    const plan = this.findPlan(service, model, stages);
-    if (plan === undefined) return;
+    // Without a plan, loads in progress are still followed.
+    const plan = this.findPlan(service, model, stages) ?? emptyPlan;
     for (const stage of stages) this.updateStage(stage, plan, model, token);
   }
 
