refactor(placement): count memory and chains in one place each

countMegabytes stood in two files, the layers that a split holds were summed by hand beside countFittingAll, and the chains of a data centre were counted twice for each plan. No behaviour changes.

--- a/packages/decisions/src/stages/build_chains.ts
+++ b/packages/decisions/src/stages/build_chains.ts
@@ -1,4 +1,4 @@
-import {countFittingAll, sortBySize} from './memory.js';
+import {countFittingAll, countMegabytes, sortBySize} from './memory.js';
 import type {PlannedEndpoint, RangeOptions} from './plan_ranges.js';
 import type {StageModel} from './stage_types.js';
 
@@ -130,9 +130,3 @@
   }
   return Math.max(0, missing);
 }
-
-function countMegabytes(chain: readonly PlannedEndpoint[]): number {
-  let total = 0;
-  for (const {sizeMegabytes} of chain) total += sizeMegabytes;
-  return total;
-}
--- a/packages/decisions/src/stages/build_groups.ts
+++ b/packages/decisions/src/stages/build_groups.ts
@@ -1,5 +1,6 @@
 import {buildChains, countChains} from './build_chains.js';
 import {findDisjointChains} from './find_disjoint_chains.js';
+import {countMegabytes} from './memory.js';
 import type {PlannedEndpoint, RangeOptions} from './plan_ranges.js';
 import {planCentreSplit} from './plan_centre_split.js';
 import type {StageModel} from './stage_types.js';
@@ -15,9 +16,9 @@
 /** The chains of one data centre, and its endpoints that are in none. */
 interface CentreGroups {
   readonly whole: PlannedEndpoint[][];
-  rest: PlannedEndpoint[];
-  /** Whether the endpoints without a whole chain could hold one. */
-  readonly canHoldChain: boolean;
+  readonly rest: readonly PlannedEndpoint[];
+  /** Chains to build of the rest; zero if it cannot hold one. */
+  readonly chainCount: number;
 }
 
 /**
@@ -34,9 +35,9 @@
   const shared: PlannedEndpoint[] = [];
   for (const centre of listCentres(endpoints, model, options)) {
     whole.push(...centre.whole);
-    if (centre.canHoldChain) {
-      const count = countChains(centre.rest, model, options);
-      broken.push(...buildChains(centre.rest, count, model.layerCount));
+    if (centre.chainCount > 0) {
+      const {rest, chainCount} = centre;
+      broken.push(...buildChains(rest, chainCount, model.layerCount));
     } else if (centre.whole.length > 0) {
       addSpares(centre.whole, centre.rest);
     } else {
@@ -75,8 +76,8 @@
     const local = members.get(name)!;
     const whole = findWholeChains(local, model);
     const rest = removeMembers(local, whole);
-    const canHoldChain = countChains(rest, model, options) > 0;
-    centres.push({whole, rest, canHoldChain});
+    const chainCount = countChains(rest, model, options);
+    centres.push({whole, rest, chainCount});
   }
   return centres;
 }
@@ -121,9 +122,3 @@
     least.push(spare);
   }
 }
-
-function countMegabytes(chain: readonly PlannedEndpoint[]): number {
-  let total = 0;
-  for (const {sizeMegabytes} of chain) total += sizeMegabytes;
-  return total;
-}
--- a/packages/decisions/src/stages/memory.ts
+++ b/packages/decisions/src/stages/memory.ts
@@ -37,6 +37,13 @@
   return total;
 }
 
+/** Counts the accelerator memory of endpoints. */
+export function countMegabytes(endpoints: readonly StageEndpoint[]): number {
+  let total = 0;
+  for (const {sizeMegabytes} of endpoints) total += sizeMegabytes;
+  return total;
+}
+
 /** Sorts endpoints by descending memory. */
 export function sortBySize<Endpoint extends StageEndpoint>(
   endpoints: readonly Endpoint[],
--- a/packages/decisions/src/stages/plan_centre_split.ts
+++ b/packages/decisions/src/stages/plan_centre_split.ts
@@ -1,4 +1,4 @@
-import {countFittingAll, countFittingLayers} from './memory.js';
+import {countFittingAll} from './memory.js';
 import type {PlannedEndpoint, RangeOptions} from './plan_ranges.js';
 import {sortInterleaved} from './sort_interleaved.js';
 import type {StageModel} from './stage_types.js';
@@ -88,10 +88,7 @@
   let leastLayers = Infinity;
   for (const one of chains) {
     crossings += countCrossings(one);
-    let layers = 0;
-    for (const endpoint of one) {
-      layers += countFittingLayers(endpoint, minTokens, model);
-    }
+    const layers = countFittingAll(one, minTokens, model);
     leastLayers = Math.min(leastLayers, layers);
   }
   return {
