--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -2,7 +2,10 @@
 import {test} from 'node:test';
 import {isWholeChain, type LayerRange} from '@zinniaspindle/shared';
 import {
+  canCross,
   computeTokenCapacity,
+  countAvailableCrossings,
+  createCrossingBudget,
   createPathWatch,
   defaultRangeOptions,
   findGap,
@@ -11,6 +14,7 @@
   isStalled,
   pickPath,
   planRanges,
+  takeCrossings,
   type EndpointLoad,
   type PlannedEndpoint,
   type StageModel,
@@ -463,3 +467,41 @@
     }
   }
 });
+
+// At full load the room that comes free is taken by small requests first.
+test('large requests may use the last part of a path', () => {
+  const [path] = findPaths(applyPlan(makeFleet()), model);
+  const {parts, capacityTokens} = path!;
+  const loads = new Map<string, EndpointLoad>();
+  for (const {endpoint, layers} of parts) {
+    const layerTokens = capacityTokens * 0.88 * (layers.end - layers.first);
+    loads.set(endpoint.id, {streams: 40, layerTokens});
+  }
+  const pick = (tokens: number, usualTokens: number) =>
+    pickPath(
+      [path!],
+      tokens,
+      id => loads.get(id)!,
+      'a',
+      () => 0.5,
+      usualTokens,
+    );
+  const large = capacityTokens * 0.05;
+  assert.equal(pick(large, large / 2), path);
+  assert.equal(pick(large, large), undefined);
+});
+
+// On a link that carries two crossings a second for 20 VMs, a VM starts one every
+// ten seconds, however many requests wait.
+test('a VM crosses the shared link only within its share', () => {
+  const budget = createCrossingBudget(0);
+  let started = 0;
+  for (let now = 0; now < 60_000; now += 100) {
+    const available = countAvailableCrossings(budget, 2, 20, now);
+    if (!canCross(1, available)) continue;
+    takeCrossings(budget, 1);
+    started += 1;
+  }
+  assert.ok(started >= 5 && started <= 7, `${started}`);
+  assert.equal(canCross(0, -3), true);
+});
--- a/packages/decisions/src/placement/layer_coverage.ts
+++ b/packages/decisions/src/placement/layer_coverage.ts
@@ -66,17 +66,6 @@
   }
 }
 
-/**
- * Computes how much of the wanted rate the layers can carry, in tokens a second.
- * The mean over the layers is used, so that each step towards a whole chain is
- * an improvement.
- */
-export function computeServed(coverage: LayerCoverage, wanted: number): number {
-  let sum = 0;
-  for (const rate of coverage) sum += Math.min(rate, wanted);
-  return sum / coverage.length;
-}
-
 /** Computes the change of the served rate if a rate is added to a range. */
 export function computeChange(
   coverage: LayerCoverage,
--- a/packages/decisions/src/recovery/stage_health.ts
+++ b/packages/decisions/src/recovery/stage_health.ts
@@ -53,11 +53,10 @@
   health: StageHealth,
   view: FleetView,
   endpoint: EndpointId,
-  now: Instant,
 ): void {
   const breaker = health.breakers.get(endpoint);
   if (breaker === undefined) return;
-  recordSuccess(breaker, now);
+  recordSuccess(breaker);
   setFailing(view, endpoint, breaker.nextProbeAt);
 }
 
--- a/packages/decisions/src/retries/breaker.ts
+++ b/packages/decisions/src/retries/breaker.ts
@@ -76,9 +76,9 @@
 }
 
 /** Records a success; closes the breaker if it proves the endpoint healthy. */
-export function recordSuccess(breaker: Breaker, now: Instant): void {
-  // A request sent before the breaker opened doesn't prove recovery.
-  if (breaker.phase === BreakerPhase.Open && breaker.nextProbeAt > now) return;
+export function recordSuccess(breaker: Breaker): void {
+  // Only the probe proves recovery, not a request sent before the breaker opened.
+  if (breaker.phase === BreakerPhase.Open) return;
   breaker.phase = BreakerPhase.Closed;
   breaker.failures = 0;
   breaker.openCount = 0;
--- a/packages/decisions/src/stages/index.ts
+++ b/packages/decisions/src/stages/index.ts
@@ -10,4 +10,5 @@
 export * from './plan_ranges.js';
 export * from './stage_types.js';
 export * from './stall_watch.js';
+export * from './wait_queue.js';
 export * from './wait_times.js';
--- a/packages/decisions/src/stages/pick_path.ts
+++ b/packages/decisions/src/stages/pick_path.ts
@@ -13,6 +13,10 @@
 export interface PickOptions {
   /** Fill up to which a path takes new requests. */
   readonly fullShare: number;
+  /** The same for large requests, which would find no room among small ones. */
+  readonly largeFullShare: number;
+  /** Requests of at least this multiple of the usual tokens are large. */
+  readonly largeRatio: number;
   /** A path this many times slower than the fastest is used only if the others are full. */
   readonly slowRatio: number;
   /** Fill by which a path of another data centre must be lower to be preferred. */
@@ -24,6 +28,8 @@
 /** The settings used where a deployment gives none. */
 export const defaultPickOptions: PickOptions = {
   fullShare: 0.9,
+  largeFullShare: 0.97,
+  largeRatio: 1.5,
   slowRatio: 1.6,
   localBonus: 0.05,
   jitter: 0.1,
@@ -62,8 +68,11 @@
   getLoad: (id: string) => EndpointLoad,
   dataCentre: string,
   random: Random,
+  usualTokens = Infinity,
   options: PickOptions = defaultPickOptions,
 ): StagePath | undefined {
+  const isLarge = tokens >= usualTokens * options.largeRatio;
+  const fullShare = isLarge ? options.largeFullShare : options.fullShare;
   let fastest = Infinity;
   for (const {passMilliseconds} of paths) {
     fastest = Math.min(fastest, passMilliseconds);
@@ -72,7 +81,7 @@
   let least = Infinity;
   for (const path of paths) {
     const fill = computeFill(path, tokens, getLoad);
-    if (fill > options.fullShare) continue;
+    if (fill > fullShare) continue;
     const isLocal = path.parts[0]!.endpoint.dataCentre === dataCentre;
     const isSlow = path.passMilliseconds > fastest * options.slowRatio;
     const rank =
--- a/packages/decisions/src/stages/plan_min_loads.ts
+++ b/packages/decisions/src/stages/plan_min_loads.ts
@@ -1,8 +1,4 @@
-import {
-  computeOverlap,
-  countLayers,
-  type LayerRange,
-} from '@zinniaspindle/shared';
+import type {LayerRange} from '@zinniaspindle/shared';
 
 /** An endpoint of a chain; members are ordered by their layers. */
 export interface ChainMember {
@@ -66,10 +62,12 @@
   for (let end = 0; end <= layerCount; end += 1) {
     let least = before.costs[end]!;
     let start = end;
-    for (let size = 1; size <= Math.min(member.cap, end); size += 1) {
-      const first = end - size;
-      if (member.isFixed && !isWithin(member.held, {first, end})) continue;
-      const cost = before.costs[first]! + computeCost(member, {first, end});
+    const most = Math.min(member.cap, end);
+    for (let first = end - 1; first >= end - most; first -= 1) {
+      if (member.isFixed && !isWithin(member.held, first, end)) continue;
+      const loaded = end - first - countKept(member.held, first, end);
+      const cost =
+        before.costs[first]! + loaded + quadraticWeight * loaded * loaded;
       if (cost >= least) continue;
       least = cost;
       start = first;
@@ -80,23 +78,29 @@
   return {costs, starts};
 }
 
-function isWithin(held: LayerRange | undefined, range: LayerRange): boolean {
-  if (held === undefined) return false;
-  return range.first >= held.first && range.end <= held.end;
+function isWithin(
+  held: LayerRange | undefined,
+  first: number,
+  end: number,
+): boolean {
+  return held !== undefined && first >= held.first && end <= held.end;
 }
 
 /** Counts the layers of a range that an endpoint still has to load. */
 export function countLoadedLayers(
   {held}: ChainMember,
-  range: LayerRange,
+  {first, end}: LayerRange,
 ): number {
-  const kept = held === undefined ? undefined : computeOverlap(held, range);
-  return countLayers(range) - (kept === undefined ? 0 : countLayers(kept));
+  return end - first - countKept(held, first, end);
 }
 
-function computeCost(member: ChainMember, range: LayerRange): number {
-  const loaded = countLoadedLayers(member, range);
-  return loaded + quadraticWeight * loaded * loaded;
+function countKept(
+  held: LayerRange | undefined,
+  first: number,
+  end: number,
+): number {
+  if (held === undefined) return 0;
+  return Math.max(0, Math.min(end, held.end) - Math.max(first, held.first));
 }
 
 function listLayers(
--- a/packages/decisions/src/stages/wait_times.ts
+++ b/packages/decisions/src/stages/wait_times.ts
@@ -2,8 +2,13 @@
 
 /** Queue timeouts of requests and retry delays of refused callers. */
 export interface WaitOptions {
-  /** Share of the target latency for which a request waits for a slot on a path. */
+  /**
+   * Share of the target latency for which a request waits for a slot on a path
+   * while the time of a first event is not known.
+   */
   readonly slotWaitShare: number;
+  /** Multiple of the usual time to the first event that a wait must leave. */
+  readonly firstEventMargin: number;
   /** Share of the target latency for which a request waits for any path. */
   readonly pathWaitShare: number;
   /** Shortest retry delay; no repair of a lost range takes less. */
@@ -21,20 +26,29 @@
  */
 export const defaultWaitOptions: WaitOptions = {
   slotWaitShare: 0.4,
+  firstEventMargin: 1.5,
   pathWaitShare: 0.12,
   minRetryMilliseconds: 1500,
   retrySpreadMilliseconds: 5000,
   maxRetryShare: 1 / 3,
 };
 
-/** Computes the milliseconds that a request may wait before it is refused. */
+/**
+ * Computes the milliseconds that a request may wait before it is refused: while
+ * there are paths, as long as its first event would usually still come within
+ * the target.
+ */
 export function computeQueueTimeout(
   targetMilliseconds: number,
   hasPath: boolean,
+  firstEventMilliseconds: number | undefined,
   options: WaitOptions = defaultWaitOptions,
 ): number {
-  const share = hasPath ? options.slotWaitShare : options.pathWaitShare;
-  return targetMilliseconds * share;
+  if (!hasPath) return targetMilliseconds * options.pathWaitShare;
+  const least = targetMilliseconds * options.slotWaitShare;
+  if (firstEventMilliseconds === undefined) return least;
+  const needed = firstEventMilliseconds * options.firstEventMargin;
+  return Math.max(least, targetMilliseconds - needed);
 }
 
 /** Computes the milliseconds after which a refused caller should retry. */
--- /dev/null
+++ b/packages/gateway/__tests__/path_queue.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import type {StagePath} from '@zinniaspindle/decisions';
+import type {PathTable} from '../src/fleet/path_table.js';
+import type {ServiceModel} from '../src/ports/index.js';
+import {PathQueue} from '../src/requests/path_queue.js';
+
+const runMilliseconds = 20;
+const path = {key: 'p'} as StagePath;
+
+interface Outcome {
+  readonly isPlaced: boolean;
+  readonly waitedMilliseconds: number;
+}
+
+/** A queue before one path with room for some tokens, in virtual time. */
+function makeQueue(freeTokens: number) {
+  const state = {now: 0, freeTokens};
+  const paths = {
+    pick: (_service: string, _model: ServiceModel, tokens: number) =>
+      tokens <= state.freeTokens ? path : undefined,
+  } as Partial<PathTable> as PathTable;
+  const queue = new PathQueue(paths, () => state.now);
+  const outcomes = new Map<string, Outcome>();
+  const add = (
+    id: string,
+    tokens: number,
+    waitMilliseconds: number,
+    isResumed = false,
+  ) => {
+    const receivedAt = state.now;
+    const waiter = {
+      ...{isResumed, priority: 1, receivedAt, tokens},
+      waitUntil: receivedAt + waitMilliseconds,
+      model: {} as ServiceModel,
+      resolve: (found: StagePath | undefined) => {
+        const waitedMilliseconds = state.now - receivedAt;
+        outcomes.set(id, {isPlaced: found !== undefined, waitedMilliseconds});
+        if (found !== undefined) state.freeTokens -= tokens;
+      },
+    };
+    queue.add('s', waiter);
+    return waiter;
+  };
+  const runUntil = (end: number, tokensPerSecond: number) => {
+    while (state.now < end) {
+      state.now += runMilliseconds;
+      state.freeTokens += (tokensPerSecond * runMilliseconds) / 1000;
+      queue.run();
+    }
+  };
+  return {state, queue, outcomes, add, runUntil};
+}
+
+test('a request gets a free place at once', () => {
+  const {add, outcomes} = makeQueue(1000);
+  add('a', 900, 400);
+  assert.deepEqual(outcomes.get('a'), {isPlaced: true, waitedMilliseconds: 0});
+});
+
+test('a request without a place is refused at the end of its wait', () => {
+  const {add, outcomes, runUntil} = makeQueue(0);
+  add('a', 900, 200);
+  runUntil(180, 0);
+  assert.equal(outcomes.size, 0);
+  runUntil(220, 0);
+  assert.equal(outcomes.get('a')!.isPlaced, false);
+});
+
+// Many users come at once: 200 requests in 0.2 s, while 20 places a second come
+// free. Those that cannot be served in time are refused when they come.
+test('in a burst most refusals come at once, and no place stays free', () => {
+  const {add, outcomes, runUntil, state} = makeQueue(0);
+  for (let i = 0; i < 200; i += 1) {
+    add(`r${i}`, 900, 400);
+    runUntil((i + 1) * 5, 18_000);
+  }
+  runUntil(3000, 18_000);
+  const all = [...outcomes.values()];
+  const refused = all.filter(({isPlaced}) => !isPlaced);
+  const early = refused.filter(one => one.waitedMilliseconds <= 40);
+  assert.equal(all.length, 200);
+  assert.ok(early.length > refused.length / 2, `${early.length}`);
+  const placed = all.length - refused.length;
+  assert.ok(placed >= 18, `${placed} of 20 places were used`);
+  assert.ok(state.freeTokens >= 0);
+});
+
+// Small requests that come later take every place that is too small for a large
+// one, unless nobody passes the request that waits first.
+test('a large request is not passed by small ones', () => {
+  const {add, outcomes, runUntil} = makeQueue(0);
+  add('large', 4000, 600);
+  for (let i = 0; i < 40; i += 1) {
+    add(`small${i}`, 400, 600);
+    runUntil((i + 1) * 10, 10_000);
+  }
+  runUntil(1200, 10_000);
+  assert.equal(outcomes.get('large')!.isPlaced, true);
+});
+
+test('a cut stream goes before new requests', () => {
+  const {add, outcomes, runUntil} = makeQueue(0);
+  for (let i = 0; i < 5; i += 1) add(`new${i}`, 900, 200);
+  add('cut', 900, 1700, true);
+  runUntil(60, 18_000);
+  assert.equal(outcomes.get('cut')?.isPlaced, true);
+  assert.equal(outcomes.get('new0'), undefined);
+});
+
+// All paths are lost for a second at full load.
+test('while no place comes free, new requests are refused at once', () => {
+  const {add, outcomes, runUntil} = makeQueue(0);
+  for (let i = 0; i < 50; i += 1) {
+    add(`r${i}`, 900, 300);
+    runUntil((i + 1) * 20, 0);
+  }
+  for (let i = 25; i < 50; i += 1) {
+    assert.equal(outcomes.get(`r${i}`)!.waitedMilliseconds, 0, `r${i}`);
+  }
+});
+
+test('places are given again as soon as there are some', () => {
+  const {add, outcomes, runUntil} = makeQueue(0);
+  for (let i = 0; i < 50; i += 1) {
+    add(`r${i}`, 900, 300);
+    runUntil((i + 1) * 20, 0);
+  }
+  runUntil(1400, 20_000);
+  add('next', 900, 300);
+  assert.equal(outcomes.get('next')!.isPlaced, true);
+});
+
+test('a caller that leaves does not take a place', () => {
+  const {add, queue, outcomes, runUntil} = makeQueue(0);
+  const first = add('first', 900, 400);
+  add('second', 900, 400);
+  queue.cancel('s', first);
+  runUntil(60, 18_000);
+  assert.equal(outcomes.get('first'), undefined);
+  assert.equal(outcomes.get('second')!.isPlaced, true);
+});
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -116,6 +116,7 @@
       id => this.loads.computeLoad(id),
       this.dataCentre,
       Math.random,
+      computeUsualTokens(model),
     );
   }
 
@@ -258,6 +259,12 @@
   }
 }
 
+function computeUsualTokens(model: ServiceModel): number {
+  const {meanPromptTokens, meanAnswerTokens} = model;
+  if (meanPromptTokens === undefined) return Infinity;
+  return meanPromptTokens + meanAnswerTokens;
+}
+
 function hasOnlyPaused(streams: Iterable<PathStream>): boolean {
   for (const stream of streams) if (!stream.isPaused()) return false;
   return true;
--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -14,7 +14,7 @@
 /** Writes an event to the log. */
 export type WriteEvent = (event: GatewayEvent, fields: EventFields) => void;
 
-/** Lines of one event in a second; further ones are dropped. */
+/** Lines of one event in a second; further ones are dropped and counted. */
 const maxLinesPerSecond = 100;
 const windowMilliseconds = 1000;
 
@@ -38,7 +38,10 @@
 
   /** Writes an event with its fields. */
   readonly write: WriteEvent = (event, fields) => {
-    if (!this.takeLineQuota(event)) return;
+    if (!this.takeLineQuota(event)) {
+      this.writer.countDropped();
+      return;
+    }
     const logEvent: LogEvent = {event, fields};
     const time = new Date().toISOString();
     const text = renderEvent(logEvent);
--- a/packages/gateway/src/log/line_writer.ts
+++ b/packages/gateway/src/log/line_writer.ts
@@ -22,6 +22,12 @@
     });
   }
 
+  /** Counts a line that was dropped before it was written here. */
+  countDropped(): void {
+    this.dropped += 1;
+    this.timer ??= setTimeout(() => this.writeAll(), flushMilliseconds);
+  }
+
   /** Buffers a line, or drops it when the buffer is full. */
   write(line: string): void {
     if (this.bufferedBytes + line.length > maxBufferedBytes) {
@@ -39,7 +45,7 @@
   writeAll(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
-    if (this.lines.length === 0) return;
+    if (this.lines.length === 0 && this.dropped === 0) return;
     if (this.isBlocked) {
       this.timer = setTimeout(() => this.writeAll(), flushMilliseconds);
       return;
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -47,6 +47,8 @@
 
 const prefix = 'zinniaspindle_gateway_';
 const maxMilliseconds = 60_000;
+/** A median of fewer values says little. */
+const minMedianCount = 10;
 const percentiles = [50, 95, 99, 99.9];
 
 /** Counters and latency histograms, rendered in the Prometheus text format. */
@@ -74,6 +76,14 @@
     histogram.recordValue(Math.round(value));
   }
 
+  /** Finds the median of a latency; undefined before enough were recorded. */
+  findMedian(latency: Latency): number | undefined {
+    const histogram = this.latencies.get(latency);
+    if (histogram === undefined) return undefined;
+    if (histogram.totalCount < minMedianCount) return undefined;
+    return histogram.getValueAtPercentile(50);
+  }
+
   /** Renders all values, one per line. */
   render(): string {
     const lines: string[] = [];
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -31,6 +31,9 @@
 /** After this time without a message, a peer is removed and its link closed. */
 const retentionMilliseconds = 30_000;
 
+/** Interval at which links that no peer uses are looked for. */
+const linkCheckMilliseconds = 1000;
+
 /** What this VM knows about a peer. */
 export interface Peer {
   readonly vm: string;
@@ -61,6 +64,7 @@
   private readonly links = new Map<string, PeerLink>();
   private readonly linkOpenedAt = new Map<string, Instant>();
   private readonly server = net.createServer(socket => this.accept(socket));
+  private nextLinkCheckAt: Instant = 0;
   /** Connections that peers opened to this VM. */
   private readonly inbound = new Set<net.Socket>();
 
@@ -138,6 +142,8 @@
       }
       if (silentMs > retentionMilliseconds) this.peers.delete(vm);
     }
+    if (now < this.nextLinkCheckAt) return;
+    this.nextLinkCheckAt = now + linkCheckMilliseconds;
     const inUse = new Set(
       [...this.peers.values()].map(({peerAddress}) => peerAddress),
     );
--- a/packages/gateway/src/ports/configuration.ts
+++ b/packages/gateway/src/ports/configuration.ts
@@ -53,6 +53,8 @@
   readonly kinds: ReadonlyMap<string, AcceleratorKind>;
   /** Mean number of tokens of an answer. */
   readonly meanAnswerTokens: number;
+  /** Mean number of tokens of a prompt; undefined if unknown. */
+  readonly meanPromptTokens?: number | undefined;
 }
 
 /** A service of the operator's configuration. */
--- /dev/null
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -0,0 +1,93 @@
+import {
+  addWaiter,
+  createWaitQueue,
+  predictWait,
+  recordPlaced,
+  recordRefused,
+  removeWaiter,
+  type StagePath,
+  type Waiter,
+  type WaitQueue,
+} from '@zinniaspindle/decisions';
+import {isPast, type Instant} from '@zinniaspindle/shared';
+import type {PathTable} from '../fleet/path_table.js';
+import type {ServiceModel} from '../ports/index.js';
+
+/** A request that waits for a place on a path of a model. */
+export interface PathWaiter extends Waiter {
+  readonly model: ServiceModel;
+  readonly tokens: number;
+  /**
+   * Called once: with a path, on which the request must reserve its place before
+   * it returns, or without one if none came free in time.
+   */
+  readonly resolve: (path: StagePath | undefined) => void;
+}
+
+/** Gives the places on paths to the requests that wait for them at this VM. */
+export class PathQueue {
+  private readonly queues = new Map<string, WaitQueue<PathWaiter>>();
+
+  constructor(
+    private readonly paths: PathTable,
+    private readonly getNow: () => Instant,
+  ) {}
+
+  /** Gives a request a place at once if none waits before it, or queues it. */
+  add(service: string, waiter: PathWaiter): void {
+    const now = this.getNow();
+    const queue = this.getQueue(service);
+    addWaiter(queue, waiter, now);
+    if (queue.waiters[0] === waiter && this.takePlace(service, queue)) return;
+    const wait = predictWait(queue, waiter, now);
+    if (waiter.isResumed || now + wait <= waiter.waitUntil) return;
+    this.refuse(queue, waiter);
+  }
+
+  /** Removes a request whose caller has disconnected. */
+  cancel(service: string, waiter: PathWaiter): void {
+    removeWaiter(this.getQueue(service), waiter);
+  }
+
+  /** Gives free places to the first requests, and refuses the expired ones. */
+  run(): void {
+    for (const [service, queue] of this.queues) {
+      while (queue.waiters.length > 0 && this.takePlace(service, queue));
+      this.expireWaiters(queue);
+    }
+  }
+
+  private takePlace(service: string, queue: WaitQueue<PathWaiter>): boolean {
+    const [first] = queue.waiters;
+    const {model, tokens} = first!;
+    const path = this.paths.pick(service, model, tokens);
+    if (path === undefined) return false;
+    removeWaiter(queue, first!);
+    recordPlaced(queue, this.getNow());
+    first!.resolve(path);
+    return true;
+  }
+
+  private expireWaiters(queue: WaitQueue<PathWaiter>): void {
+    const now = this.getNow();
+    const expired = queue.waiters.filter(({waitUntil}) =>
+      isPast(waitUntil, now),
+    );
+    for (const waiter of expired) this.refuse(queue, waiter);
+  }
+
+  private refuse(queue: WaitQueue<PathWaiter>, waiter: PathWaiter): void {
+    removeWaiter(queue, waiter);
+    recordRefused(queue, this.getNow());
+    waiter.resolve(undefined);
+  }
+
+  private getQueue(service: string): WaitQueue<PathWaiter> {
+    let queue = this.queues.get(service);
+    if (queue === undefined) {
+      queue = createWaitQueue();
+      this.queues.set(service, queue);
+    }
+    return queue;
+  }
+}
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -15,6 +15,7 @@
 import {openUpstream} from './open_upstream.js';
 import {
   recordAnswered,
+  recordRetry,
   refuseUnknownOutcome,
   sendAnswer,
 } from './send_answer.js';
@@ -63,9 +64,13 @@
   async run(): Promise<void> {
     const {route, service, deadline, server} = this.context;
     server.budgets.recordRequest(service.name);
+    let isRetry = false;
     for (;;) {
       const endpoint = this.pickEndpoint();
       if (endpoint === undefined) break;
+      if (isRetry) {
+        recordRetry(this.context, endpoint.entry.id, this.runs + this.notRun);
+      }
       const attemptDeadline = this.computeAttemptDeadline();
       const result = await this.sendTo(endpoint, attemptDeadline);
       if (this.isAbandoned) return;
@@ -74,6 +79,7 @@
       if (this.notRun >= maxNotRun || this.runs >= route.maxAttempts) break;
       if (!server.budgets.takeRetry(service.name)) break;
       server.metrics.count(Counter.Retries);
+      isRetry = true;
     }
     this.answerFailure();
   }
@@ -185,7 +191,7 @@
     if (result.buffer.isForwarding) return this.closeAnswer(endpoint, result);
     if (end === UpstreamEnd.Broken) {
       this.reportFailure(endpoint, FailureCertainty.Suspected);
-      if (!this.canRepeat()) return this.failUnknown(result.detail);
+      if (!this.canRepeat()) return this.failUnknown(endpoint, result.detail);
       this.reportFailedAttempt(endpoint, result.detail);
       return false;
     }
@@ -196,9 +202,10 @@
       return false;
     }
     if (!canForward(answer!, route.kind)) {
-      return this.failUnknown(`status ${answer!.status} from the endpoint`);
+      const detail = `status ${answer!.status} from the endpoint`;
+      return this.failUnknown(endpoint, detail);
     }
-    recordSuccess(endpoint.breaker, server.getNow());
+    recordSuccess(endpoint.breaker);
     sendAnswer(
       this.context,
       endpoint.entry.id,
@@ -240,13 +247,8 @@
     });
   }
 
-  private failUnknown(detail: string): boolean {
-    const {server, request} = this.context;
-    server.writeEvent(GatewayEvent.RequestAttemptFailed, {
-      request: request.attemptId,
-      endpoint: 'none',
-      reason: detail,
-    });
+  private failUnknown(endpoint: EndpointState, detail: string): boolean {
+    this.reportFailedAttempt(endpoint, detail);
     refuseUnknownOutcome(this.context);
     return true;
   }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -13,6 +13,7 @@
   Service,
 } from '../ports/index.js';
 import type {LocalAnswer} from './failure.js';
+import type {PathQueue} from './path_queue.js';
 import type {RetryBudgets} from './retry_budgets.js';
 
 /** Dependencies that all request handlers share. */
@@ -20,6 +21,7 @@
   readonly codec: ExchangeCodec;
   readonly endpoints: EndpointTable;
   readonly paths: PathTable;
+  readonly queue: PathQueue;
   readonly prober: EndpointProber;
   readonly budgets: RetryBudgets;
   readonly metrics: Metrics;
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -75,3 +75,21 @@
   }
   return kept;
 }
+
+/**
+ * Logs that a request is sent again, after a number of earlier attempts. The
+ * first attempt has no line of its own: those of answers and of failed attempts
+ * name its endpoint.
+ */
+export function recordRetry(
+  {server, request, route}: RequestContext,
+  endpoint: string,
+  earlierAttempts: number,
+): void {
+  server.writeEvent(GatewayEvent.RequestSent, {
+    request: request.attemptId,
+    route: route.name,
+    endpoint,
+    attempt: earlierAttempts + 1,
+  });
+}
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,9 +1,4 @@
-import {setTimeout as waitMilliseconds} from 'node:timers/promises';
-import {
-  computeQueueTimeout,
-  computeRetryDelay,
-  type StagePath,
-} from '@zinniaspindle/decisions';
+import {computeQueueTimeout, computeRetryDelay} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
@@ -12,8 +7,11 @@
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
 import {openUpstream} from './open_upstream.js';
+import {predictTokens} from './predict_tokens.js';
+import type {PathWaiter} from './path_queue.js';
 import {
   recordAnswered,
+  recordRetry,
   refuseUnknownOutcome,
   sendAnswer,
   writeHead,
@@ -29,7 +27,6 @@
 const firstEventMilliseconds = 900;
 /** Callers abandon a stream after a gap of 2 s. */
 const resumeTimeoutMilliseconds = 1700;
-const pollMilliseconds = 40;
 
 /** How an attempt on a path ended. */
 enum AttemptEnd {
@@ -42,6 +39,8 @@
 export class StreamRequestHandler implements PathStream {
   private upstream: Upstream | undefined;
   private reservation: PathReservation | undefined;
+  /** Its place in the queue while it waits for a path. */
+  private waiter: PathWaiter | undefined;
   private splitter = new EventSplitter();
   private answer: EndpointAnswer | undefined;
   private failureBody: Buffer[] = [];
@@ -72,11 +71,16 @@
     this.startDeadline();
     server.budgets.recordRequest(service.name);
     for (;;) {
-      const tokens = this.predictTokens();
-      const path = await this.findPath(tokens);
-      if (this.isAbandoned) return;
-      if (path === undefined) break;
-      const end = await this.runAttempt(path, tokens);
+      const reservation = await this.waitForPlace();
+      if (this.isAbandoned) {
+        if (reservation !== undefined) server.paths.release(reservation);
+        return;
+      }
+      if (reservation === undefined) break;
+      const tries = this.runs + this.notRun;
+      const first = reservation.path.parts[0]!.endpoint.id;
+      if (tries > 0) recordRetry(this.context, first, tries);
+      const end = await this.runAttempt(reservation);
       if (this.isAbandoned || end === AttemptEnd.Done) return;
       if (isPast(deadline, server.getNow()) || !this.canRetry()) break;
       if (!server.budgets.takeRetry(service.name)) break;
@@ -90,9 +94,18 @@
   /** Cancels the stream, whose caller has disconnected. */
   cancel(): void {
     this.isAbandoned = true;
+    this.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'caller disconnected');
   }
 
+  private cancelWait(): void {
+    const {waiter} = this;
+    if (waiter === undefined) return;
+    const {server, service} = this.context;
+    server.queue.cancel(service.name, waiter);
+    waiter.resolve(undefined);
+  }
+
   private startDeadline(): void {
     const {server, response, deadline} = this.context;
     const remaining = Math.max(1, deadline - server.getNow());
@@ -103,6 +116,7 @@
   /** Ends the stream at its deadline. */
   private expire(): void {
     this.isAbandoned = true;
+    this.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'deadline passed');
     const {refuse} = this.context;
     if (this.hasSentEvents) this.closeIncomplete('the deadline passed');
@@ -119,23 +133,38 @@
   }
 
   /**
-   * Finds a path, polling while there is none. A new request waits as long as
-   * it can still be answered in time, a started stream until its caller would
-   * abandon it.
+   * Waits for a place on a path. A new request waits as long as it can still be
+   * answered in time, a started stream until its caller would abandon it.
    */
-  private async findPath(tokens: number): Promise<StagePath | undefined> {
+  private waitForPlace(): Promise<PathReservation | undefined> {
+    const {server, service, route, receivedAt} = this.context;
+    const {paths, queue} = server;
+    const tokens = predictTokens(this.context.request, this.model);
+    return new Promise(resolve => {
+      this.waiter = {
+        isResumed: this.hasSentEvents,
+        priority: route.priority,
+        receivedAt,
+        waitUntil: this.lastEventAt + this.computeTimeout(),
+        model: this.model,
+        tokens,
+        resolve: path => {
+          this.waiter = undefined;
+          resolve(path && paths.reserve(path, tokens, this));
+        },
+      };
+      queue.add(service.name, this.waiter);
+    });
+  }
+
+  private computeTimeout(): number {
+    if (this.hasSentEvents) return resumeTimeoutMilliseconds;
     const {server, service, route} = this.context;
-    for (;;) {
-      const path = server.paths.pick(service.name, this.model, tokens);
-      if (path !== undefined || this.isAbandoned) return path;
-      const hasPath = server.paths.hasUsable(service.name, this.model);
-      const timeout = this.hasSentEvents
-        ? resumeTimeoutMilliseconds
-        : computeQueueTimeout(route.targetLatencyMilliseconds, hasPath);
-      const waitUntil = this.lastEventAt + timeout;
-      if (isPast(waitUntil, server.getNow())) return undefined;
-      await waitMilliseconds(pollMilliseconds);
-    }
+    return computeQueueTimeout(
+      route.targetLatencyMilliseconds,
+      server.paths.hasUsable(service.name, this.model),
+      server.metrics.findMedian(Latency.FirstEvent),
+    );
   }
 
   /**
@@ -149,7 +178,7 @@
 
   private hasOtherPath(): boolean {
     const {server, service} = this.context;
-    const tokens = this.predictTokens();
+    const tokens = predictTokens(this.context.request, this.model);
     // Stalled paths are not picked for a while, so this is another path.
     return server.paths.pick(service.name, this.model, tokens) !== undefined;
   }
@@ -174,13 +203,6 @@
     return this.isBackpressured;
   }
 
-  private predictTokens(): number {
-    const {promptTokens, estimatedAnswerTokens, maxAnswerTokens} =
-      this.context.request;
-    const expectedTokens = estimatedAnswerTokens ?? this.model.meanAnswerTokens;
-    return promptTokens + Math.min(expectedTokens, maxAnswerTokens);
-  }
-
   private canRepeat(): boolean {
     const {route} = this.context;
     return route.isResumable && this.runs < route.maxAttempts;
@@ -191,13 +213,13 @@
     return this.notRun < maxNotRun;
   }
 
-  private runAttempt(path: StagePath, tokens: number): Promise<AttemptEnd> {
+  private runAttempt(reservation: PathReservation): Promise<AttemptEnd> {
     const {server} = this.context;
+    const {path} = reservation;
     const first = path.parts[0]!.endpoint;
     this.splitter = new EventSplitter();
     this.answer = undefined;
     this.failureBody = [];
-    const reservation = server.paths.reserve(path, tokens, this);
     this.reservation = reservation;
     return new Promise(resolve => {
       const timer = setTimeout(() => {
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -127,6 +127,7 @@
   async stop(): Promise<void> {
     if (this.phase === PeerPhase.Leaving) return;
     this.phase = PeerPhase.Leaving;
+    this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
     this.sendHeartbeat();
     const {ownership, callers, mesh, directory} = this.parts;
     void this.ports.store.appendRecord(
@@ -187,7 +188,8 @@
   }
 
   private checkStalls(): void {
-    const {mesh, paths, prober, metrics} = this.parts;
+    const {mesh, paths, prober, metrics, queue} = this.parts;
+    queue.run();
     for (const path of paths.listStalled()) {
       metrics.count(Counter.Stalls);
       if (paths.isTimedOut(path)) paths.dropStreams(path);
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -33,6 +33,7 @@
   type Store,
 } from '../ports/index.js';
 import {CallerServer} from '../requests/caller_server.js';
+import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
 import {listCallerAddresses} from './list_addresses.js';
 
@@ -79,6 +80,7 @@
   readonly ownership: Ownership;
   readonly orders: OrderRunner;
   readonly callers: CallerServer;
+  readonly queue: PathQueue;
   readonly directory: DirectoryServer;
 }
 
@@ -246,12 +248,14 @@
   {settings, ports, log, getNow, getPhase}: GatewayContext,
   {metrics, endpoints, paths, prober}: FleetParts,
   mesh: PeerMesh,
-): Pick<GatewayParts, 'callers' | 'directory'> {
+): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const countVms = () => mesh.listKnown().length + 1;
+  const queue = new PathQueue(paths, getNow);
   const callers = new CallerServer({
     codec: ports.exchange,
     endpoints,
     paths,
+    queue,
     prober,
     budgets: new RetryBudgets(settings.bounds, countVms),
     metrics,
@@ -266,7 +270,7 @@
     isReady: () => getPhase() === PeerPhase.Ready,
     renderMetrics: () => metrics.render(),
   });
-  return {callers, directory};
+  return {callers, directory, queue};
 }
 
 function applyOrder(
--- a/packages/router/src/routing/fleet_host.ts
+++ b/packages/router/src/routing/fleet_host.ts
@@ -213,7 +213,7 @@
       open.hadToken = true;
       recordFirstToken(this.view, open.work);
       for (const endpoint of open.chain) {
-        recordStageWorking(this.health, this.view, endpoint, now);
+        recordStageWorking(this.health, this.view, endpoint);
       }
     }
     open.lastTokenAt = now;
--- a/packages/shared/src/wire_engine.ts
+++ b/packages/shared/src/wire_engine.ts
@@ -139,11 +139,6 @@
   readonly last?: boolean;
 }
 
-/**
- * DELETE /v1/streams/{request}?attempt=N cancels a stream; answered with 204.
- */
-export const cancelPath = '/v1/streams/';
-
 /** Response to GET /v1/load; `time` tells how old the figures are. */
 export interface LoadReport {
   readonly endpoint: EndpointId;
