--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -1,6 +1,7 @@
 import {Result} from 'true-myth';
 import {
   createDelayWindow,
+  createStoreAccess,
   deriveReadSchedule,
   type ReadSchedule,
 } from '@zinniaspindle/decisions';
@@ -228,6 +229,7 @@
       replica.topics[topic],
       this.makeStore(index),
       this.schedule,
+      createStoreAccess(),
       {
         sendChanges: (from, changes, next) => {
           handler.sendChanges(topic, from, changes, next);
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -1,10 +1,10 @@
 import {
   computeMaxAge,
-  createStoreAccess,
   isReadDue,
   recordReadFailure,
   recordReadSuccess,
   type ReadSchedule,
+  type StoreAccess,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import type {WriteEvent} from '../log/event_log.js';
@@ -39,19 +39,19 @@
   private isReading = false;
   /** Whether the store deleted records after the position. */
   private isExpired = false;
-  private readonly access = createStoreAccess();
-
   constructor(
     readonly state: TopicState,
     private readonly store: Store,
     private readonly schedule: ReadSchedule,
+    /** Shared by all followers, so that only one of them tries a lost store. */
+    private readonly access: StoreAccess,
     private readonly listeners: ReadListeners,
     private readonly writeEvent: WriteEvent,
     private readonly metrics: Metrics,
     private readonly getNow: () => Instant,
   ) {}
 
-  /** Tells whether the last read of this VM succeeded, or none was made yet. */
+  /** Tells whether the last read of any topic succeeded, or none was made yet. */
   canRead(): boolean {
     return this.access.failedSince === undefined;
   }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -39,8 +39,11 @@
  * takes as long.
  */
 const peerDiscoveryMilliseconds = 600;
-/** Enough peer addresses in the store to survive the loss of all seeds. */
-const maxPublishedAddresses = 16;
+/**
+ * Peer addresses in the store, for a VM whose seeds are all lost. When VMs of the
+ * first ranks are lost, others move up and publish theirs.
+ */
+const maxPublishedAddresses = 6;
 const orderMilliseconds = 100;
 const publishMilliseconds = 1000;
 
@@ -250,8 +253,8 @@
   }
 
   /**
-   * Publishes the peer address of this VM in the store, and connects to the VMs
-   * listed there.
+   * Publishes the peer address of this VM in the store. A VM that reaches no peer
+   * connects to those listed there.
    */
   private publishAddress(): void {
     if (this.isPublished || this.isPublishing) return;
@@ -266,10 +269,12 @@
   private async publishOnce(): Promise<void> {
     const {store} = this.ports;
     const {mesh, metrics} = this.parts;
-    metrics.count(Counter.StoreCalls);
-    const newest = await store.readNewest(Topic.Vms);
-    if (newest.isErr) return metrics.count(Counter.StoreFailures);
-    for (const {key} of newest.value.records) mesh.addAddress(key);
+    if (mesh.countLive() === 0) {
+      metrics.count(Counter.StoreCalls);
+      const newest = await store.readNewest(Topic.Vms);
+      if (newest.isErr) return metrics.count(Counter.StoreFailures);
+      for (const {key} of newest.value.records) mesh.addAddress(key);
+    }
     metrics.count(Counter.StoreCalls);
     const value = Buffer.from(this.settings.vm);
     const address = this.getPeerAddress();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -1,4 +1,5 @@
 import {
+  createStoreAccess,
   deriveReadSchedule,
   type FailureCause,
   type ReadSchedule,
@@ -195,6 +196,7 @@
     log.write,
     getNow,
   );
+  const access = createStoreAccess();
   const topics = [Topic.Configuration, Topic.Endpoints] as const;
   const followers = topics.map(
     topic =>
@@ -202,6 +204,7 @@
         storeReplica.topics[topic],
         ports.store,
         schedule,
+        access,
         {
           sendChanges: (from, changes, next) => {
             peerHandler.sendChanges(topic, from, changes, next);
