--- a/packages/decisions/src/stages/crossing_budget.ts
+++ b/packages/decisions/src/stages/crossing_budget.ts
@@ -12,10 +12,22 @@
   updatedAt: Instant;
 }
 
+/** What the link carries, and who uses it. */
+export interface CrossingShare {
+  readonly crossingsPerSecond: number;
+  readonly vms: number;
+  /** Place of this VM among the live ones. */
+  readonly rank: number;
+}
+
 /** Share of the link that prompts may use. */
 const usableShare = 0.85;
-/** Crossings that a VM may start at once after a pause. */
-const maxAvailable = 2;
+/**
+ * All VMs together may start as many crossings at once, after a pause, as the
+ * link carries in this time. In a large fleet this is less than one for each VM:
+ * only the first ones use the link then.
+ */
+const burstSeconds = 0.5;
 const millisecondsPerSecond = 1000;
 
 /** Creates a budget from which one stream may cross. */
@@ -23,21 +35,19 @@
   return {available: 1, updatedAt: now};
 }
 
-/** Counts the crossings that this VM, one of several, may start now. */
+/** Counts the crossings that this VM may start now. */
 export function countAvailableCrossings(
   budget: CrossingBudget,
-  crossingsPerSecond: number,
-  vms: number,
+  {crossingsPerSecond, vms, rank}: CrossingShare,
   now: Instant,
 ): number {
-  const perSecond = (crossingsPerSecond * usableShare) / Math.max(1, vms);
+  const burst = Math.max(1, Math.floor(crossingsPerSecond * burstSeconds));
+  const users = Math.min(burst, Math.max(1, vms));
+  const perSecond = (crossingsPerSecond * usableShare) / users;
   const seconds = (now - budget.updatedAt) / millisecondsPerSecond;
-  budget.available = Math.min(
-    maxAvailable,
-    budget.available + seconds * perSecond,
-  );
+  budget.available = Math.min(1, budget.available + seconds * perSecond);
   budget.updatedAt = now;
-  return budget.available;
+  return rank < users ? budget.available : 0;
 }
 
 /**
@@ -50,5 +60,5 @@
 
 /** Tells whether a path may take a stream, given the crossings available. */
 export function canCross(crossings: number, available: number): boolean {
-  return crossings === 0 || available >= Math.min(crossings, 1);
+  return crossings === 0 || available >= 1;
 }
--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -34,6 +34,11 @@
    * 25 MB for each of 8 streams a second use 40% of the shared link.
    */
   readonly maxCrossingStreams: number;
+  /**
+   * Most hops between data centres of a path through what is left over of broken
+   * chains; each takes the link for the whole prompt.
+   */
+  readonly maxCrossings: number;
   /**
    * Added for each layer that another path runs on the same endpoint, whose
    * memory and passes they then share.
@@ -52,6 +57,7 @@
   remoteLayerMilliseconds: 0.5,
   maxParts: 32,
   maxCrossingStreams: 24,
+  maxCrossings: 2,
   sharedLayerMilliseconds: 0.1,
 };
 
@@ -105,7 +111,10 @@
     addPaths(findSeparatePaths(local, search));
   }
   const left = holders.filter(({id}) => !used.has(id));
-  addPaths(findSeparatePaths(left, search));
+  const crossing = findSeparatePaths(left, search).filter(
+    path => path.crossings <= options.maxCrossings,
+  );
+  addPaths(crossing);
   for (const centre of sorted) {
     const local = holders.filter(({dataCentre}) => dataCentre === centre);
     if (local.some(({id}) => used.has(id))) continue;
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -60,6 +60,16 @@
  */
 const cacheMilliseconds = 500;
 
+/** What a VM's share of the fleet's work depends on. */
+export interface FleetPlace {
+  /** Number of live VMs. */
+  readonly vms: number;
+  /** Place of this VM among them, 0 for the first. */
+  readonly rank: number;
+}
+
+const soleVm: FleetPlace = {vms: 1, rank: 0};
+
 /** Picks paths for requests and detects stalled paths. */
 export class PathTable {
   private readonly cache = new Map<string, CachedPaths>();
@@ -72,7 +82,7 @@
     private readonly loads: LoadTracker,
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
-    private readonly countVms: () => number = () => 1,
+    private readonly getFleet: () => FleetPlace = () => soleVm,
   ) {
     this.crossingBudget = createCrossingBudget(getNow());
   }
@@ -128,8 +138,7 @@
     if (crossingsPerSecond === undefined) return Infinity;
     return countAvailableCrossings(
       this.crossingBudget,
-      crossingsPerSecond,
-      this.countVms(),
+      {crossingsPerSecond, ...this.getFleet()},
       this.getNow(),
     );
   }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -130,7 +130,7 @@
     loads,
     log.write,
     getNow,
-    () => getParts().mesh.countLive() + 1,
+    () => ({vms: getParts().mesh.countLive() + 1, rank: getRank()}),
   );
   const listeners: ProbeListeners = {
     handleDown: (id: string) => paths.dropStreamsThrough(id),
