--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -88,6 +88,18 @@
   assert.deepEqual(calls, {joins: 2, leaves: 1});
 });
 
+// Had the store turned away the first two VMs, no VM would have joined.
+test('a VM that the store turns away leaves the ownership to the next ones', async () => {
+  const {ownership, calls, clock} = makeOwnership([makeView(3, false)]);
+  ownership.poll(undefined, false);
+  assert.equal(calls.joins, 0);
+  ownership.poll(1, false);
+  await runPending();
+  clock.now += 1000;
+  ownership.poll(undefined, false);
+  assert.deepEqual(calls, {joins: 1, leaves: 0});
+});
+
 // Two VMs that each join when no owner is known, and leave when one is, move the
 // ownership with every join and every leave.
 test('a VM that lost the ownership stays a member, as the next owner', async () => {
--- a/packages/gateway/src/orders/ownership.ts
+++ b/packages/gateway/src/orders/ownership.ts
@@ -45,9 +45,10 @@
 
   /**
    * Renews the membership of the owner and of the first VMs by rank; others
-   * leave the group.
+   * leave the group. The rank counts only VMs that the store serves; one that it
+   * turns away (undefined) neither joins nor leaves.
    */
-  poll(rank: number, hasOtherOwner: boolean): void {
+  poll(rank: number | undefined, hasOtherOwner: boolean): void {
     const now = this.getNow();
     const isExpired = now - this.confirmedAt > ttlMilliseconds;
     if (this.isOwner && isExpired && hasOtherOwner) {
@@ -57,9 +58,12 @@
       );
     }
     if (this.isJoining || now < this.joinAt) return;
-    if (!this.isOwner && rank >= candidateCount) {
-      if (this.isMember) void this.release();
-      return;
+    if (!this.isOwner) {
+      if (rank === undefined) return;
+      if (rank >= candidateCount) {
+        if (this.isMember) void this.release();
+        return;
+      }
     }
     this.isJoining = true;
     this.joinAt = now + joinIntervalMilliseconds;
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -158,7 +158,9 @@
     for (const follower of followers) {
       if (this.canReadTopic(follower.state)) follower.poll(ranks);
     }
-    if (this.hasDiscoveredPeers()) ownership.poll(this.rank, mesh.hasOwner());
+    if (this.hasDiscoveredPeers()) {
+      ownership.poll(this.readerRank, mesh.hasOwner());
+    }
     mesh.checkSilence();
     endpoints.expireRemovals();
     prober.probeFailing();
