--- a/scripts/build_gateway.ts
+++ b/scripts/build_gateway.ts
@@ -1,9 +1,15 @@
+import process from 'node:process';
 import {buildSync} from 'esbuild';
 
-/** Bundles the gateway with its platform adapter into one file. */
+const defaultFile = 'target/zinniaspindle.cjs';
+
+/**
+ * Bundles the gateway with its platform adapter into one file, the one that is
+ * given as an argument if any.
+ */
 buildSync({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/zinniaspindle.cjs',
+  outfile: process.argv[2] ?? defaultFile,
   bundle: true,
   minify: true,
   platform: 'node',
