fix(gateway): the limit of an attempt does not cut an answer that its caller receives

A caller that read a large answer of a safe route slowly lost its connection after twice the target latency: the limit after which an attempt gives way to another went on while the answer was forwarded, though such an answer cannot be retried. From the first forwarded byte the deadline of the request counts.

The new test failed before (connection reset) and passes now.

--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -138,7 +138,7 @@
     endpoint: EndpointState,
     attemptDeadline: Deadline,
   ): Promise<AttemptResult> {
-    const now = this.context.server.getNow();
+    const {server, deadline} = this.context;
     this.tried.add(endpoint.entry.id);
     endpoint.running += 1;
     return new Promise(resolve => {
@@ -149,12 +149,21 @@
         endpoint.running -= 1;
         resolve({end, detail, answer, buffer});
       };
-      // A timer may fire a fraction of a millisecond early.
-      const wait = Math.max(1, Math.ceil(attemptDeadline - now) + 1);
-      const timer = setTimeout(() => {
+      const startTimer = (until: Deadline): NodeJS.Timeout => {
+        // A timer may fire a fraction of a millisecond early.
+        const wait = Math.ceil(until - server.getNow()) + 1;
+        return setTimeout(expire, Math.max(1, wait));
+      };
+      const expire = () => {
+        // An answer that the caller already receives cannot be retried.
+        if (buffer.isForwarding && !isPast(deadline, server.getNow())) {
+          timer = startTimer(deadline);
+          return;
+        }
         upstream.cancel();
         closeAttempt(UpstreamEnd.Broken, 'no answer in time');
-      }, wait);
+      };
+      let timer = startTimer(attemptDeadline);
       const upstream = openUpstream(
         this.context,
         endpoint.entry,
