fix(router): a stop knows what is in flight when a signal comes

Cause: the count of what is in flight reached the decision with the tick only, each 100 ms, and only once the stop had begun.

Change: the count is taken before each stop request, as it is at each tick.

Before, drain_host.test.ts, 3 requests in flight and two stop requests at one instant: exit with cut 0. After: no exit; drain tests pass.

--- a/packages/router/src/membership/drain_host.ts
+++ b/packages/router/src/membership/drain_host.ts
@@ -56,15 +56,20 @@
 
   /** Begins the stop, or hastens it. */
   startStop(deadline: Deadline): void {
+    this.updateInFlight();
     this.machine.send({kind: DrainEventKind.StopRequested, deadline});
   }
 
   /** Passes time. */
   runTick(): void {
     if (!this.isLeaving) return;
+    this.updateInFlight();
+    this.machine.send({kind: DrainEventKind.Tick});
+  }
+
+  private updateInFlight(): void {
     const count = this.ports.countInFlight();
     this.machine.send({kind: DrainEventKind.InFlightChanged, count});
-    this.machine.send({kind: DrainEventKind.Tick});
   }
 
   private runCommand(command: DrainCommand): void {
