fix(router): a stream handed over before its first token tells its id

A stopping VM broke a stream off before its first token without any answer. The caller got a reset; if it had not chosen an id, it had none to resume by, and the request that peers held was lost to it.

Cause: the headers, which carry X-Request-Id, were written with the first event only, and the hand-over destroyed the connection.

Change: the hand-over of a stream without headers writes them and a comment line, and closes the connection once these are out. A stream with headers is closed as before: its caller goes on after the last event that it has.

Evidence, planned_stop.test.ts, engines that answer after 4 s, two SIGTERM: before, 'socket hang up'; after, the caller reads the id and completes the stream at another VM.

--- a/packages/router/src/callers/request_routes.ts
+++ b/packages/router/src/callers/request_routes.ts
@@ -144,7 +144,7 @@
       handleToken: () => writer.addToken(),
       handleFinish: (finish: FinishRequest) =>
         sendFinal(writer, spec.id, finish),
-      handleRelease: () => response.destroy(),
+      handleRelease: () => writer.closeUnfinished(),
       isOpen: () => isOpen,
       canReconnect: format !== AnswerFormat.Json,
     };
--- a/packages/router/src/callers/token_writer.ts
+++ b/packages/router/src/callers/token_writer.ts
@@ -21,6 +21,9 @@
 
 const statusOk = 200;
 
+/** A line that readers of server-sent events ignore. */
+const handOverComment = ': handed over\n\n';
+
 const eventStreamHeaders: http.OutgoingHttpHeaders = {
   'content-type': 'text/event-stream',
   'cache-control': 'no-store',
@@ -101,6 +104,17 @@
     this.closeStream('problem', problem);
   }
 
+  /** Breaks the stream off; its headers tell the caller what to go on with. */
+  closeUnfinished(): void {
+    this.over = true;
+    if (this.response.headersSent) {
+      this.response.destroy();
+      return;
+    }
+    this.sendHeaders();
+    this.response.write(handOverComment, () => this.response.destroy());
+  }
+
   private closeStream(event: string, data: unknown): void {
     if (this.over) return;
     this.blocked = false;
--- a/packages/scenarios/__tests__/planned_stop.test.ts
+++ b/packages/scenarios/__tests__/planned_stop.test.ts
@@ -13,7 +13,12 @@
 } from '@zinniaspindle/stand-ins';
 import type {Fleet} from '@zinniaspindle/stand-ins';
 import {v7 as makeUuidV7} from 'uuid';
-import {fetchReply, openCall, readJson} from '../src/processes/entry_calls.js';
+import {
+  fetchReply,
+  openCall,
+  readEvents,
+  readJson,
+} from '../src/processes/entry_calls.js';
 import {EntryFleet} from '../src/processes/entry_fleet.js';
 import type {EntryProcess} from '../src/processes/entry_process.js';
 
@@ -102,6 +107,13 @@
   }
 }
 
+async function setEngineDelay(delayMilliseconds: number): Promise<void> {
+  for (const {name, standIn} of fleet.members) {
+    if (!/^e\d+$/.test(name)) continue;
+    await sendControl(standIn.address, {delayMilliseconds});
+  }
+}
+
 test('a JSON request in flight at a second SIGTERM is answered', async () => {
   const entry = await startEntry('json');
   const prompt = 'Whole or told.';
@@ -122,6 +134,30 @@
   await waitExit(entry);
 });
 
+test('a stream handed over before its first token tells its id', async () => {
+  const entry = await startEntry('unborn');
+  await setEngineDelay(4000);
+  const opened = openCall({
+    ...{address: entry.address, method: 'POST', path: requestsPath},
+    ...{token: callerToken, body: {prompt: 'Go on.', maxTokens: 10}},
+    headers: {accept: 'text/event-stream'},
+  });
+  await waitMilliseconds(firstTokenMilliseconds);
+  const [response] = await Promise.all([opened, stopTwice(entry)]);
+  response.on('error', () => undefined).resume();
+  const id = String(response.headers['x-request-id']);
+  await waitExit(entry);
+  await setEngineDelay(0);
+  const resumed = await openCall({
+    ...{address: other.address, method: 'GET', path: `/v1/requests/${id}`},
+    ...{token: callerToken, headers: {accept: 'text/event-stream'}},
+  });
+  assert.equal(resumed.statusCode, 200);
+  let last = '';
+  for await (const {event} of readEvents(resumed)) last = event;
+  assert.equal(last, 'completed');
+});
+
 test('an action in flight at a second SIGTERM is answered', async () => {
   const entry = await startEntry('action');
   await runWithoutLog(async () => {
