fix(decisions): a stop always leaves time for the hand-over

A VM that learned of a newer process with its id, or that had policy.stopMilliseconds below 2000, ended at once: what was in flight was cut without a hand-over or an answer.

Cause: the deadline of the stop was taken as given. One in the past ended the process before the hand-over was looked at.

Change: the deadline of a stop is never nearer than a hand-over takes, 2 s. A repeated stop request brings it to exactly that, as before, and never nearer.

--- a/packages/decisions/__tests__/drain.test.ts
+++ b/packages/decisions/__tests__/drain.test.ts
@@ -100,6 +100,24 @@
   assert.deepEqual(runTick(state, end), ['exit 2']);
 });
 
+test('a stop whose deadline is now still hands over and answers', () => {
+  const state = makeDrainState(defaultDrainOptions);
+  setInFlight(state, 2, start);
+  const kind = DrainEventKind.StopRequested;
+  assert.deepEqual(send(state, {kind, deadline: start}, start), [
+    DrainCommandKind.AnnounceLeaving,
+    DrainCommandKind.ReleaseLeases,
+    DrainCommandKind.CloseListeners,
+    DrainCommandKind.HandOver,
+  ]);
+  assert.deepEqual(send(state, {kind, deadline: start}, start), []);
+  const end = start + handOverMilliseconds;
+  const answerAt = end - answerMilliseconds;
+  assert.deepEqual(runTick(state, answerAt), [DrainCommandKind.AnswerRest]);
+  assert.deepEqual(runTick(state, end - 1), []);
+  assert.deepEqual(runTick(state, end), ['exit 2']);
+});
+
 test('without the in-flight safeguard, a stop cuts off requests', () => {
   const guards = {...defaultDrainOptions.guards, inFlight: false};
   const state = makeDrainState({...defaultDrainOptions, guards});
--- a/packages/decisions/src/drain/drain.ts
+++ b/packages/decisions/src/drain/drain.ts
@@ -176,7 +176,7 @@
     }
     case DrainEventKind.StopRequested:
       if (state.phase === DrainPhase.Serving) startDrain(turn, event.deadline);
-      else applyRepeatedStop(turn, event.deadline);
+      else applyRepeatedStop(turn);
       return;
     case DrainEventKind.Tick:
   }
@@ -191,26 +191,30 @@
     : 0;
   state.phase = DrainPhase.Leaving;
   state.serveUntil = now + servingMilliseconds;
-  state.deadline = deadline;
+  // A stop always leaves time for the hand-over.
+  state.deadline = Math.max(deadline, computeHandOverEnd(turn));
   turn.commands.push(
     {kind: DrainCommandKind.AnnounceLeaving},
     {kind: DrainCommandKind.ReleaseLeases},
   );
   const {serveUntil, inFlight} = state;
-  const fields = {serveUntil, deadline, inFlight};
+  const fields = {serveUntil, deadline: state.deadline, inFlight};
   turn.logEvents.push({event: MembershipEvent.StopStarted, fields});
 }
 
-function applyRepeatedStop(turn: DrainTurn, deadline: Deadline): void {
+function applyRepeatedStop(turn: DrainTurn): void {
   const {state, now} = turn;
   if (state.phase === DrainPhase.Stopped) return;
-  const handOverEnd = now + state.options.handOverMilliseconds;
-  state.deadline = Math.min(state.deadline, deadline, handOverEnd);
+  state.deadline = Math.min(state.deadline, computeHandOverEnd(turn));
   state.serveUntil = now;
   const fields = {inFlight: state.inFlight};
   turn.logEvents.push({event: MembershipEvent.StopAccelerated, fields});
 }
 
+function computeHandOverEnd(turn: DrainTurn): Deadline {
+  return turn.now + turn.state.options.handOverMilliseconds;
+}
+
 function checkAnswerExpiry(turn: DrainTurn): void {
   const {state, now} = turn;
   if (!isPast(state.serveUntil, now) && !isNearDeadline(turn)) return;
--- a/packages/router/src/settings/sections.ts
+++ b/packages/router/src/settings/sections.ts
@@ -107,7 +107,7 @@
     fallback: '4000',
   }),
   stopMilliseconds: makeIntegerField(0, hour, 'ms', {
-    description: 'Time that a planned stop may take.',
+    description: 'Time that a planned stop may take; 2 s at the least.',
     fallback: String(10 * minute),
   }),
 };
