fix(router): a stream handed over while it waits for a chain runs elsewhere

A stream that was queued at its VM when this one handed it over was found by its caller at another VM, which then gave nothing until the deadline of the request.

Cause: the VM that takes a request over goes on with the chain of its record.

Change: a request whose record has no chain asks for one, as a new request does.

Evidence, planned_stop.test.ts, maxInFlight 1, a second request queued, two SIGTERM: before, the resumed answer had no event and the test ended after 31.7 s (the default deadline is 30 s); after, it is completed with the right text.

--- a/packages/router/src/requests/request_host.ts
+++ b/packages/router/src/requests/request_host.ts
@@ -137,6 +137,10 @@
       getNow(),
     );
     const run = this.table.add(state);
+    if (chain.length === 0) {
+      run.start();
+      return run;
+    }
     this.admission.addResumed(this.makeWork(state));
     this.ports.fleet.recordResumed(id, chain);
     run.resumeChain(chain);
--- a/packages/scenarios/__tests__/planned_stop.test.ts
+++ b/packages/scenarios/__tests__/planned_stop.test.ts
@@ -32,6 +32,7 @@
 const pipelinedPublishes = 3;
 const settleMilliseconds = 1500;
 const publishMilliseconds = 1500;
+const shortAnswerTokens = 10;
 const longAnswerTokens = 1024;
 const widePublishes = 16;
 const wideObjects = 150;
@@ -86,8 +87,8 @@
   });
 }
 
-async function startEntry(name: string): Promise<EntryProcess> {
-  const entry = await entries.start(name, 'dc2');
+async function startEntry(name: string, own = {}): Promise<EntryProcess> {
+  const entry = await entries.start(name, 'dc2', own);
   await entries.waitUntilReady(entry, objectCount, 1);
   return entry;
 }
@@ -362,3 +363,42 @@
   assert.equal(found.length, 1, lines.slice(-5).join('\n'));
   assert.match(found[0]!, /GET \/v1\/objects, request none, after \d+ ms, \d+/);
 });
+
+test('a queued stream is handed over and runs elsewhere', async () => {
+  const entry = await startEntry('queued', {maxInFlight: 1});
+  const {address} = entry;
+  const post = {address, method: 'POST', path: requestsPath};
+  const running = fetchReply({
+    ...{...post, token: callerToken},
+    body: {prompt: 'First.', maxTokens: longAnswerTokens},
+  });
+  await waitMilliseconds(firstTokenMilliseconds);
+  const opened = openCall({
+    ...{...post, token: callerToken},
+    body: {prompt: 'Second.', maxTokens: shortAnswerTokens},
+    headers: {accept: 'text/event-stream'},
+  });
+  const [response] = await Promise.all([opened, stopTwice(entry)]);
+  response.on('error', () => undefined).resume();
+  const id = String(response.headers['x-request-id']);
+  const resumed = await openCall({
+    ...{address: other.address, method: 'GET', path: `/v1/requests/${id}`},
+    ...{token: callerToken, headers: {accept: 'text/event-stream'}},
+  });
+  let text = '';
+  let last = '';
+  for await (const {event, data} of readEvents(resumed)) {
+    last = event;
+    if (event === 'token') text += (JSON.parse(data) as {text: string}).text;
+  }
+  assert.equal(last, 'completed');
+  const generation = {
+    ...{prompt: 'Second.', maxTokens: shortAnswerTokens, sampling: {}},
+  };
+  const expected = computeExpectedTokens(
+    ...([generation, layerCount, shortAnswerTokens] as const),
+  );
+  assert.equal(text, expected.join(''));
+  await running;
+  await waitExit(entry);
+});
--- a/packages/scenarios/src/processes/entry_fleet.ts
+++ b/packages/scenarios/src/processes/entry_fleet.ts
@@ -59,13 +59,18 @@
   }
 
   /** Starts an entry VM and puts it on the VM list. */
-  async start(name: string, dataCentre: string): Promise<EntryProcess> {
+  async start(
+    name: string,
+    dataCentre: string,
+    own: Partial<CommonSetup> = {},
+  ): Promise<EntryProcess> {
     const {directory, common} = this;
     const log = await Relay.start(common.log);
     const vmList = await Relay.start(common.vmList);
     this.links.set(name, [log, vmList]);
     const entry = await startEntryProcess({
       ...common,
+      ...own,
       ...{name, dataCentre, directory},
       ...{log: log.address, vmList: vmList.address},
     });
--- a/packages/scenarios/src/processes/entry_process.ts
+++ b/packages/scenarios/src/processes/entry_process.ts
@@ -6,6 +6,7 @@
 import {reservePort} from '@zinniaspindle/stand-ins';
 
 const loopback = '127.0.0.1';
+const defaultMaxInFlight = 4000;
 const mainFile = fileURLToPath(
   new URL('../../../cli/src/main.ts', import.meta.url),
 );
@@ -31,6 +32,8 @@
   readonly operatorDigest: string;
   /** Takes the log lines; only errors are logged, and dropped, without it. */
   readonly handleLine?: (line: string) => void;
+  /** Requests that it runs at once. */
+  readonly maxInFlight?: number;
   /** Folder for the settings file. */
   readonly directory: string;
 }
@@ -79,6 +82,9 @@
 [operators]
 bootstrapTokenDigest = ${setup.operatorDigest}
 
+[policy]
+maxInFlight = ${setup.maxInFlight ?? defaultMaxInFlight}
+
 [logging]
 level = ${setup.handleLine ? 'info' : 'error'}
 `;
