--- a/packages/cli/__tests__/whole_path.test.ts
+++ b/packages/cli/__tests__/whole_path.test.ts
@@ -6,6 +6,7 @@
 import type {Fleet} from '@zinniaspindle/stand-ins';
 import {v7 as makeUuidV7} from 'uuid';
 import {
+  CliErrorCode,
   fetchJson,
   findToken,
   openCall,
@@ -231,3 +232,23 @@
   assert.equal(rest.ended, 'completed');
   assert.equal(part.text + rest.text, makeExpected('Stay whole.', 60));
 });
+
+test('a request goes on at another VM when its own one stops', async () => {
+  const {child} = entryFleet.entries[1]!;
+  const request = {pipeline: 'letters', prompt: 'Outlast.', maxTokens: 400};
+  let tokens = 0;
+  const outcome = await sendRequest(targets[1]!, request, () => {
+    tokens += 1;
+    if (tokens === 10 || tokens === 30) child.kill('SIGTERM');
+  });
+  assert.equal(outcome.kind, RequestOutcomeKind.Completed);
+  assert.equal(outcome.text, makeExpected('Outlast.', 400));
+  assert.equal(tokens, 400);
+});
+
+test('a request that no VM goes on with ends with what to do', async () => {
+  const {child} = entryFleet.entries[0]!;
+  const request = {pipeline: 'letters', prompt: 'Cut.', maxTokens: 400};
+  const sent = sendRequest(targets[0]!, request, () => child.kill('SIGKILL'));
+  await assert.rejects(sent, {code: CliErrorCode.Unknown});
+});
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -14,6 +14,7 @@
   type EntryTarget,
 } from './entry_client.js';
 export {readEvents, type ServerSentEvent} from './event_stream.js';
+export {CliError, CliErrorCode} from './errors.js';
 export {runCli} from './program.js';
 export {
   RequestOutcomeKind,
