fix(gateway): a request behind the last answer of a connection is not run

A stopping VM says in its answer that the connection ends with it. Requests that the caller had sent behind that one on the same connection were run all the same, and the library drops their answers: of four unsafe requests four ran and one was answered. An answer ends its connection now only if no later request is open on it, and a request that comes on an ending connection is not run.

Found by looking for the same class of fault in the router.

--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -53,7 +53,7 @@
       },
       (request, response) => {
         const open = this.openRequests.add(response, this.context.getNow());
-        void this.handle(request, open);
+        if (open !== undefined) void this.handle(request, open);
       },
     );
     this.server.on('clientError', answerParserError);
@@ -115,7 +115,7 @@
     open.attemptId = request.attemptId;
     open.path = request.path;
     const refuse = (answer: LocalAnswer) => {
-      this.refuse(request, response, receivedAt, answer);
+      this.refuse(request, open, answer);
     };
     response.on('error', () => undefined); // A close event follows.
     const found = this.findService(request);
@@ -148,6 +148,7 @@
       account,
       response,
       open,
+      closeAfter: () => this.openRequests.closeAfter(open),
       receivedAt,
       deadline,
       refuse,
@@ -214,11 +215,11 @@
 
   private refuse(
     request: CallerRequest,
-    response: http.ServerResponse,
-    receivedAt: number,
+    open: OpenRequest,
     answer: LocalAnswer,
   ): void {
     const {context} = this;
+    const {response, receivedAt} = open;
     const {status, reason, retryAfterMilliseconds} = answer;
     const body = context.codec.encodeErrorBody(reason);
     const headers = [
@@ -226,7 +227,9 @@
       'Content-Length',
       String(body.length),
     ];
-    if (context.findStop() !== undefined || status === 413 || status === 408) {
+    const isLast =
+      context.findStop() !== undefined || status === 413 || status === 408;
+    if (isLast && this.openRequests.closeAfter(open)) {
       headers.push('Connection', 'close');
     }
     if (response.destroyed) return;
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {Socket} from 'node:net';
 import type {Instant} from '@zinniaspindle/shared';
 
 /** How far a request has come. */
@@ -29,9 +30,19 @@
 /** Requests from the receipt of their headers until their answer is written out. */
 export class OpenRequests {
   private readonly requests = new Set<OpenRequest>();
+  /** Connections that end with an answer that is under way. */
+  private readonly ending = new WeakSet<Socket>();
 
-  /** Adds a request; it is removed when its answer or its connection ends. */
-  add(response: http.ServerResponse, receivedAt: Instant): OpenRequest {
+  /**
+   * Adds a request; it is removed when its answer or its connection ends.
+   * Undefined if its connection ends with an earlier answer: the library would
+   * drop the answer to this one, so it must not run.
+   */
+  add(
+    response: http.ServerResponse,
+    receivedAt: Instant,
+  ): OpenRequest | undefined {
+    if (this.ending.has(response.req.socket)) return undefined;
     const request: OpenRequest = {
       response,
       receivedAt,
@@ -45,6 +56,20 @@
     return request;
   }
 
+  /**
+   * Marks a connection as ending with an answer; returns false while a later
+   * request is open on it.
+   */
+  closeAfter({response}: OpenRequest): boolean {
+    const {socket} = response.req;
+    const onSocket = this.list().filter(
+      request => request.response.req.socket === socket,
+    );
+    if (onSocket.at(-1)?.response !== response) return false;
+    this.ending.add(socket);
+    return true;
+  }
+
   /** Counts the open requests. */
   count(): number {
     return this.requests.size;
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -46,6 +46,8 @@
   readonly account: Account | undefined;
   readonly response: http.ServerResponse;
   readonly open: OpenRequest;
+  /** Ends the connection with the answer, unless a later request is open on it. */
+  readonly closeAfter: () => boolean;
   readonly receivedAt: Instant;
   /** The earlier of the caller's deadline and the route's timeout. */
   readonly deadline: Deadline;
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -15,7 +15,9 @@
   if (bodyBytes !== undefined) {
     headers.push('Content-Length', String(bodyBytes));
   }
-  if (server.findStop() !== undefined) headers.push('Connection', 'close');
+  if (server.findStop() !== undefined && context.closeAfter()) {
+    headers.push('Connection', 'close');
+  }
   response.sendDate = false;
   response.writeHead(answer.status, headers);
 }
