perf(placement): less work for each search of chains that share no endpoint

The search kept the edge by which it reached a node in a map built anew for each augmenting path, and listed continuing ranges through a generator.

--- a/packages/decisions/src/stages/find_disjoint_chains.ts
+++ b/packages/decisions/src/stages/find_disjoint_chains.ts
@@ -12,8 +12,14 @@
   readonly ends: number[];
   readonly capacities: number[];
   readonly edgesOf: number[][];
+  /** Work space of a search: the edge by which it reached each node. */
+  readonly reachedBy: Int32Array;
 }
 
+const notReached = -1;
+/** The source is reached by no edge. */
+const noEdge = -2;
+
 /**
  * Finds as many chains that share no endpoint as the held ranges allow, as a
  * maximum flow through the endpoints. In a chain each range continues the one
@@ -39,7 +45,8 @@
   sink: number,
 ): FlowGraph {
   const edgesOf = Array.from({length: sink + 1}, (): number[] => []);
-  const graph: FlowGraph = {ends: [], capacities: [], edgesOf};
+  const reachedBy = new Int32Array(sink + 1);
+  const graph: FlowGraph = {ends: [], capacities: [], edgesOf, reachedBy};
   const continuing = new RangeIndex(holders, layerCount);
   for (const [i, {held}] of holders.entries()) {
     addEdge(graph, 2 * i, 2 * i + 1);
@@ -67,12 +74,14 @@
   }
 
   /** Lists the holders whose range begins within or after a range, and ends later. */
-  *listAfter({first, end}: LayerRange): Generator<number> {
+  listAfter({first, end}: LayerRange): number[] {
+    const after: number[] = [];
     for (let layer = first + 1; layer <= end; layer += 1) {
       for (const i of this.byFirst[layer]!) {
-        if (this.holders[i]!.held!.end > end) yield i;
+        if (this.holders[i]!.held!.end > end) after.push(i);
       }
     }
+    return after;
   }
 }
 
@@ -91,21 +100,22 @@
 
 /** Adds one unit of flow by breadth-first search; false if there is no way. */
 function addFlow(graph: FlowGraph, source: number, sink: number): boolean {
-  const {ends, capacities, edgesOf} = graph;
-  const edgeTo = new Map<number, number>([[source, -1]]);
+  const {ends, capacities, edgesOf, reachedBy} = graph;
+  reachedBy.fill(notReached);
+  reachedBy[source] = noEdge;
   const queue = [source];
   for (const node of queue) {
     for (const edge of edgesOf[node]!) {
       const end = ends[edge]!;
-      if (capacities[edge] === 0 || edgeTo.has(end)) continue;
-      edgeTo.set(end, edge);
+      if (capacities[edge] === 0 || reachedBy[end] !== notReached) continue;
+      reachedBy[end] = edge;
       queue.push(end);
     }
-    if (edgeTo.has(sink)) break;
+    if (reachedBy[sink] !== notReached) break;
   }
-  if (!edgeTo.has(sink)) return false;
+  if (reachedBy[sink] === notReached) return false;
   for (let node = sink; node !== source;) {
-    const edge = edgeTo.get(node)!;
+    const edge = reachedBy[node]!;
     capacities[edge] = 0;
     capacities[edge ^ 1] = 1;
     node = ends[edge ^ 1]!;
--- a/packages/decisions/src/stages/plan_min_loads.ts
+++ b/packages/decisions/src/stages/plan_min_loads.ts
@@ -35,8 +35,8 @@
   quadraticWeight: number,
 ): LayerRange[] | undefined {
   const first: CostRow = {
-    costs: listLayers(layerCount, layer => (layer === 0 ? 0 : Infinity)),
-    starts: listLayers(layerCount, () => 0),
+    costs: [0, ...new Array<number>(layerCount).fill(Infinity)],
+    starts: new Array<number>(layerCount + 1).fill(0),
   };
   const rows: CostRow[] = [];
   let last = first;
@@ -116,10 +116,3 @@
   if (held === undefined) return 0;
   return Math.max(0, Math.min(end, held.end) - Math.max(first, held.first));
 }
-
-function listLayers(
-  layerCount: number,
-  getValue: (layer: number) => number,
-): number[] {
-  return Array.from({length: layerCount + 1}, (_, layer) => getValue(layer));
-}
