fix(gateway): a stream that the exit cuts as likely as not is refused

While all other VMs would refuse a caller, a stopping VM took any stream for 2.7 s, also one that no stream of its kind was ever short enough to finish. It now takes none that outlasts the time left with a chance of a half or more. The new case of stop_plan.test.ts fails on the code before.

--- a/packages/decisions/__tests__/stop_plan.test.ts
+++ b/packages/decisions/__tests__/stop_plan.test.ts
@@ -60,6 +60,13 @@
   assert.ok(!canTake(plan, makeStream(0.2), 12_600));
 });
 
+test('a stream that is cut more likely than not is refused', () => {
+  const findDuration = (share: number) => 4000 + share * 4000;
+  const work = {...makeStream(1), findDuration};
+  assert.ok(canTake(plan, work, 11_400));
+  assert.ok(!canTake(plan, work, 11_600));
+});
+
 test('a stream that may be cut is refused once callers know of the stop', () => {
   assert.ok(!canTake(plan, makeStream(1), 12_700));
 });
--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -50,6 +50,8 @@
 const certainHeadroom = 1.25;
 /** Risk of a cut at which a request is taken although all other VMs are ready. */
 const acceptedRisk = 0.01;
+/** Highest risk of a cut at which a request is taken. */
+const highestRisk = 0.5;
 /** Time from the exit of a VM until its next process serves callers. */
 const restartMilliseconds = 1500;
 /** Time over which the retries of callers refused together are spread. */
@@ -79,7 +81,8 @@
  * it ends before the exit for certain. While callers could not know of the stop,
  * it is also taken when the risk of a cut is smaller than that of a second
  * refusal: in a rolling restart that reaches many VMs at once, a caller that is
- * sent away is likely to meet another VM that stops.
+ * sent away is likely to meet another VM that stops. One that is cut as likely as
+ * not is refused in any case.
  */
 export function canTake(
   {takeUntil, exitAt}: StopPlan,
@@ -87,12 +90,13 @@
   now: Instant,
 ): boolean {
   if (deadline <= exitAt) return true;
-  const certain = findDuration(certainShare) ?? Infinity;
-  if (now + certain * certainHeadroom <= exitAt) return true;
+  const longest = findDuration(certainShare) ?? Infinity;
+  if (now + longest * certainHeadroom <= exitAt) return true;
   if (now >= takeUntil) return false;
-  const risk = Math.min(1, Math.max(acceptedRisk, refusingShare));
-  const likely = findDuration(1 - risk) ?? Infinity;
-  return risk === 1 || now + likely <= exitAt;
+  const risk = Math.max(acceptedRisk, Math.min(refusingShare, highestRisk));
+  const usual = findDuration(1 - risk);
+  if (usual === undefined) return refusingShare === 1;
+  return now + usual <= exitAt;
 }
 
 /**
