--- a/eslint.config.js
+++ b/eslint.config.js
@@ -105,7 +105,11 @@
     rules: {'local/platformNames': 'error'},
   },
   {
-    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
+    files: [
+      'packages/*/src/**/*.ts',
+      'platform/src/**/*.ts',
+      'platform/soak/**/*.ts',
+    ],
     rules: {
       'jsdoc/require-jsdoc': [
         'error',
