--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -47,7 +47,7 @@
 export const gatewayEventTexts: Readonly<Record<GatewayEvent, string>> = {
   [GatewayEvent.Started]: 'gateway {vm} started in data centre {dataCentre}',
   [GatewayEvent.Stopping]:
-    'graceful shutdown: accepting new connections for another {lingerMs} ms',
+    'graceful shutdown: serving callers that know this VM for {lingerMs} ms, exit in {exitMs} ms at the latest, {inFlight} requests in flight',
   [GatewayEvent.Stopped]:
     'gateway stopped; {cutOff} requests in flight were cut off',
   [GatewayEvent.SettingsReloaded]: 'settings reloaded',
@@ -58,7 +58,7 @@
   [GatewayEvent.TaskFailed]: 'task {task} failed: {detail}',
   [GatewayEvent.ProcessPaused]: 'the process was paused for {pauseMs} ms',
   [GatewayEvent.StopRepeated]:
-    'stop requested again {sinceMs} ms after the first request, {inFlight} requests in flight',
+    'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
   [GatewayEvent.StoreLost]:
     'cannot read {topic} from the store; the newest data is {ageMs} ms old: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
