feat(fleet): an endpoint that asks for a pause gets nothing until its end

A 503 with Retry-After was taken for any refusal: requests went on to the endpoint during the time that it had asked for, on paths after the 300 ms of a suspicion, and the refusal was checked and could be told to peers.

The VM stores the instant until which the incarnation wants nothing: until then it gets no request, no path begins there and it gets no order; reports go on. The pause belongs to the VM that was asked.

On a path it counts at the first endpoint. Retry-After speaks for the endpoint that answers, which is the first one, also where the answer names another endpoint of the path as the cause. Paths are searched anew without the pausing starts, so that what is left of two chains still makes one.

A request that only pausing endpoints could serve is refused at once with 503, the first return and a spread that grows with what is left of the pause; also one that is queued when the last pause begins. A started stream waits on as before.

--- a/packages/decisions/src/stages/find_paths.ts
+++ b/packages/decisions/src/stages/find_paths.ts
@@ -193,7 +193,8 @@
   const layers: Map<string, SearchNode>[] = [];
   for (let i = 0; i <= model.layerCount; i += 1) layers.push(new Map());
   for (const endpoint of holders) {
-    if (endpoint.held!.first !== 0 || !endpoint.isReachable) continue;
+    const {held, isReachable, isPausing} = endpoint;
+    if (held!.first !== 0 || !isReachable || isPausing === true) continue;
     const entry = {endpoint, layer: 0, cost: 0, previous: undefined};
     layers[0]!.set(endpoint.id, entry);
   }
--- a/packages/decisions/src/stages/stage_types.ts
+++ b/packages/decisions/src/stages/stage_types.ts
@@ -31,6 +31,11 @@
   readonly slots: number;
   /** Whether this VM reaches it; paths cannot begin at an unreachable one. */
   readonly isReachable: boolean;
+  /**
+   * Whether it wants no requests from this VM for now; paths cannot begin there,
+   * but lead through it, since their first endpoint passes the requests on.
+   */
+  readonly isPausing?: boolean;
   /** The layers it holds now; undefined when it is empty. */
   readonly held: LayerRange | undefined;
 }
--- a/packages/gateway/__tests__/endpoint_prober.test.ts
+++ b/packages/gateway/__tests__/endpoint_prober.test.ts
@@ -115,7 +115,7 @@
   const state = table.find('e1')!;
   const code = EndpointErrorCode.Malformed;
   const fetchReport: EndpointCalls['fetchReport'] = (_address, handle) => {
-    handle({isLeaving: true});
+    handle({isLeaving: true, pauseMilliseconds: undefined});
     return Promise.resolve(Result.err(makeEndpointError(code, 'status 503')));
   };
   const prober = new EndpointProber(
--- a/packages/gateway/__tests__/endpoint_table.test.ts
+++ b/packages/gateway/__tests__/endpoint_table.test.ts
@@ -102,7 +102,7 @@
   assert.equal(table.isUsable(state), true);
 });
 
-const leaving = {isLeaving: true};
+const leaving = {isLeaving: true, pauseMilliseconds: undefined};
 
 test('a ready entry does not take back that an endpoint leaves', () => {
   const {table} = makeTable();
@@ -148,3 +148,31 @@
   assert.equal(table.isUsable(table.find('e2')!), false);
   assert.deepEqual(told, [id]);
 });
+
+test('a pause is not told to the peers, and one without sense is logged once', () => {
+  const told: string[] = [];
+  const logged: string[] = [];
+  const table = new EndpointTable(
+    (_event, fields) => logged.push(String(fields['askedMs'])),
+    () => 1000,
+    one => told.push(one.id),
+  );
+  for (const pauseMilliseconds of [NaN, NaN, -3, 9000, 9500]) {
+    const notice = {isLeaving: false, pauseMilliseconds};
+    table.acceptNotice({id, bornAt: 100}, notice, 'request r1');
+  }
+  assert.deepEqual(told, []);
+  assert.deepEqual(logged, ['NaN', '9000']);
+});
+
+test('an endpoint whose entry is written again still pauses', () => {
+  const {table, clock} = makeTable();
+  const notice = {isLeaving: false, pauseMilliseconds: 4000};
+  table.acceptNotice({id, bornAt: 100}, notice, 'request r1');
+  table.removeEntry(id, clock.now);
+  clock.now += 1000;
+  table.applyEntry(makeEntry({bornAt: 100}));
+  assert.equal(table.findReturn('letters'), clock.now + 3000);
+  table.applyEntry(makeEntry({bornAt: 200}));
+  assert.equal(table.findReturn('letters'), undefined);
+});
--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -321,7 +321,11 @@
   const {table, orders, run} = await makeRunner(() => OrderOutcome.Started);
   await run(0);
   const leaving = {id: 'e1', bornAt: 1};
-  table.acceptNotice(leaving, {isLeaving: true}, 'request r1');
+  table.acceptNotice(
+    leaving,
+    {isLeaving: true, pauseMilliseconds: undefined},
+    'request r1',
+  );
   await run(800);
   const {model} = configuration.services.get('letters')!;
   const left = table.listLeaving('letters', model!);
@@ -334,3 +338,15 @@
     [['e2', 0, 8]],
   );
 });
+
+test('an endpoint that asks for a pause gets no order until its end', async () => {
+  const {table, orders, run} = await makeRunner(() => OrderOutcome.Started);
+  await run(0);
+  const pause = {isLeaving: false, pauseMilliseconds: 2000};
+  table.acceptNotice({id: 'e1', bornAt: 1}, pause, 'order');
+  await run(800);
+  await run(800);
+  assert.ok(orders.every(({endpointId}) => endpointId === 'e2'));
+  await run(800);
+  assert.ok(orders.some(({endpointId}) => endpointId === 'e1'));
+});
--- a/packages/gateway/__tests__/path_queue.test.ts
+++ b/packages/gateway/__tests__/path_queue.test.ts
@@ -19,12 +19,17 @@
 
 /** A queue before one path with room for some tokens, in virtual time. */
 function makeQueue(smallTokens: number) {
-  const state = {now: 0, freeTokens: smallTokens + reservedTokens};
+  const state = {
+    now: 0,
+    freeTokens: smallTokens + reservedTokens,
+    returnAt: undefined as number | undefined,
+  };
   const paths = {
     pick: (_service: string, _model: ServiceModel, tokens: number) =>
       tokens + (isLarge(tokens) ? 0 : reservedTokens) <= state.freeTokens
         ? path
         : undefined,
+    findReturn: () => state.returnAt,
   } as Partial<PathTable> as PathTable;
   const queue = new PathQueue(paths, () => state.now);
   const outcomes = new Map<string, Outcome>();
@@ -161,3 +166,15 @@
   assert.equal(outcomes.get('first'), undefined);
   assert.equal(outcomes.get('second')!.isPlaced, true);
 });
+
+test('a request that only pausing endpoints could serve is refused at once', () => {
+  const {add, outcomes, runUntil, state} = makeQueue(0);
+  add('queued', 900, 400);
+  add('cut', 900, 1700, true);
+  state.returnAt = 5000;
+  add('new', 900, 400);
+  assert.equal(outcomes.get('new')!.waitedMilliseconds, 0);
+  runUntil(20, 0);
+  assert.equal(outcomes.get('queued')!.isPlaced, false);
+  assert.equal(outcomes.get('cut'), undefined);
+});
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -228,7 +228,11 @@
     const path = paths.pick('letters', model, 10)!;
     const stream = makeStream();
     paths.reserve(path, 10, stream);
-    endpoints.acceptNotice({id, bornAt: 1}, {isLeaving: true}, 'request r1');
+    endpoints.acceptNotice(
+      {id, bornAt: 1},
+      {isLeaving: true, pauseMilliseconds: undefined},
+      'request r1',
+    );
     const found = paths.list('letters', model);
     assert.ok(found.length > 0);
     for (const {parts} of found) {
@@ -237,3 +241,48 @@
     assert.equal(stream.stalls, 0);
   }
 });
+
+const pausing = {isLeaving: false, pauseMilliseconds: 3000};
+
+test('no path begins at an endpoint that asks for a pause, until its end', () => {
+  const {clock, endpoints, paths} = makePaths();
+  paths.list('letters', model);
+  endpoints.acceptNotice({id: 'a0', bornAt: 1}, pausing, 'request r1');
+  const listStarts = () =>
+    paths.list('letters', model).map(({parts}) => parts[0]!.endpoint.id);
+  assert.ok(listStarts().length > 0);
+  assert.ok(!listStarts().includes('a0'));
+  assert.equal(paths.findReturn('letters', model), undefined);
+  clock.now += 3000;
+  assert.ok(listStarts().includes('a0'));
+});
+
+test('an endpoint that asks for a pause serves on within a path', () => {
+  const {endpoints, paths} = makePaths();
+  endpoints.acceptNotice({id: 'a2', bornAt: 1}, pausing, 'request r1');
+  assert.equal(paths.list('letters', model).length, 2);
+});
+
+// The data centre a lacks the second half of the layers, b the first endpoint.
+test('a pause does not block a path through the endpoints that are left', () => {
+  const {clock, endpoints, paths} = makePaths();
+  endpoints.removeEntry('a2', clock.now);
+  endpoints.acceptNotice({id: 'b0', bornAt: 1}, pausing, 'request r1');
+  const [path] = paths.list('letters', model);
+  assert.deepEqual(
+    path!.parts.map(({endpoint}) => endpoint.id),
+    ['a0', 'b2'],
+  );
+});
+
+test('while all paths begin at pausing endpoints, the first return is known', () => {
+  const {clock, endpoints, paths} = makePaths();
+  endpoints.acceptNotice({id: 'a0', bornAt: 1}, pausing, 'request r1');
+  const longer = {...pausing, pauseMilliseconds: 5000};
+  endpoints.acceptNotice({id: 'b0', bornAt: 1}, longer, 'request r2');
+  assert.deepEqual(paths.list('letters', model), []);
+  assert.equal(paths.findReturn('letters', model), clock.now + 3000);
+  endpoints.removeEntry('a2', clock.now);
+  endpoints.removeEntry('b2', clock.now);
+  assert.equal(paths.findReturn('letters', model), undefined);
+});
--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -13,6 +13,7 @@
     hasSeal: true,
     isNotRun: false,
     isLeaving: false,
+    pauseMilliseconds: undefined,
     endpointId: undefined,
     failedAddress: undefined,
     forwardedHeaders: [],
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -2,6 +2,7 @@
   computeOverlap,
   GatewayEvent,
   isPast,
+  type Deadline,
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
@@ -24,6 +25,7 @@
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
+import {buildStage} from './build_stage.js';
 import {NoticeTable, type Incarnation} from './notice_table.js';
 
 /** Endpoints update their entries every 1.2 s; store outages delay them further. */
@@ -152,8 +154,34 @@
     notice: EndpointNotice,
     source: string,
   ): void {
-    if (!notice.isLeaving) return;
-    if (this.recordLeaving(incarnation, source)) this.sendLeaving(incarnation);
+    const {isLeaving, pauseMilliseconds} = notice;
+    if (isLeaving && this.recordLeaving(incarnation, source)) {
+      this.sendLeaving(incarnation);
+    }
+    if (pauseMilliseconds === undefined) return;
+    if (this.notices.recordPause(incarnation, pauseMilliseconds, source)) {
+      this.revision += 1;
+    }
+  }
+
+  /** Finds until when an endpoint wants no requests; undefined if it takes them. */
+  findPauseEnd({entry, bornAt}: EndpointState): Deadline | undefined {
+    return this.notices.findPauseEnd({id: entry.id, bornAt});
+  }
+
+  /**
+   * Finds when the first endpoint of a service takes requests again; undefined
+   * unless all that could serve them are pausing.
+   */
+  findReturn(service: string): Deadline | undefined {
+    let earliest: Deadline | undefined;
+    for (const state of this.list(service)) {
+      if (this.isDraining(state)) continue;
+      const until = this.findPauseEnd(state);
+      if (until === undefined) return undefined;
+      earliest = Math.min(earliest ?? Infinity, until);
+    }
+    return earliest;
   }
 
   /**
@@ -285,7 +313,9 @@
       if (!isReachable && !this.isUsableMidPath(state)) continue;
       const held = this.computeServedLayers(state);
       const stage = buildStage(state, model, held);
-      if (stage !== undefined) stages.push({...stage, isReachable});
+      if (stage === undefined) continue;
+      const isPausing = this.findPauseEnd(state) !== undefined;
+      stages.push({...stage, isReachable, isPausing});
     }
     return stages;
   }
@@ -399,19 +429,3 @@
     return true;
   }
 }
-
-function buildStage(
-  state: EndpointState,
-  model: ServiceModel,
-  held: LayerRange | undefined,
-): StageEndpoint | undefined {
-  const kind = model.kinds.get(state.entry.kind ?? '');
-  if (kind === undefined) return undefined;
-  const {id, address, dataCentre, slots} = state.entry;
-  const {sizeMegabytes, pace} = kind;
-  const isReachable = true;
-  return {
-    ...{id, address, dataCentre, slots, sizeMegabytes, pace},
-    ...{isReachable, held},
-  };
-}
--- a/packages/gateway/src/fleet/notice_table.ts
+++ b/packages/gateway/src/fleet/notice_table.ts
@@ -1,10 +1,18 @@
 import {
   createEndpointNotices,
+  findPauseEnd,
   isLeaving,
+  PauseOutcome,
   recordLeaving,
+  recordPause,
   type EndpointNotices,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  isPast,
+  type Deadline,
+  type Instant,
+} from '@zinniaspindle/shared';
 import type {WriteEvent} from '../log/event_log.js';
 
 /** An incarnation of an endpoint. */
@@ -38,6 +46,39 @@
     return notices !== undefined && isLeaving(notices, bornAt);
   }
 
+  /**
+   * Records that an endpoint asks this VM for a pause; returns whether one
+   * begins or goes on.
+   */
+  recordPause(
+    {id, bornAt}: Incarnation,
+    milliseconds: number,
+    source: string,
+  ): boolean {
+    const now = this.getNow();
+    const notices = this.open(id);
+    const outcome = recordPause(notices, bornAt, milliseconds, now);
+    const isNews =
+      outcome === PauseOutcome.Started || outcome === PauseOutcome.Faulty;
+    if (isNews) {
+      const until = findPauseEnd(notices, bornAt, now) ?? now;
+      this.writeEvent(GatewayEvent.EndpointPausing, {
+        endpoint: id,
+        pauseMs: Math.round(until - now),
+        askedMs: String(milliseconds),
+        source,
+      });
+    }
+    return findPauseEnd(notices, bornAt, now) !== undefined;
+  }
+
+  /** Finds until when an endpoint wants no requests; undefined if it takes them. */
+  findPauseEnd({id, bornAt}: Incarnation): Deadline | undefined {
+    const notices = this.notices.get(id);
+    if (notices === undefined) return undefined;
+    return findPauseEnd(notices, bornAt, this.getNow());
+  }
+
   /** Lists the incarnations that have stated that they leave. */
   listLeaving(): Incarnation[] {
     const leaving: Incarnation[] = [];
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -12,11 +12,13 @@
   takeCrossings,
   type CrossingBudget,
   type PathWatch,
+  type StageEndpoint,
   type StagePath,
 } from '@zinniaspindle/decisions';
 import {
   GatewayEvent,
   isPast,
+  type Deadline,
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
@@ -52,6 +54,17 @@
   readonly model: ServiceModel;
   readonly until: Instant;
   readonly paths: readonly StagePath[];
+  /**
+   * When the first endpoint returns from its pause with which there is a path;
+   * undefined while there are paths, and if pauses are not why there are none.
+   */
+  readonly returnAt: Deadline | undefined;
+}
+
+/** Pausing endpoints at which paths could begin, with the ends of their pauses. */
+interface PausedStart {
+  readonly id: string;
+  readonly until: Deadline;
 }
 
 /**
@@ -89,6 +102,18 @@
 
   /** Lists the paths of a service's model in all data centres. */
   list(service: string, model: ServiceModel): readonly StagePath[] {
+    return this.findAll(service, model).paths;
+  }
+
+  /**
+   * Finds when a path accepts requests again; undefined unless there is none
+   * only because the endpoints at which paths begin are pausing.
+   */
+  findReturn(service: string, model: ServiceModel): Deadline | undefined {
+    return this.findAll(service, model).returnAt;
+  }
+
+  private findAll(service: string, model: ServiceModel): CachedPaths {
     const now = this.getNow();
     const cached = this.cache.get(service);
     const isFresh =
@@ -96,16 +121,23 @@
       cached.revision === this.endpoints.revision &&
       cached.model === model &&
       !isPast(cached.until, now);
-    if (isFresh) return cached.paths;
+    if (isFresh) return cached;
     const stages = this.endpoints.listStages(service, model);
     const paths = findPaths(stages, model.shape);
     for (const path of paths) this.loads.addPath(path);
-    this.cache.set(service, {
+    const pausing = this.listPausedStarts(stages);
+    const found: CachedPaths = {
       revision: this.endpoints.revision,
       model,
-      until: this.endpoints.hasSuspects() ? now + cacheMilliseconds : Infinity,
+      until: Math.min(
+        this.endpoints.hasSuspects() ? now + cacheMilliseconds : Infinity,
+        pausing[0]?.until ?? Infinity,
+      ),
       paths,
-    });
+      returnAt:
+        paths.length > 0 ? undefined : findReturn(pausing, stages, model),
+    };
+    this.cache.set(service, found);
     const keys = paths.map(({key}) => key).join(' | ');
     if (cached?.paths.map(({key}) => key).join(' | ') !== keys) {
       this.writeEvent(GatewayEvent.PathsChanged, {
@@ -114,7 +146,18 @@
         paths: keys,
       });
     }
-    return paths;
+    return found;
+  }
+
+  /** Lists them by the ends of their pauses. */
+  private listPausedStarts(stages: readonly StageEndpoint[]): PausedStart[] {
+    const starts: PausedStart[] = [];
+    for (const {id, held, isReachable, isPausing} of stages) {
+      if (held?.first !== 0 || !isReachable || isPausing !== true) continue;
+      const until = this.endpoints.findPauseEnd(this.endpoints.find(id)!);
+      if (until !== undefined) starts.push({id, until});
+    }
+    return starts.sort((a, b) => a.until - b.until);
   }
 
   /** Picks a path for a request; undefined when none can take it. */
@@ -271,6 +314,21 @@
   }
 }
 
+/** Finds the end of the first pause after which there is a path. */
+function findReturn(
+  pausing: readonly PausedStart[],
+  stages: readonly StageEndpoint[],
+  model: ServiceModel,
+): Deadline | undefined {
+  for (const {id, until} of pausing) {
+    const after = stages.map(stage =>
+      stage.id === id ? {...stage, isPausing: false} : stage,
+    );
+    if (findPaths(after, model.shape).length > 0) return until;
+  }
+  return undefined;
+}
+
 function computeUsualTokens(model: ServiceModel): number {
   const {meanPromptTokens, meanAnswerTokens} = model;
   if (meanPromptTokens === undefined) return Infinity;
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -145,6 +145,7 @@
       void this.pollReport(state);
       return;
     }
+    if (this.table.findPauseEnd(state) !== undefined) return;
     if (wanted === undefined || isSameRange(wanted.range, stage.held)) return;
     if (!canFit(stage, wanted.range, model)) return;
     this.busyUntil.set(stage.id, now + retryDelayMilliseconds);
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -42,6 +42,11 @@
 export interface EndpointNotice {
   /** Whether it is about to exit and wants no new work. */
   readonly isLeaving: boolean;
+  /**
+   * For how long from now it wants no requests of this VM; NaN if that cannot be
+   * read, undefined if it asks for no pause.
+   */
+  readonly pauseMilliseconds: number | undefined;
 }
 
 /** Receives what an endpoint states, as soon as the headers are there. */
--- a/packages/gateway/src/requests/failure.ts
+++ b/packages/gateway/src/requests/failure.ts
@@ -7,6 +7,7 @@
   HeadersTooLarge = 'the headers are larger than allowed',
   BodyTimeout = 'the body did not come in time',
   NoEndpoint = 'no endpoint can take the request now',
+  EndpointsPausing = 'all endpoints ask for a pause',
   EndpointsBusy = 'all endpoints are busy',
   Stopping = 'this VM is stopping and could not finish the request',
   Deadline = 'the deadline passed',
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -38,7 +38,8 @@
 
   /**
    * Gives a request a place at once if those before it leave one, or queues it,
-   * or refuses it if it would not be served in time.
+   * or refuses it if it would not be served in time, or if all paths begin at
+   * endpoints that are pausing.
    */
   add(service: string, waiter: PathWaiter): void {
     const now = this.getNow();
@@ -46,6 +47,7 @@
     addWaiter(queue, waiter, now);
     this.runQueue(service, queue);
     if (!queue.waiters.includes(waiter)) return;
+    if (this.isPausing(service, waiter)) return this.refuse(queue, waiter);
     const wait = predictWait(queue, waiter, now);
     if (waiter.isResumed || now + wait <= waiter.waitUntil) return;
     this.refuse(queue, waiter);
@@ -60,7 +62,7 @@
   run(): void {
     for (const [service, queue] of this.queues) {
       this.runQueue(service, queue);
-      this.expireWaiters(queue);
+      this.expireWaiters(service, queue);
     }
   }
 
@@ -90,10 +92,20 @@
     return true;
   }
 
-  private expireWaiters(queue: WaitQueue<PathWaiter>): void {
+  /**
+   * Tells whether a request must be refused because of pauses. A started stream
+   * waits on: its caller cannot be told to return.
+   */
+  private isPausing(service: string, waiter: PathWaiter): boolean {
+    if (waiter.isResumed) return false;
+    return this.paths.findReturn(service, waiter.model) !== undefined;
+  }
+
+  private expireWaiters(service: string, queue: WaitQueue<PathWaiter>): void {
     const now = this.getNow();
-    const expired = queue.waiters.filter(({waitUntil}) =>
-      isPast(waitUntil, now),
+    const expired = queue.waiters.filter(
+      waiter =>
+        isPast(waiter.waitUntil, now) || this.isPausing(service, waiter),
     );
     for (const waiter of expired) this.refuse(queue, waiter);
   }
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -16,6 +16,7 @@
 import {openUpstream} from './open_upstream.js';
 import {
   closeEarly,
+  makePauseAnswer,
   recordAnswered,
   recordRetry,
   refuseUnknownOutcome,
@@ -109,6 +110,7 @@
     for (const state of server.endpoints.list(service.name)) {
       if (this.tried.has(state.entry.id)) continue;
       if (server.endpoints.isDraining(state)) continue;
+      if (server.endpoints.findPauseEnd(state) !== undefined) continue;
       const isFailing = !canSend(state.breaker, now);
       const rank =
         state.running + Math.random() + (isFailing ? failingPenalty : 0);
@@ -287,6 +289,9 @@
     if (this.runs > 0) {
       return {status: 502, reason: FailureReason.OutcomeUnknown};
     }
+    const {server, service} = this.context;
+    const returnAt = server.endpoints.findReturn(service.name);
+    if (returnAt !== undefined) return makePauseAnswer(server, returnAt);
     const isFull = this.notRun > 0;
     const reason = isFull
       ? FailureReason.EndpointsBusy
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -1,8 +1,9 @@
-import {GatewayEvent, isPast} from '@zinniaspindle/shared';
+import {computeRetryDelay, computeReturnDelay} from '@zinniaspindle/decisions';
+import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, RawHeaders} from '../ports/index.js';
-import {FailureReason} from './failure.js';
-import type {RequestContext} from './request_context.js';
+import {FailureReason, type LocalAnswer} from './failure.js';
+import type {RequestContext, ServerContext} from './request_context.js';
 
 /** Forwards the status and headers of an endpoint's answer to the caller. */
 export function writeHead(
@@ -48,6 +49,35 @@
   else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
 }
 
+/** Makes the refusal of a request that only pausing endpoints could serve. */
+export function makePauseAnswer(
+  {getNow}: ServerContext,
+  returnAt: Deadline,
+): LocalAnswer {
+  return {
+    status: 503,
+    reason: FailureReason.EndpointsPausing,
+    retryAfterMilliseconds: computeReturnDelay(returnAt, getNow(), Math.random),
+  };
+}
+
+/** Refuses a stream that was not run, because no path took it in time. */
+export function refuseUnserved(
+  {server, deadline, refuse}: RequestContext,
+  returnAt: Deadline | undefined,
+  wasRefused: boolean,
+): void {
+  if (returnAt !== undefined) {
+    refuse(makePauseAnswer(server, returnAt));
+    return;
+  }
+  const reason = wasRefused
+    ? FailureReason.EndpointsBusy
+    : FailureReason.NoEndpoint;
+  const after = computeRetryDelay(deadline - server.getNow(), Math.random);
+  refuse({status: 503, reason, retryAfterMilliseconds: after});
+}
+
 /**
  * Closes the connection before the answer is complete, so that the caller sees
  * that it is not.
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,4 +1,4 @@
-import {computeQueueTimeout, computeRetryDelay} from '@zinniaspindle/decisions';
+import {computeQueueTimeout} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
@@ -15,6 +15,7 @@
   recordAnswered,
   recordRetry,
   refuseUnknownOutcome,
+  refuseUnserved,
   sendAnswer,
   writeHead,
 } from './send_answer.js';
@@ -361,7 +362,11 @@
     const address = answer.failedAddress ?? first.address;
     const failedEndpoint = server.endpoints.findByAddress(address);
     const reason = `status ${answer.status} at ${address}`;
-    if (failedEndpoint !== undefined) {
+    // An endpoint that asks for a pause has said why it refuses.
+    const isExplained =
+      failedEndpoint === undefined ||
+      server.endpoints.findPauseEnd(failedEndpoint) !== undefined;
+    if (!isExplained) {
       const part = parts.find(
         ({endpoint}) => endpoint.id === failedEndpoint.entry.id,
       );
@@ -413,7 +418,7 @@
   }
 
   private answerFailure(): void {
-    const {refuse, deadline, server} = this.context;
+    const {server, service} = this.context;
     if (this.hasSentEvents) {
       closeEarly(this.context, 'no further attempt is allowed');
       return;
@@ -422,9 +427,7 @@
       refuseUnknownOutcome(this.context);
       return;
     }
-    const reason =
-      this.notRun > 0 ? FailureReason.EndpointsBusy : FailureReason.NoEndpoint;
-    const after = computeRetryDelay(deadline - server.getNow(), Math.random);
-    refuse({status: 503, reason, retryAfterMilliseconds: after});
+    const returnAt = server.paths.findReturn(service.name, this.model);
+    refuseUnserved(this.context, returnAt, this.notRun > 0);
   }
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -26,6 +26,7 @@
   PathsChanged = 7207,
   PathStalled = 7208,
   EndpointLeaving = 7209,
+  EndpointPausing = 7210,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -85,6 +86,8 @@
     'path {path} is avoided, {silentMs} ms after its last progress; its {streams} streams move if another path is available',
   [GatewayEvent.EndpointLeaving]:
     'endpoint {endpoint} states that it leaves and gets no new requests, heard from {source}',
+  [GatewayEvent.EndpointPausing]:
+    'endpoint {endpoint} gets no requests of this VM for {pauseMs} ms: it asks for {askedMs} ms, heard from {source}',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
