--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -5,6 +5,7 @@
   Requests = 'requests_total',
   Answered = 'requests_answered_total',
   Refused = 'requests_refused_total',
+  RefusedForPause = 'requests_refused_for_pause_total',
   Failed = 'requests_failed_total',
   Abandoned = 'requests_abandoned_total',
   CutOff = 'requests_cut_off_total',
@@ -31,6 +32,8 @@
   [Counter.Requests]: 'Requests whose headers were received.',
   [Counter.Answered]: 'Requests answered with the answer of an endpoint.',
   [Counter.Refused]: 'Requests refused with 429 or 503 without having run.',
+  [Counter.RefusedForPause]:
+    'Requests among the refused that only pausing endpoints could serve.',
   [Counter.Failed]:
     'Requests that the gateway answered with an error status other than 429 or 503, or whose answer was cut off.',
   [Counter.Abandoned]: 'Requests whose caller disconnected before the end.',
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -16,9 +16,9 @@
 import {openUpstream} from './open_upstream.js';
 import {
   closeEarly,
-  makePauseAnswer,
   recordAnswered,
   recordRetry,
+  refuseForPause,
   refuseUnknownOutcome,
   sendAnswer,
 } from './send_answer.js';
@@ -282,16 +282,17 @@
       );
       return;
     }
-    context.refuse(this.chooseFailure());
+    const {server, service} = context;
+    const returnAt = server.endpoints.findReturn(service.name);
+    const isPause = this.runs === 0 && returnAt !== undefined;
+    if (isPause) refuseForPause(context, returnAt);
+    else context.refuse(this.chooseFailure());
   }
 
   private chooseFailure(): LocalAnswer {
     if (this.runs > 0) {
       return {status: 502, reason: FailureReason.OutcomeUnknown};
     }
-    const {server, service} = this.context;
-    const returnAt = server.endpoints.findReturn(service.name);
-    if (returnAt !== undefined) return makePauseAnswer(server, returnAt);
     const isFull = this.notRun > 0;
     const reason = isFull
       ? FailureReason.EndpointsBusy
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -2,8 +2,8 @@
 import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, RawHeaders} from '../ports/index.js';
-import {FailureReason, type LocalAnswer} from './failure.js';
-import type {RequestContext, ServerContext} from './request_context.js';
+import {FailureReason} from './failure.js';
+import type {RequestContext} from './request_context.js';
 
 /** Forwards the status and headers of an endpoint's answer to the caller. */
 export function writeHead(
@@ -49,28 +49,31 @@
   else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
 }
 
-/** Makes the refusal of a request that only pausing endpoints could serve. */
-export function makePauseAnswer(
-  {getNow}: ServerContext,
+/** Refuses a request that was not run and that only pausing endpoints could serve. */
+export function refuseForPause(
+  {server, refuse}: RequestContext,
   returnAt: Deadline,
-): LocalAnswer {
-  return {
+): void {
+  const after = computeReturnDelay(returnAt, server.getNow(), Math.random);
+  server.metrics.count(Counter.RefusedForPause);
+  refuse({
     status: 503,
     reason: FailureReason.EndpointsPausing,
-    retryAfterMilliseconds: computeReturnDelay(returnAt, getNow(), Math.random),
-  };
+    retryAfterMilliseconds: after,
+  });
 }
 
 /** Refuses a stream that was not run, because no path took it in time. */
 export function refuseUnserved(
-  {server, deadline, refuse}: RequestContext,
+  context: RequestContext,
   returnAt: Deadline | undefined,
   wasRefused: boolean,
 ): void {
   if (returnAt !== undefined) {
-    refuse(makePauseAnswer(server, returnAt));
+    refuseForPause(context, returnAt);
     return;
   }
+  const {server, deadline, refuse} = context;
   const reason = wasRefused
     ? FailureReason.EndpointsBusy
     : FailureReason.NoEndpoint;
