--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -12,6 +12,8 @@
     attemptId: String(message.headers['x-id']),
     hasSeal: true,
     isNotRun: false,
+    isLeaving: false,
+    pauseMilliseconds: undefined,
     endpointId: undefined,
     failedAddress: undefined,
     forwardedHeaders: [],
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -2,6 +2,7 @@
   computeOverlap,
   GatewayEvent,
   isPast,
+  type Deadline,
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
@@ -11,7 +12,11 @@
   type StageEndpoint,
 } from '@zinniaspindle/decisions';
 import type {WriteEvent} from '../log/event_log.js';
-import type {EndpointEntry, ServiceModel} from '../ports/index.js';
+import type {
+  EndpointEntry,
+  EndpointNotice,
+  ServiceModel,
+} from '../ports/index.js';
 import {
   createEndpointState,
   formatHeld,
@@ -20,6 +25,8 @@
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
+import {buildStage} from './build_stage.js';
+import {NoticeTable, type Incarnation} from './notice_table.js';
 
 /** Endpoints update their entries every 1.2 s; store outages delay them further. */
 const listLagMilliseconds = 5000;
@@ -36,13 +43,19 @@
 /** The endpoints that this VM knows, by id. */
 export class EndpointTable {
   private readonly states = new Map<string, EndpointState>();
+  private readonly notices: NoticeTable;
   /** Incremented by every change that affects which paths are usable. */
   revision = 0;
 
   constructor(
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
-  ) {}
+    /** Tells the peers that an endpoint leaves. */
+    private readonly sendLeaving: (leaving: Incarnation) => void = () =>
+      undefined,
+  ) {
+    this.notices = new NoticeTable(writeEvent, getNow);
+  }
 
   /** Finds an endpoint by its id. */
   find(id: string): EndpointState | undefined {
@@ -127,6 +140,72 @@
         this.removeEntry(id, now);
       }
     }
+    this.notices.expire(id => this.states.has(id));
+  }
+
+  /**
+   * Applies what an endpoint stated about itself in an answer to this VM.
+   * @param incarnation the one that answered, as far as known
+   * @param notice what it stated
+   * @param source what it answered, for the log
+   */
+  acceptNotice(
+    incarnation: Incarnation,
+    notice: EndpointNotice,
+    source: string,
+  ): void {
+    const {isLeaving, pauseMilliseconds} = notice;
+    if (isLeaving && this.recordLeaving(incarnation, source)) {
+      this.sendLeaving(incarnation);
+    }
+    if (pauseMilliseconds === undefined) return;
+    if (this.notices.recordPause(incarnation, pauseMilliseconds, source)) {
+      this.revision += 1;
+    }
+  }
+
+  /** Finds until when an endpoint wants no requests; undefined if it takes them. */
+  findPauseEnd({entry, bornAt}: EndpointState): Deadline | undefined {
+    return this.notices.findPauseEnd({id: entry.id, bornAt});
+  }
+
+  /**
+   * Finds when the first endpoint of a service takes requests again; undefined
+   * unless all that could serve them are pausing.
+   */
+  findReturn(service: string): Deadline | undefined {
+    let earliest: Deadline | undefined;
+    for (const state of this.list(service)) {
+      if (this.isDraining(state)) continue;
+      const until = this.findPauseEnd(state);
+      if (until === undefined) return undefined;
+      earliest = Math.min(earliest ?? Infinity, until);
+    }
+    return earliest;
+  }
+
+  /**
+   * Records that an endpoint has stated, here or to a peer, that it leaves;
+   * returns whether that is news.
+   */
+  recordLeaving(incarnation: Incarnation, source: string): boolean {
+    if (!this.notices.recordLeaving(incarnation, source)) return false;
+    this.revision += 1;
+    return true;
+  }
+
+  /** Lists the endpoints that have stated that they leave. */
+  listLeavingNotices(): Incarnation[] {
+    return this.notices.listLeaving();
+  }
+
+  /**
+   * Tells whether an endpoint leaves, by its entry or by what it stated; it gets
+   * no new requests. An entry does not take a statement back.
+   */
+  isDraining({entry, bornAt}: EndpointState): boolean {
+    if (entry.isDraining) return true;
+    return this.notices.isLeaving({id: entry.id, bornAt});
   }
 
   /**
@@ -216,13 +295,13 @@
 
   /** Tells whether an endpoint accepts new requests from this VM. */
   isUsable(state: EndpointState): boolean {
-    if (state.entry.isDraining) return false;
+    if (this.isDraining(state)) return false;
     return isPast(state.suspectUntil, this.getNow());
   }
 
   /** Tells whether paths may pass through an endpoint that this VM does not reach. */
   private isUsableMidPath(state: EndpointState): boolean {
-    if (state.entry.isDraining) return false;
+    if (this.isDraining(state)) return false;
     return isConfirmedAlive(state.health, this.getNow());
   }
 
@@ -234,7 +313,9 @@
       if (!isReachable && !this.isUsableMidPath(state)) continue;
       const held = this.computeServedLayers(state);
       const stage = buildStage(state, model, held);
-      if (stage !== undefined) stages.push({...stage, isReachable});
+      if (stage === undefined) continue;
+      const isPausing = this.findPauseEnd(state) !== undefined;
+      stages.push({...stage, isReachable, isPausing});
     }
     return stages;
   }
@@ -278,7 +359,7 @@
   ): PlannedEndpoint[] {
     const stages: PlannedEndpoint[] = [];
     for (const state of this.list(service)) {
-      if (state.entry.isDraining || !canHold(state)) continue;
+      if (this.isDraining(state) || !canHold(state)) continue;
       const pending = this.findPending(state);
       const held = pending?.range ?? state.held;
       const stage = buildStage(state, model, held);
@@ -292,7 +373,7 @@
   listLeaving(service: string, model: ServiceModel): StageEndpoint[] {
     const stages: StageEndpoint[] = [];
     for (const state of this.list(service)) {
-      if (!state.entry.isDraining) continue;
+      if (!this.isDraining(state)) continue;
       const stage = buildStage(state, model, state.held);
       if (stage !== undefined) stages.push(stage);
     }
@@ -348,19 +429,3 @@
     return true;
   }
 }
-
-function buildStage(
-  state: EndpointState,
-  model: ServiceModel,
-  held: LayerRange | undefined,
-): StageEndpoint | undefined {
-  const kind = model.kinds.get(state.entry.kind ?? '');
-  if (kind === undefined) return undefined;
-  const {id, address, dataCentre, slots} = state.entry;
-  const {sizeMegabytes, pace} = kind;
-  const isReachable = true;
-  return {
-    ...{id, address, dataCentre, slots, sizeMegabytes, pace},
-    ...{isReachable, held},
-  };
-}
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -18,6 +18,7 @@
   closeEarly,
   recordAnswered,
   recordRetry,
+  refuseForPause,
   refuseUnknownOutcome,
   sendAnswer,
 } from './send_answer.js';
@@ -118,7 +119,9 @@
     let best: EndpointState | undefined;
     let lowestRank = Infinity;
     for (const state of server.endpoints.list(service.name)) {
-      if (state.entry.isDraining || this.tried.has(state.entry.id)) continue;
+      if (this.tried.has(state.entry.id)) continue;
+      if (server.endpoints.isDraining(state)) continue;
+      if (server.endpoints.findPauseEnd(state) !== undefined) continue;
       const isFailing = !canSend(state.breaker, now);
       const rank =
         state.running + Math.random() + (isFailing ? failingPenalty : 0);
@@ -290,7 +293,11 @@
       );
       return;
     }
-    context.refuse(this.chooseFailure());
+    const {server, service} = context;
+    const returnAt = server.endpoints.findReturn(service.name);
+    const isPause = this.runs === 0 && returnAt !== undefined;
+    if (isPause) refuseForPause(context, returnAt);
+    else context.refuse(this.chooseFailure());
   }
 
   private chooseFailure(): LocalAnswer {
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -1,4 +1,5 @@
-import {GatewayEvent, isPast} from '@zinniaspindle/shared';
+import {computeRetryDelay, computeReturnDelay} from '@zinniaspindle/decisions';
+import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
 import {
   RouteKind,
@@ -54,6 +55,38 @@
   else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
 }
 
+/** Refuses a request that was not run and that only pausing endpoints could serve. */
+export function refuseForPause(
+  {server, refuse}: RequestContext,
+  returnAt: Deadline,
+): void {
+  const after = computeReturnDelay(returnAt, server.getNow(), Math.random);
+  server.metrics.count(Counter.RefusedForPause);
+  refuse({
+    status: 503,
+    reason: FailureReason.EndpointsPausing,
+    retryAfterMilliseconds: after,
+  });
+}
+
+/** Refuses a stream that was not run, because no path took it in time. */
+export function refuseUnserved(
+  context: RequestContext,
+  returnAt: Deadline | undefined,
+  wasRefused: boolean,
+): void {
+  if (returnAt !== undefined) {
+    refuseForPause(context, returnAt);
+    return;
+  }
+  const {server, deadline, refuse} = context;
+  const reason = wasRefused
+    ? FailureReason.EndpointsBusy
+    : FailureReason.NoEndpoint;
+  const after = computeRetryDelay(deadline - server.getNow(), Math.random);
+  refuse({status: 503, reason, retryAfterMilliseconds: after});
+}
+
 /**
  * Closes the connection before the answer is complete, so that the caller sees
  * that it is not.
