fix(gateway): a lost store is logged with the age of the data only where there is data

Change: 7101 says that there is no data yet, that the data is of unknown age, or its age; ageMs is left out where there is none.

--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -130,14 +130,21 @@
     const isFirstFailure = this.canRead();
     recordReadFailure(this.access, liveRank, now, Math.random);
     if (!isFirstFailure) return;
-    const ageMs = Math.round(
-      Math.min(now - this.state.asOf, Number.MAX_SAFE_INTEGER),
-    );
-    const {topic} = this.state;
+    const {topic, asOf} = this.state;
+    const ageMs = Math.round(now - asOf);
     this.writeEvent(GatewayEvent.StoreLost, {
       topic,
-      ageMs,
+      newest: describeAge(this.state, ageMs),
+      ...(Number.isFinite(ageMs) ? {ageMs} : {}),
       detail: error.message,
     });
   }
 }
+
+function describeAge({next}: TopicState, ageMilliseconds: number): string {
+  if (next === undefined) return 'there is no data yet';
+  if (!Number.isFinite(ageMilliseconds)) {
+    return 'the newest data is of unknown age';
+  }
+  return `the newest data is ${ageMilliseconds} ms old`;
+}
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -60,7 +60,7 @@
   [GatewayEvent.StopRepeated]:
     'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
   [GatewayEvent.StoreLost]:
-    'cannot read {topic} from the store; the newest data is {ageMs} ms old: {detail}',
+    'cannot read {topic} from the store; {newest}: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
   [GatewayEvent.RecordRefused]:
     'record {key} at offset {offset} of {topic} is malformed and was ignored',
