--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -270,7 +270,8 @@
   clock.now = 600;
   ownership.poll(0, false);
   await runPending();
-  assert.ok(ownership.findFencingToken()! > before);
+  const after = ownership.findFencingToken()!;
+  assert.ok(after > before, `${after} after ${before}`);
   assert.deepEqual(generations, [0, 7]);
 });
 
@@ -305,7 +306,7 @@
   ownership.poll(0, false);
   await runPending();
   const token = ownership.findFencingToken();
-  assert.ok(token !== undefined);
+  assert.notEqual(token, undefined);
   for (clock.now = 1200; clock.now <= 1800; clock.now += 600) {
     ownership.poll(0, false);
     await runPending();
