fix(gateway): a stream with no attempt left stays on a silent path

A move was allowed while the second attempt had no answer, and the move itself counts as a run, so that nothing was left to move to. An attempt without an answer is now given up only if another one remains; else the stream waits for its endpoint until the deadline.

--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -188,8 +188,12 @@
    * it. Requests that may run at most once must stay.
    */
   private canSwap(): boolean {
-    if (!this.context.route.isResumable || !this.canRetry()) return false;
-    return this.answer === undefined || this.canRepeat();
+    const {isResumable, maxAttempts} = this.context.route;
+    if (!isResumable) return false;
+    if (this.answer !== undefined) return this.canRepeat();
+    // The attempt that is given up without an answer counts as another one.
+    if (this.runs > 0) return this.runs + 1 < maxAttempts;
+    return this.notRun + 1 < maxNotRun;
   }
 
   private hasOtherPath(): boolean {
@@ -199,19 +203,17 @@
     return server.paths.pick(service.name, this.model, tokens) !== undefined;
   }
 
-  private swapPath(reason: string): void {
-    if (this.answer === undefined) this.countUnanswered();
-    this.cancelAttempt(AttemptEnd.Broken, reason);
-  }
-
   /**
-   * Counts an attempt that is given up without an answer. The endpoint may have
-   * just started it: after a known run it counts as another run, so that the
-   * route's attempts are never exceeded.
+   * Gives an attempt up. The endpoint may have just started one without an
+   * answer: after a known run it counts as another run, so that the route's
+   * attempts are never exceeded.
    */
-  private countUnanswered(): void {
-    if (this.runs > 0) this.runs += 1;
-    else this.notRun += 1;
+  private swapPath(reason: string): void {
+    if (this.answer === undefined) {
+      if (this.runs > 0) this.runs += 1;
+      else this.notRun += 1;
+    }
+    this.cancelAttempt(AttemptEnd.Broken, reason);
   }
 
   /** Tells whether the stream is paused because the caller reads too slowly. */
@@ -385,12 +387,10 @@
   }
 
   private acceptFailureAnswer(answer: EndpointAnswer): void {
-    const reason = `status ${answer.status}`;
-    if (this.hasSentEvents || this.canRepeat()) {
-      this.finishAttempt?.(AttemptEnd.Broken, reason);
-      return;
-    }
-    if (isNotRunStatus(answer.status) || isSuccess(answer.status)) {
+    const {status} = answer;
+    const reason = `status ${status}`;
+    const canForward = !isNotRunStatus(status) && !isSuccess(status);
+    if (this.hasSentEvents || this.canRepeat() || !canForward) {
       this.finishAttempt?.(AttemptEnd.Broken, reason);
       return;
     }
