--- a/packages/router/src/membership/drain_host.ts
+++ b/packages/router/src/membership/drain_host.ts
@@ -24,6 +24,8 @@
   readonly closeListeners: () => void;
   /** Ends what runs so that callers resume it elsewhere. */
   readonly handOver: () => void;
+  /** Gives a final answer to every caller that still waits for one. */
+  readonly answerRest: () => void;
   readonly countInFlight: () => number;
   /** Ends the process; `cut` requests are cut off. */
   readonly exit: (cut: number) => void;
@@ -56,15 +58,20 @@
 
   /** Begins the stop, or hastens it. */
   startStop(deadline: Deadline): void {
+    this.updateInFlight();
     this.machine.send({kind: DrainEventKind.StopRequested, deadline});
   }
 
   /** Passes time. */
   runTick(): void {
     if (!this.isLeaving) return;
+    this.updateInFlight();
+    this.machine.send({kind: DrainEventKind.Tick});
+  }
+
+  private updateInFlight(): void {
     const count = this.ports.countInFlight();
     this.machine.send({kind: DrainEventKind.InFlightChanged, count});
-    this.machine.send({kind: DrainEventKind.Tick});
   }
 
   private runCommand(command: DrainCommand): void {
@@ -72,6 +79,8 @@
     switch (command.kind) {
       case DrainCommandKind.AnnounceLeaving:
         return ports.announceLeaving();
+      case DrainCommandKind.AnswerRest:
+        return ports.answerRest();
       case DrainCommandKind.ReleaseLeases:
         return ports.releaseLeases();
       case DrainCommandKind.CloseListeners:
--- a/packages/router/src/requests/request_table.ts
+++ b/packages/router/src/requests/request_table.ts
@@ -35,6 +35,11 @@
     return count;
   }
 
+  /** Lists those in flight whose caller is away and may come back. */
+  listUnattended(): RequestRun[] {
+    return this.listInFlight().filter(run => !run.hasCaller);
+  }
+
   /** Lists the requests that have no final answer yet. */
   listInFlight(): RequestRun[] {
     return [...this.runs.values()].filter(isInFlight);
