--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -7,6 +7,8 @@
   Refused = 'requests_refused_total',
   Failed = 'requests_failed_total',
   Abandoned = 'requests_abandoned_total',
+  CutOff = 'requests_cut_off_total',
+  Unwritten = 'answers_unwritten_total',
   Retries = 'requests_retried_total',
   Resumed = 'streams_resumed_total',
   Stalls = 'paths_stalled_total',
@@ -31,6 +33,9 @@
   [Counter.Failed]:
     'Requests that the gateway answered with an error status other than 429 or 503, or whose answer was cut off.',
   [Counter.Abandoned]: 'Requests whose caller disconnected before the end.',
+  [Counter.CutOff]: 'Requests in flight when the process exited.',
+  [Counter.Unwritten]:
+    'Complete answers whose connection closed before they were written out.',
   [Counter.Retries]: 'Retries of requests before the start of their answer.',
   [Counter.Resumed]: 'Streams resumed on another path after their last event.',
   [Counter.Stalls]: 'Checks of the endpoints of a silent path.',
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -10,6 +10,12 @@
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
+import {
+  ClosedBy,
+  OpenRequests,
+  reportCut,
+  type OpenRequest,
+} from './open_requests.js';
 import {PlainRequestHandler} from './plain_request_handler.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
@@ -33,7 +39,7 @@
 export class CallerServer {
   private readonly server: http.Server;
   private routes: RouteIndex | undefined;
-  private inFlight = 0;
+  private readonly openRequests = new OpenRequests();
 
   constructor(private readonly context: ServerContext) {
     this.server = http.createServer(
@@ -44,9 +50,8 @@
         noDelay: true,
       },
       (request, response) => {
-        this.inFlight += 1;
-        response.on('close', () => (this.inFlight -= 1));
-        void this.handle(request, response);
+        const open = this.openRequests.add(response, this.context.getNow());
+        void this.handle(request, open);
       },
     );
     this.server.on('clientError', answerParserError);
@@ -68,7 +73,24 @@
 
   /** Counts the requests in flight. */
   countInFlight(): number {
-    return this.inFlight;
+    return this.openRequests.count();
+  }
+
+  /** Logs each request that the exit of the process cuts off. */
+  logCutOff(): void {
+    const {context} = this;
+    const now = context.getNow();
+    for (const open of this.openRequests.list()) {
+      const age = now - open.receivedAt;
+      context.metrics.count(Counter.CutOff);
+      context.writeEvent(GatewayEvent.RequestCutOff, {
+        request: open.attemptId,
+        path: open.path,
+        ms: Math.round(age),
+        afterStopMs: Math.round(context.computeStopAge() - age),
+        ...open.describeProgress(),
+      });
+    }
   }
 
   /** Stops accepting connections and closes the idle ones. */
@@ -79,11 +101,13 @@
 
   private async handle(
     message: http.IncomingMessage,
-    response: http.ServerResponse,
+    open: OpenRequest,
   ): Promise<void> {
-    const receivedAt = this.context.getNow();
+    const {response, receivedAt} = open;
     this.context.metrics.count(Counter.Requests);
     const request = this.context.codec.decodeRequest(message);
+    open.attemptId = request.attemptId;
+    open.path = request.path;
     const refuse = (answer: LocalAnswer) => {
       this.refuse(request, response, receivedAt, answer);
     };
@@ -114,6 +138,7 @@
       service,
       account,
       response,
+      open,
       receivedAt,
       deadline: receivedAt + timeout,
       refuse,
@@ -188,24 +213,42 @@
 }
 
 async function serveRequest(context: RequestContext): Promise<void> {
-  const {server, service, route, response} = context;
+  const {service, route, response, open} = context;
   const {model} = service;
   const isStream = route.kind === RouteKind.Streaming && model !== undefined;
   const handler = isStream
     ? new StreamRequestHandler(context, model)
     : new PlainRequestHandler(context);
-  response.on('close', () => {
-    if (response.writableFinished) return;
+  open.describeProgress = () => handler.describeProgress();
+  reportCut(response, closedBy => {
     handler.cancel();
-    server.metrics.count(Counter.Abandoned);
-    const ms = Math.round(server.getNow() - context.receivedAt);
-    const {attemptId} = context.request;
-    server.writeEvent(GatewayEvent.RequestAbandoned, {request: attemptId, ms});
+    recordCut(context, closedBy);
   });
   if (response.destroyed) return handler.cancel();
   await handler.run();
 }
 
+/** Logs an answer whose connection closed before it was written out. */
+function recordCut(
+  {server, open, response, receivedAt}: RequestContext,
+  closedBy: ClosedBy,
+): void {
+  if (open.isBrokenOff) return;
+  const isComplete = response.writableEnded;
+  if (closedBy === ClosedBy.Caller) server.metrics.count(Counter.Abandoned);
+  if (isComplete) server.metrics.count(Counter.Unwritten);
+  const event = isComplete
+    ? GatewayEvent.AnswerUnwritten
+    : GatewayEvent.RequestAbandoned;
+  server.writeEvent(event, {
+    request: open.attemptId,
+    closedBy,
+    ms: Math.round(server.getNow() - receivedAt),
+    stopMs: Math.round(server.computeStopAge()),
+    ...open.describeProgress(),
+  });
+}
+
 function checkSizes(
   message: http.IncomingMessage,
   limits: CallerLimits,
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -12,8 +12,10 @@
 import {AnswerBuffer} from './answer_buffer.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
+import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
 import {
+  closeEarly,
   recordAnswered,
   recordRetry,
   refuseUnknownOutcome,
@@ -84,6 +86,11 @@
     this.answerFailure();
   }
 
+  /** Tells how far the request has come. */
+  describeProgress(): RequestProgress {
+    return {endpoint: [...this.tried].at(-1) ?? '', lastEventId: ''};
+  }
+
   /** Cancels the request, whose caller has disconnected. */
   cancel(): void {
     this.isAbandoned = true;
@@ -225,8 +232,7 @@
     } else {
       // The broken connection tells the caller that the answer is incomplete.
       this.reportFailedAttempt(endpoint, result.detail);
-      response.destroy();
-      server.metrics.count(Counter.Failed);
+      closeEarly(this.context, result.detail);
     }
     return true;
   }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -13,6 +13,7 @@
   Service,
 } from '../ports/index.js';
 import type {LocalAnswer} from './failure.js';
+import type {OpenRequest} from './open_requests.js';
 import type {PathQueue} from './path_queue.js';
 import type {RetryBudgets} from './retry_budgets.js';
 
@@ -28,6 +29,8 @@
   readonly writeEvent: (event: GatewayEvent, fields: EventFields) => void;
   readonly getNow: () => Instant;
   readonly isStopping: () => boolean;
+  /** Time since the stop of this VM began, in milliseconds; 0 before. */
+  readonly computeStopAge: () => number;
 }
 
 /** A request that was read completely and passed all checks. */
@@ -40,6 +43,7 @@
   readonly service: Service;
   readonly account: Account | undefined;
   readonly response: http.ServerResponse;
+  readonly open: OpenRequest;
   readonly receivedAt: Instant;
   /** The earlier of the caller's deadline and the route's timeout. */
   readonly deadline: Deadline;
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -48,6 +48,24 @@
   else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
 }
 
+/**
+ * Closes the connection before the answer is complete, so that the caller sees
+ * that it is not.
+ */
+export function closeEarly(context: RequestContext, reason: string): void {
+  const {open, response, server, receivedAt} = context;
+  open.isBrokenOff = true;
+  response.destroy();
+  server.metrics.count(Counter.Failed);
+  server.writeEvent(GatewayEvent.RequestFailed, {
+    request: open.attemptId,
+    status: 'broken off',
+    ms: Math.round(server.getNow() - receivedAt),
+    reason,
+    ...open.describeProgress(),
+  });
+}
+
 /** Logs a request that was answered and records its latency. */
 export function recordAnswered(
   context: RequestContext,
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -6,10 +6,12 @@
 import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
+import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
 import {predictTokens} from './predict_tokens.js';
 import type {PathWaiter} from './path_queue.js';
 import {
+  closeEarly,
   recordAnswered,
   recordRetry,
   refuseUnknownOutcome,
@@ -91,6 +93,14 @@
     this.answerFailure();
   }
 
+  /** Tells how far the stream has come. */
+  describeProgress(): RequestProgress {
+    return {
+      endpoint: this.reservation?.path.key ?? '',
+      lastEventId: this.lastEventId ?? '',
+    };
+  }
+
   /** Cancels the stream, whose caller has disconnected. */
   cancel(): void {
     this.isAbandoned = true;
@@ -119,7 +129,7 @@
     this.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'deadline passed');
     const {refuse} = this.context;
-    if (this.hasSentEvents) this.closeIncomplete('the deadline passed');
+    if (this.hasSentEvents) closeEarly(this.context, 'the deadline passed');
     else refuse({status: 504, reason: FailureReason.Deadline});
   }
 
@@ -403,7 +413,7 @@
   private answerFailure(): void {
     const {refuse, deadline, server} = this.context;
     if (this.hasSentEvents) {
-      this.closeIncomplete('no further attempt is allowed');
+      closeEarly(this.context, 'no further attempt is allowed');
       return;
     }
     if (this.runs > 0) {
@@ -415,18 +425,4 @@
     const after = computeRetryDelay(deadline - server.getNow(), Math.random);
     refuse({status: 503, reason, retryAfterMilliseconds: after});
   }
-
-  /** Closes the connection early, so that the answer is visibly incomplete. */
-  private closeIncomplete(reason: string): void {
-    const {response, server, request, receivedAt} = this.context;
-    response.destroy();
-    server.metrics.count(Counter.Failed);
-    server.writeEvent(GatewayEvent.RequestFailed, {
-      request: request.attemptId,
-      status: 'broken off',
-      ms: Math.round(server.getNow() - receivedAt),
-      reason,
-      lastEventId: this.lastEventId ?? '',
-    });
-  }
 }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -70,6 +70,7 @@
   private readonly ownRanked: RankedVm;
   private startedAt: Instant = -Infinity;
   private lastHeartbeatAt: Instant = -Infinity;
+  private stopStartedAt: Instant = Infinity;
   private isPublished = false;
   private isPublishing = false;
 
@@ -88,6 +89,7 @@
       log,
       getNow: getMonotonic,
       getPhase: () => this.phase,
+      computeStopAge: () => this.computeStopAge(),
       getRank: () => this.rank,
       schedule: this.schedule,
     });
@@ -128,8 +130,16 @@
    * then closes.
    */
   async stop(): Promise<void> {
-    if (this.phase === PeerPhase.Leaving) return;
+    if (this.phase === PeerPhase.Leaving) {
+      this.log.write(GatewayEvent.StopRepeated, {
+        sinceMs: Math.round(this.computeStopAge()),
+        inFlight: this.parts.callers.countInFlight(),
+      });
+      this.log.close();
+      return;
+    }
     this.phase = PeerPhase.Leaving;
+    this.stopStartedAt = getMonotonic();
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
     this.sendHeartbeat();
     const {ownership, callers, mesh, directory} = this.parts;
@@ -151,6 +161,10 @@
     this.log.close();
   }
 
+  private computeStopAge(): number {
+    return Math.max(0, getMonotonic() - this.stopStartedAt);
+  }
+
   private runTick(): void {
     const {followers, mesh, ownership, endpoints, prober} = this.parts;
     this.checkPause();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -54,6 +54,8 @@
   readonly log: EventLog;
   readonly getNow: () => Instant;
   readonly getPhase: () => PeerPhase;
+  /** Time since the stop of this VM began, in milliseconds; 0 before. */
+  readonly computeStopAge: () => number;
   /** Rank of this VM among the live VMs. */
   readonly getRank: () => number;
   readonly schedule: ReadSchedule;
@@ -251,7 +253,7 @@
 }
 
 function buildServing(
-  {settings, ports, log, getNow, getPhase}: GatewayContext,
+  {settings, ports, log, getNow, getPhase, computeStopAge}: GatewayContext,
   {metrics, endpoints, paths, prober}: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
@@ -268,6 +270,7 @@
     writeEvent: log.write,
     getNow,
     isStopping: () => getPhase() === PeerPhase.Leaving,
+    computeStopAge,
   });
   const ownAddress = formatAddress(settings.listen.callers);
   const directory = new DirectoryServer(ports.directory, {
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -35,6 +35,7 @@
   while (callers.countInFlight() > 0 && Date.now() < endAt) {
     await waitUntil(Date.now() + pollMilliseconds);
   }
+  callers.logCutOff();
   log.write(GatewayEvent.Stopped, {cutOff: callers.countInFlight()});
 }
 
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -12,6 +12,7 @@
   NotReady = 7007,
   TaskFailed = 7008,
   ProcessPaused = 7009,
+  StopRepeated = 7010,
   StoreLost = 7101,
   StoreRecovered = 7102,
   RecordRefused = 7103,
@@ -38,6 +39,8 @@
   RequestRefused = 7504,
   RequestFailed = 7505,
   RequestAbandoned = 7506,
+  RequestCutOff = 7507,
+  AnswerUnwritten = 7508,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
@@ -54,6 +57,8 @@
   [GatewayEvent.NotReady]: 'not ready to serve callers: {reason}',
   [GatewayEvent.TaskFailed]: 'task {task} failed: {detail}',
   [GatewayEvent.ProcessPaused]: 'the process was paused for {pauseMs} ms',
+  [GatewayEvent.StopRepeated]:
+    'stop requested again {sinceMs} ms after the first request, {inFlight} requests in flight',
   [GatewayEvent.StoreLost]:
     'cannot read {topic} from the store; the newest data is {ageMs} ms old: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
@@ -100,5 +105,9 @@
   [GatewayEvent.RequestFailed]:
     'request {request} failed with status {status} after {ms} ms: {reason}',
   [GatewayEvent.RequestAbandoned]:
-    'caller of request {request} disconnected after {ms} ms',
+    'connection of request {request} closed by the {closedBy} after {ms} ms, before its answer was complete',
+  [GatewayEvent.RequestCutOff]:
+    'request {request} cut off by the exit {ms} ms after its receipt, {afterStopMs} ms after the stop began it was received',
+  [GatewayEvent.AnswerUnwritten]:
+    'connection of request {request} closed by the {closedBy} after {ms} ms, before its complete answer was written out',
 };
