--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -71,6 +71,7 @@
   private startedAt: Instant = -Infinity;
   private lastHeartbeatAt: Instant = -Infinity;
   private stopStartedAt: Instant = Infinity;
+  private stopped: Promise<void> | undefined;
   private isPublished = false;
   private isPublishing = false;
 
@@ -127,17 +128,20 @@
 
   /**
    * Shuts down gracefully: leaves the directory, stops accepting connections,
-   * then closes.
+   * then closes. Repeated calls wait for the same stop.
    */
-  async stop(): Promise<void> {
-    if (this.phase === PeerPhase.Leaving) {
+  stop(): Promise<void> {
+    if (this.stopped !== undefined) {
       this.log.write(GatewayEvent.StopRepeated, {
         sinceMs: Math.round(this.computeStopAge()),
         inFlight: this.parts.callers.countInFlight(),
       });
-      this.log.close();
-      return;
     }
+    this.stopped ??= this.runStop();
+    return this.stopped;
+  }
+
+  private async runStop(): Promise<void> {
     this.phase = PeerPhase.Leaving;
     this.stopStartedAt = getMonotonic();
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -58,7 +58,7 @@
   [GatewayEvent.TaskFailed]: 'task {task} failed: {detail}',
   [GatewayEvent.ProcessPaused]: 'the process was paused for {pauseMs} ms',
   [GatewayEvent.StopRepeated]:
-    'stop requested again {sinceMs} ms after the first request, {inFlight} requests in flight',
+    'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
   [GatewayEvent.StoreLost]:
     'cannot read {topic} from the store; the newest data is {ageMs} ms old: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
