--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -93,10 +93,14 @@
     }
   }
 
-  /** Stops accepting connections and closes the idle ones. */
-  stopListening(): void {
+  /**
+   * Closes the listener and all connections. The library closes connections
+   * whose answer has been ended as idle ones, written out or not, so this must
+   * wait until no request is in flight.
+   */
+  close(): void {
     this.server.close();
-    this.server.closeIdleConnections();
+    this.server.closeAllConnections();
   }
 
   private async handle(
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -160,6 +160,7 @@
       this.log,
     );
     this.tasks.stop();
+    callers.close();
     mesh.close();
     directory.close();
     this.log.close();
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -31,7 +31,6 @@
   const endAt = startedAt + graceMilliseconds - killMarginMilliseconds;
   log.write(GatewayEvent.Stopping, {lingerMs: lingerMilliseconds});
   await waitUntil(Math.min(startedAt + lingerMilliseconds, endAt));
-  callers.stopListening();
   while (callers.countInFlight() > 0 && Date.now() < endAt) {
     await waitUntil(Date.now() + pollMilliseconds);
   }
