--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,6 +1,7 @@
 /** The decisions of the router, as state machines without I/O. */
 export * from './directory/directory.js';
 export * from './drain/drain.js';
+export * from './drain/stop_plan.js';
 export * from './hashing/rendezvous.js';
 export * from './configuration/configuration.js';
 export {
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -21,6 +21,7 @@
 /** Latency histograms, in milliseconds. */
 export enum Latency {
   Answer = 'answer_milliseconds',
+  Stream = 'stream_milliseconds',
   FirstEvent = 'first_event_milliseconds',
   EventGap = 'event_gap_milliseconds',
 }
@@ -45,6 +46,8 @@
   [Counter.Probes]: 'Reports requested from endpoints.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
+  [Latency.Stream]:
+    'Time from the receipt of a request to the end of its stream.',
   [Latency.FirstEvent]:
     'Time from the receipt of a request to the first event of its stream.',
   [Latency.EventGap]: 'Time between two consecutive events of a stream.',
@@ -54,6 +57,9 @@
 const maxMilliseconds = 60_000;
 /** A median of fewer values says little. */
 const minMedianCount = 10;
+/** Fewer values do not show how long the longest hundredth takes. */
+const minTailCount = 100;
+const tailPercentile = 99;
 const percentiles = [50, 95, 99, 99.9];
 
 /** Counters and latency histograms, rendered in the Prometheus text format. */
@@ -89,6 +95,17 @@
     return histogram.getValueAtPercentile(50);
   }
 
+  /**
+   * Finds the latency that all but a hundredth stay within; undefined before
+   * enough were recorded.
+   */
+  findTail(latency: Latency): number | undefined {
+    const histogram = this.latencies.get(latency);
+    if (histogram === undefined) return undefined;
+    if (histogram.totalCount < minTailCount) return undefined;
+    return histogram.getValueAtPercentile(tailPercentile);
+  }
+
   /** Renders all values, one per line. */
   render(): string {
     const lines: string[] = [];
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,12 +1,14 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {GatewayEvent, type Address} from '@zinniaspindle/shared';
-import {Counter} from '../log/metrics.js';
+import {canFinish, computeStopRetryDelay} from '@zinniaspindle/decisions';
+import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
+import {Counter, Latency} from '../log/metrics.js';
 import {
   RouteKind,
   type CallerLimits,
   type CallerRequest,
   type Configuration,
+  type Route,
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
@@ -87,7 +89,7 @@
         request: open.attemptId,
         path: open.path,
         ms: Math.round(age),
-        afterStopMs: Math.round(context.computeStopAge() - age),
+        afterStopMs: Math.round(computeStopAge(context) - age),
         ...open.describeProgress(),
       });
     }
@@ -133,6 +135,9 @@
       request.timeoutMilliseconds ?? Infinity,
       route.timeoutMilliseconds,
     );
+    const deadline = receivedAt + timeout;
+    const stopFailure = this.checkStop(route, deadline);
+    if (stopFailure !== undefined) return refuse(stopFailure);
     await serveRequest({
       server: this.context,
       request,
@@ -144,7 +149,7 @@
       response,
       open,
       receivedAt,
-      deadline: receivedAt + timeout,
+      deadline,
       refuse,
     });
   }
@@ -180,6 +185,31 @@
     return {route, service, account, configuration};
   }
 
+  /** Refuses a request that the exit of this VM would cut off. */
+  private checkStop(
+    {kind}: Route,
+    deadline: Deadline,
+  ): LocalAnswer | undefined {
+    const {findStop, hasReadyPeer, metrics, getNow} = this.context;
+    const plan = findStop();
+    if (plan === undefined) return undefined;
+    const isStream = kind === RouteKind.Streaming;
+    const latency = isStream ? Latency.Stream : Latency.Answer;
+    const longMilliseconds = metrics.findTail(latency);
+    const now = getNow();
+    if (canFinish(plan, {deadline, longMilliseconds}, now)) return undefined;
+    return {
+      status: 503,
+      reason: FailureReason.Stopping,
+      retryAfterMilliseconds: computeStopRetryDelay(
+        plan,
+        hasReadyPeer(),
+        now,
+        Math.random,
+      ),
+    };
+  }
+
   private refuse(
     request: CallerRequest,
     response: http.ServerResponse,
@@ -194,7 +224,7 @@
       'Content-Length',
       String(body.length),
     ];
-    if (context.isStopping() || status === 413 || status === 408) {
+    if (context.findStop() !== undefined || status === 413 || status === 408) {
       headers.push('Connection', 'close');
     }
     if (response.destroyed) return;
@@ -232,6 +262,12 @@
   await handler.run();
 }
 
+/** Computes the time since the stop of this VM began; 0 before. */
+function computeStopAge({findStop, getNow}: ServerContext): number {
+  const plan = findStop();
+  return plan === undefined ? 0 : getNow() - plan.startedAt;
+}
+
 /** Logs an answer whose connection closed before it was written out. */
 function recordCut(
   {server, open, response, receivedAt}: RequestContext,
@@ -248,7 +284,7 @@
     request: open.attemptId,
     closedBy,
     ms: Math.round(server.getNow() - receivedAt),
-    stopMs: Math.round(server.computeStopAge()),
+    stopMs: Math.round(computeStopAge(server)),
     ...open.describeProgress(),
   });
 }
--- a/packages/gateway/src/requests/failure.ts
+++ b/packages/gateway/src/requests/failure.ts
@@ -8,6 +8,7 @@
   BodyTimeout = 'the body did not come in time',
   NoEndpoint = 'no endpoint can take the request now',
   EndpointsBusy = 'all endpoints are busy',
+  Stopping = 'this VM is stopping and could not finish the request',
   Deadline = 'the deadline passed',
   OutcomeUnknown = 'the endpoint broke off and may have run the request',
 }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {StopPlan} from '@zinniaspindle/decisions';
 import type {Deadline, GatewayEvent, Instant} from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {PathTable} from '../fleet/path_table.js';
@@ -28,9 +29,10 @@
   readonly metrics: Metrics;
   readonly writeEvent: (event: GatewayEvent, fields: EventFields) => void;
   readonly getNow: () => Instant;
-  readonly isStopping: () => boolean;
-  /** Time since the stop of this VM began, in milliseconds; 0 before. */
-  readonly computeStopAge: () => number;
+  /** The graceful stop of this VM that is under way, if any. */
+  readonly findStop: () => StopPlan | undefined;
+  /** Whether another VM that is ready can be reached. */
+  readonly hasReadyPeer: () => boolean;
 }
 
 /** A request that was read completely and passed all checks. */
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -15,7 +15,7 @@
   if (bodyBytes !== undefined) {
     headers.push('Content-Length', String(bodyBytes));
   }
-  if (server.isStopping()) headers.push('Connection', 'close');
+  if (server.findStop() !== undefined) headers.push('Connection', 'close');
   response.sendDate = false;
   response.writeHead(answer.status, headers);
 }
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -393,6 +393,8 @@
     const {response, server} = this.context;
     response.end();
     server.metrics.count(Counter.Answered);
+    const ms = server.getNow() - this.context.receivedAt;
+    server.metrics.record(Latency.Stream, ms);
     recordAnswered(
       this.context,
       this.reservation!.path.key,
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -1,9 +1,16 @@
 import {performance} from 'node:perf_hooks';
 import {
   computeFirstReadDelay,
+  planStop,
   type ReadSchedule,
+  type StopPlan,
 } from '@zinniaspindle/decisions';
-import {formatAddress, GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {
+  formatAddress,
+  GatewayEvent,
+  millisecondsPerSecond,
+  type Instant,
+} from '@zinniaspindle/shared';
 import {directoryTtlSeconds} from '../directory/directory_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Counter} from '../log/metrics.js';
@@ -22,6 +29,7 @@
   type GatewayParts,
   type GatewayPorts,
 } from './gateway_parts.js';
+import {hasReadyPeer} from './list_addresses.js';
 import {PauseDetector} from './pause_detector.js';
 import {stopGracefully} from './stop_gracefully.js';
 import {TaskRunner} from './task_runner.js';
@@ -70,7 +78,7 @@
   private readonly ownRanked: RankedVm;
   private startedAt: Instant = -Infinity;
   private lastHeartbeatAt: Instant = -Infinity;
-  private stopStartedAt: Instant = Infinity;
+  private stopPlan: StopPlan | undefined;
   private stopped: Promise<void> | undefined;
   private isPublished = false;
   private isPublishing = false;
@@ -90,7 +98,7 @@
       log,
       getNow: getMonotonic,
       getPhase: () => this.phase,
-      computeStopAge: () => this.computeStopAge(),
+      findStop: () => this.stopPlan,
       getRank: () => this.rank,
       schedule: this.schedule,
     });
@@ -127,13 +135,13 @@
   }
 
   /**
-   * Shuts down gracefully: leaves the directory, stops accepting connections,
-   * then closes. Repeated calls wait for the same stop.
+   * Shuts down gracefully: leaves the directory, finishes the requests in
+   * flight, then closes. Repeated calls wait for the same stop.
    */
   stop(): Promise<void> {
-    if (this.stopped !== undefined) {
+    if (this.stopPlan !== undefined) {
       this.log.write(GatewayEvent.StopRepeated, {
-        sinceMs: Math.round(this.computeStopAge()),
+        sinceMs: Math.round(getMonotonic() - this.stopPlan.startedAt),
         inFlight: this.parts.callers.countInFlight(),
       });
     }
@@ -142,8 +150,13 @@
   }
 
   private async runStop(): Promise<void> {
+    const {graceMilliseconds} = this.settings.bounds;
+    const directoryTtlMilliseconds =
+      directoryTtlSeconds * millisecondsPerSecond;
+    const stopSettings = {directoryTtlMilliseconds, graceMilliseconds};
+    const plan = planStop(stopSettings, getMonotonic());
+    this.stopPlan = plan;
     this.phase = PeerPhase.Leaving;
-    this.stopStartedAt = getMonotonic();
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
     this.sendHeartbeat();
     const {ownership, callers, mesh, directory} = this.parts;
@@ -154,9 +167,10 @@
     );
     void ownership.release();
     await stopGracefully(
+      plan,
       callers,
-      directoryTtlSeconds,
-      this.settings.bounds.graceMilliseconds,
+      () => hasReadyPeer(mesh.listKnown()),
+      getMonotonic,
       this.log,
     );
     this.tasks.stop();
@@ -166,10 +180,6 @@
     this.log.close();
   }
 
-  private computeStopAge(): number {
-    return Math.max(0, getMonotonic() - this.stopStartedAt);
-  }
-
   private runTick(): void {
     const {followers, mesh, ownership, endpoints, prober} = this.parts;
     this.checkPause();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -3,6 +3,7 @@
   deriveReadSchedule,
   type FailureCause,
   type ReadSchedule,
+  type StopPlan,
 } from '@zinniaspindle/decisions';
 import {formatAddress, type Instant} from '@zinniaspindle/shared';
 import {DirectoryServer} from '../directory/directory_server.js';
@@ -36,7 +37,7 @@
 import {CallerServer} from '../requests/caller_server.js';
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
-import {listCallerAddresses} from './list_addresses.js';
+import {hasReadyPeer, listCallerAddresses} from './list_addresses.js';
 
 /** The adapters to the platform that a gateway needs. */
 export interface GatewayPorts {
@@ -54,8 +55,8 @@
   readonly log: EventLog;
   readonly getNow: () => Instant;
   readonly getPhase: () => PeerPhase;
-  /** Time since the stop of this VM began, in milliseconds; 0 before. */
-  readonly computeStopAge: () => number;
+  /** The graceful stop that is under way, if any. */
+  readonly findStop: () => StopPlan | undefined;
   /** Rank of this VM among the live VMs. */
   readonly getRank: () => number;
   readonly schedule: ReadSchedule;
@@ -253,7 +254,7 @@
 }
 
 function buildServing(
-  {settings, ports, log, getNow, getPhase, computeStopAge}: GatewayContext,
+  {settings, ports, log, getNow, getPhase, findStop}: GatewayContext,
   {metrics, endpoints, paths, prober}: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
@@ -269,8 +270,8 @@
     metrics,
     writeEvent: log.write,
     getNow,
-    isStopping: () => getPhase() === PeerPhase.Leaving,
-    computeStopAge,
+    findStop,
+    hasReadyPeer: () => hasReadyPeer(mesh.listKnown()),
   });
   const ownAddress = formatAddress(settings.listen.callers);
   const directory = new DirectoryServer(ports.directory, {
--- a/packages/gateway/src/root/list_addresses.ts
+++ b/packages/gateway/src/root/list_addresses.ts
@@ -2,6 +2,8 @@
 import {PeerPhase} from '../peers/messages.js';
 import type {Peer} from '../peers/peer_mesh.js';
 
+type KnownVm = Pick<Peer, 'callerAddress' | 'phase' | 'isReachable'>;
+
 /** Callers use at most this many addresses of an answer. */
 const maxAddresses = 64;
 /**
@@ -10,6 +12,13 @@
  */
 const isolationShare = 0.25;
 
+/** Tells whether another VM can be reached and takes requests. */
+export function hasReadyPeer(known: readonly KnownVm[]): boolean {
+  return known.some(
+    ({phase, isReachable}) => phase === PeerPhase.Ready && isReachable,
+  );
+}
+
 /**
  * Lists the addresses that callers may connect to: those of the ready VMs that
  * are reachable. A VM that is probably isolated lists all ready VMs that it
@@ -18,7 +27,7 @@
 export function listCallerAddresses(
   ownAddress: string,
   ownPhase: PeerPhase,
-  known: readonly Pick<Peer, 'callerAddress' | 'phase' | 'isReachable'>[],
+  known: readonly KnownVm[],
 ): string[] {
   const ready = known.filter(({phase}) => phase === PeerPhase.Ready);
   const reachable = ready.filter(({isReachable}) => isReachable);
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -47,7 +47,7 @@
 export const gatewayEventTexts: Readonly<Record<GatewayEvent, string>> = {
   [GatewayEvent.Started]: 'gateway {vm} started in data centre {dataCentre}',
   [GatewayEvent.Stopping]:
-    'graceful shutdown: accepting new connections for another {lingerMs} ms',
+    'graceful shutdown: serving callers that know this VM for {lingerMs} ms, exit in {exitMs} ms at the latest, {inFlight} requests in flight',
   [GatewayEvent.Stopped]:
     'gateway stopped; {cutOff} requests in flight were cut off',
   [GatewayEvent.SettingsReloaded]: 'settings reloaded',
