--- a/packages/gateway/__tests__/small_parts.test.ts
+++ b/packages/gateway/__tests__/small_parts.test.ts
@@ -108,6 +108,19 @@
   assert.deepEqual(listCallerAddresses('a', PeerPhase.Leaving, peers), ['b']);
 });
 
+test('leaving VMs are listed while no VM is ready', () => {
+  const peers = [
+    makePeer('b', PeerPhase.Leaving, true),
+    makePeer('c', PeerPhase.Leaving, false),
+    makePeer('d', PeerPhase.Starting, true),
+  ];
+  assert.deepEqual(listCallerAddresses('a', PeerPhase.Leaving, peers), [
+    'a',
+    'b',
+  ]);
+  assert.deepEqual(listCallerAddresses('a', PeerPhase.Starting, peers), ['b']);
+});
+
 test('a VM that reaches no peer lists all ready VMs that it knows', () => {
   const peers = [1, 2, 3, 4, 5].map(number =>
     makePeer(`p${number}`, PeerPhase.Ready, false),
--- a/packages/gateway/src/root/list_addresses.ts
+++ b/packages/gateway/src/root/list_addresses.ts
@@ -22,7 +22,8 @@
 /**
  * Lists the addresses that callers may connect to: those of the ready VMs that
  * are reachable. A VM that is probably isolated lists all ready VMs that it
- * knows, since callers may still reach them.
+ * knows, since callers may still reach them. While no VM is ready, those that are
+ * leaving are listed, which still serve what they can finish.
  */
 export function listCallerAddresses(
   ownAddress: string,
@@ -35,7 +36,23 @@
   const listed = isIsolated ? ready : reachable;
   const addresses = listed.map(({callerAddress}) => callerAddress);
   if (ownPhase === PeerPhase.Ready) addresses.unshift(ownAddress);
+  if (addresses.length === 0) {
+    addresses.push(...listLeaving(ownAddress, ownPhase, known));
+  }
   if (addresses.length <= maxAddresses) return addresses;
   // Each VM lists a different subset, so that callers spread over all VMs.
   return pickRanked(ownAddress, addresses, maxAddresses);
 }
+
+function listLeaving(
+  ownAddress: string,
+  ownPhase: PeerPhase,
+  known: readonly KnownVm[],
+): string[] {
+  const leaving = known.filter(
+    ({phase, isReachable}) => phase === PeerPhase.Leaving && isReachable,
+  );
+  const addresses = leaving.map(({callerAddress}) => callerAddress);
+  if (ownPhase === PeerPhase.Leaving) addresses.unshift(ownAddress);
+  return addresses;
+}
