--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -11,6 +11,11 @@
 /** The instants of a graceful stop. */
 export interface StopPlan {
   readonly startedAt: Instant;
+  /**
+   * Until then requests are taken that are likely to end in time, since callers
+   * could not learn earlier that this VM stops.
+   */
+  readonly takeUntil: Deadline;
   /** Until then callers may hold a directory answer that names this VM. */
   readonly lingerUntil: Deadline;
   /** The process exits then, whatever is in flight. */
@@ -22,22 +27,29 @@
   /** The request is answered by then in any case. */
   readonly deadline: Deadline;
   /**
-   * Within this time nearly all requests of its kind are answered; undefined if
-   * too few were measured.
+   * Finds the milliseconds within which a share of the requests of its kind are
+   * answered; undefined if too few were measured.
    */
-  readonly longMilliseconds: number | undefined;
+  readonly findDuration: (share: number) => number | undefined;
+  /** Share of the other VMs that a refused caller would be refused by as well. */
+  readonly refusingShare: number;
 }
 
 /** Some callers cache a directory answer for this many times its lifetime. */
 const lifetimeFactor = 3;
 const lingerMarginMilliseconds = 500;
-/** Time before the end of the grace period at which the process exits. */
+/** Longest time before the end of the grace period at which the process exits. */
 const killMarginMilliseconds = 500;
-/**
- * Factor on the time of nearly all requests: one that takes longer still is cut
- * by the exit.
- */
-const durationHeadroom = 1.25;
+/** Share of the grace period that this time is at most. */
+const killMarginShare = 1 / 12;
+/** A signal may be handled this late, and a request may be on its way as long. */
+const signalDelayMilliseconds = 300;
+/** Share of requests within whose duration one is taken as certain to end. */
+const certainShare = 0.99;
+/** Factor on that duration, for a request that takes longer still. */
+const certainHeadroom = 1.25;
+/** Risk of a cut at which a request is taken although all other VMs are ready. */
+const acceptedRisk = 0.01;
 /** Time from the exit of a VM until its next process serves callers. */
 const restartMilliseconds = 1500;
 /** Time over which the retries of callers refused together are spread. */
@@ -48,41 +60,52 @@
   {directoryTtlMilliseconds, graceMilliseconds}: StopSettings,
   now: Instant,
 ): StopPlan {
-  const exitAt = now + Math.max(0, graceMilliseconds - killMarginMilliseconds);
-  const lingerMilliseconds =
-    directoryTtlMilliseconds * lifetimeFactor + lingerMarginMilliseconds;
-  const lingerUntil = Math.min(now + lingerMilliseconds, exitAt);
-  return {startedAt: now, lingerUntil, exitAt};
+  const killMargin = Math.min(
+    killMarginMilliseconds,
+    graceMilliseconds * killMarginShare,
+  );
+  const exitAt = now + graceMilliseconds - killMargin;
+  const cachedUntil = now + directoryTtlMilliseconds * lifetimeFactor;
+  return {
+    startedAt: now,
+    takeUntil: Math.min(cachedUntil - signalDelayMilliseconds, exitAt),
+    lingerUntil: Math.min(cachedUntil + lingerMarginMilliseconds, exitAt),
+    exitAt,
+  };
 }
 
 /**
- * Tells whether a request that arrives during a stop is answered before the
- * exit. One that may not be is refused unrun, which its caller can retry at
- * another VM at once; cut off later, it would have run in vain.
+ * Decides whether to take a request that arrives during a stop. It is taken when
+ * it ends before the exit for certain. While callers could not know of the stop,
+ * it is also taken when the risk of a cut is smaller than that of a second
+ * refusal: in a rolling restart that reaches many VMs at once, a caller that is
+ * sent away is likely to meet another VM that stops.
  */
-export function canFinish(
-  {exitAt}: StopPlan,
-  {deadline, longMilliseconds}: StopWork,
+export function canTake(
+  {takeUntil, exitAt}: StopPlan,
+  {deadline, findDuration, refusingShare}: StopWork,
   now: Instant,
 ): boolean {
   if (deadline <= exitAt) return true;
-  if (longMilliseconds === undefined) return false;
-  return now + longMilliseconds * durationHeadroom <= exitAt;
+  const certain = findDuration(certainShare) ?? Infinity;
+  if (now + certain * certainHeadroom <= exitAt) return true;
+  if (now >= takeUntil) return false;
+  const risk = Math.min(1, Math.max(acceptedRisk, refusingShare));
+  const likely = findDuration(1 - risk) ?? Infinity;
+  return risk === 1 || now + likely <= exitAt;
 }
 
 /**
  * Tells whether a stopping VM may exit: callers no longer learn of it from the
- * directory, and nothing is in flight. While no other VM is ready it stays until
- * the end, since it still serves what it can finish.
+ * directory, and nothing is in flight.
  */
 export function canExit(
   {lingerUntil, exitAt}: StopPlan,
   inFlight: number,
-  hasReadyPeer: boolean,
   now: Instant,
 ): boolean {
   if (now >= exitAt) return true;
-  return now >= lingerUntil && inFlight === 0 && hasReadyPeer;
+  return now >= lingerUntil && inFlight === 0;
 }
 
 /**
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -57,9 +57,8 @@
 const maxMilliseconds = 60_000;
 /** A median of fewer values says little. */
 const minMedianCount = 10;
-/** Fewer values do not show how long the longest hundredth takes. */
-const minTailCount = 100;
-const tailPercentile = 99;
+/** Shares of fewer values say little about the longest ones. */
+const minShareCount = 50;
 const percentiles = [50, 95, 99, 99.9];
 
 /** Counters and latency histograms, rendered in the Prometheus text format. */
@@ -96,14 +95,14 @@
   }
 
   /**
-   * Finds the latency that all but a hundredth stay within; undefined before
-   * enough were recorded.
+   * Finds the latency that a share of the values, from 0 to 1, stays within;
+   * undefined before enough were recorded.
    */
-  findTail(latency: Latency): number | undefined {
+  findShare(latency: Latency, share: number): number | undefined {
     const histogram = this.latencies.get(latency);
     if (histogram === undefined) return undefined;
-    if (histogram.totalCount < minTailCount) return undefined;
-    return histogram.getValueAtPercentile(tailPercentile);
+    if (histogram.totalCount < minShareCount) return undefined;
+    return histogram.getValueAtPercentile(share * 100);
   }
 
   /** Renders all values, one per line. */
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {canFinish, computeStopRetryDelay} from '@zinniaspindle/decisions';
+import {canTake, computeStopRetryDelay} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
 import {
@@ -190,20 +190,22 @@
     {kind}: Route,
     deadline: Deadline,
   ): LocalAnswer | undefined {
-    const {findStop, hasReadyPeer, metrics, getNow} = this.context;
+    const {findStop, computeRefusingShare, metrics, getNow} = this.context;
     const plan = findStop();
     if (plan === undefined) return undefined;
     const isStream = kind === RouteKind.Streaming;
     const latency = isStream ? Latency.Stream : Latency.Answer;
-    const longMilliseconds = metrics.findTail(latency);
+    const refusingShare = computeRefusingShare();
+    const findDuration = (share: number) => metrics.findShare(latency, share);
     const now = getNow();
-    if (canFinish(plan, {deadline, longMilliseconds}, now)) return undefined;
+    const work = {deadline, findDuration, refusingShare};
+    if (canTake(plan, work, now)) return undefined;
     return {
       status: 503,
       reason: FailureReason.Stopping,
       retryAfterMilliseconds: computeStopRetryDelay(
         plan,
-        hasReadyPeer(),
+        refusingShare < 1,
         now,
         Math.random,
       ),
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -31,8 +31,8 @@
   readonly getNow: () => Instant;
   /** The graceful stop of this VM that is under way, if any. */
   readonly findStop: () => StopPlan | undefined;
-  /** Whether another VM that is ready can be reached. */
-  readonly hasReadyPeer: () => boolean;
+  /** Share of the other VMs that take no requests, from 0 to 1. */
+  readonly computeRefusingShare: () => number;
 }
 
 /** A request that was read completely and passed all checks. */
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -29,7 +29,6 @@
   type GatewayParts,
   type GatewayPorts,
 } from './gateway_parts.js';
-import {hasReadyPeer} from './list_addresses.js';
 import {PauseDetector} from './pause_detector.js';
 import {stopGracefully} from './stop_gracefully.js';
 import {TaskRunner} from './task_runner.js';
@@ -166,13 +165,7 @@
       undefined,
     );
     void ownership.release();
-    await stopGracefully(
-      plan,
-      callers,
-      () => hasReadyPeer(mesh.listKnown()),
-      getMonotonic,
-      this.log,
-    );
+    await stopGracefully(plan, callers, getMonotonic, this.log);
     this.tasks.stop();
     callers.close();
     mesh.close();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -37,7 +37,7 @@
 import {CallerServer} from '../requests/caller_server.js';
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
-import {hasReadyPeer, listCallerAddresses} from './list_addresses.js';
+import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
 
 /** The adapters to the platform that a gateway needs. */
 export interface GatewayPorts {
@@ -271,7 +271,7 @@
     writeEvent: log.write,
     getNow,
     findStop,
-    hasReadyPeer: () => hasReadyPeer(mesh.listKnown()),
+    computeRefusingShare: () => computeRefusingShare(mesh.listKnown()),
   });
   const ownAddress = formatAddress(settings.listen.callers);
   const directory = new DirectoryServer(ports.directory, {
--- a/packages/gateway/src/root/list_addresses.ts
+++ b/packages/gateway/src/root/list_addresses.ts
@@ -12,11 +12,16 @@
  */
 const isolationShare = 0.25;
 
-/** Tells whether another VM can be reached and takes requests. */
-export function hasReadyPeer(known: readonly KnownVm[]): boolean {
-  return known.some(
+/**
+ * Computes the share of the other VMs that take no requests or cannot be
+ * reached; 1 when there are none.
+ */
+export function computeRefusingShare(known: readonly KnownVm[]): number {
+  if (known.length === 0) return 1;
+  const ready = known.filter(
     ({phase, isReachable}) => phase === PeerPhase.Ready && isReachable,
   );
+  return 1 - ready.length / known.length;
 }
 
 /**
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -14,7 +14,6 @@
 export async function stopGracefully(
   plan: StopPlan,
   callers: CallerServer,
-  hasReadyPeer: () => boolean,
   getNow: () => Instant,
   log: EventLog,
 ): Promise<void> {
@@ -23,7 +22,7 @@
     exitMs: Math.round(plan.exitAt - plan.startedAt),
     inFlight: callers.countInFlight(),
   });
-  while (!canExit(plan, callers.countInFlight(), hasReadyPeer(), getNow())) {
+  while (!canExit(plan, callers.countInFlight(), getNow())) {
     await waitMilliseconds(pollMilliseconds);
   }
   callers.logCutOff();
