--- a/packages/router/src/callers/request_routes.ts
+++ b/packages/router/src/callers/request_routes.ts
@@ -139,15 +139,18 @@
       ...([response, format, spec.id, given, held] as const),
       this.ports.coalesceMilliseconds,
     );
+    let isOpen = !response.destroyed;
     const listener = {
       handleToken: () => writer.addToken(),
       handleFinish: (finish: FinishRequest) =>
         sendFinal(writer, spec.id, finish),
       handleRelease: () => response.destroy(),
+      isOpen: () => isOpen,
     };
     run.setListener(listener);
     writer.addToken();
     response.on('close', () => {
+      isOpen = false;
       if (response.writableFinished) return;
       this.handleCallerGone(run, format, listener);
     });
--- a/packages/router/src/http/http_server.ts
+++ b/packages/router/src/http/http_server.ts
@@ -7,6 +7,7 @@
 import {sendProblem} from './answers.js';
 import {HttpErrorCode, makeHttpError} from './errors.js';
 import type {HttpError} from './errors.js';
+import type {OpenCalls} from './open_calls.js';
 import {findRoute} from './route_table.js';
 import type {Route, RouteCall} from './route_table.js';
 
@@ -20,6 +21,7 @@
   /** Milliseconds within which a whole request must have arrived. */
   readonly requestMilliseconds: number;
   readonly routes: readonly Route[];
+  readonly calls: OpenCalls;
   readonly handleFailure: (error: unknown) => void;
 }
 
@@ -43,6 +45,7 @@
       },
       (request, response) => handleCall(options, request, response),
     );
+    server.on('connection', socket => options.calls.addConnection(socket));
     const {host, port} = parseAddress(options.address);
     server.once('error', error => {
       const code = HttpErrorCode.NotConnected;
@@ -67,6 +70,7 @@
   response: http.ServerResponse,
 ): void {
   response.on('error', () => response.destroy());
+  options.calls.addCall(response, request.socket);
   const url = parseUrl(request.url ?? '/');
   const match =
     url && findRoute(options.routes, request.method ?? '', url.pathname);
--- a/packages/router/src/requests/request_runner.ts
+++ b/packages/router/src/requests/request_runner.ts
@@ -54,6 +54,8 @@
   readonly handleFinish: (finish: FinishRequest) => void;
   /** Another VM goes on with the request: the caller is to reconnect. */
   readonly handleRelease: () => void;
+  /** Whether the caller is still connected. */
+  readonly isOpen: () => boolean;
 }
 
 /** One request of a caller while this VM owns it. */
@@ -93,6 +95,11 @@
     return this.finish;
   }
 
+  /** Whether a caller is connected. */
+  get hasCaller(): boolean {
+    return this.listener?.isOpen() ?? false;
+  }
+
   /** Tells the milliseconds since the arrival or the token before. */
   recordTokenTime(now: Instant, record: (milliseconds: number) => void): void {
     record(now - this.lastTokenAt);
--- a/packages/router/src/requests/request_table.ts
+++ b/packages/router/src/requests/request_table.ts
@@ -35,6 +35,11 @@
     return count;
   }
 
+  /** Counts those in flight whose caller is away and may come back. */
+  countUnattended(): number {
+    return this.listInFlight().filter(run => !run.hasCaller).length;
+  }
+
   /** Lists the requests that have no final answer yet. */
   listInFlight(): RequestRun[] {
     return [...this.runs.values()].filter(isInFlight);
--- a/packages/router/src/root/entry_vm.ts
+++ b/packages/router/src/root/entry_vm.ts
@@ -39,6 +39,7 @@
 import type {StateMessage} from '../configuration/state_exchange.js';
 import {makeEngineClient} from '../endpoints/engine_client.js';
 import type {EngineClient} from '../endpoints/engine_client.js';
+import {OpenCalls} from '../http/open_calls.js';
 import {JournalHost} from '../journal/journal_host.js';
 import type {AppendRecord, JournalMessage} from '../journal/journal_host.js';
 import {DecisionRecord} from '../logging/decision_record.js';
@@ -86,6 +87,7 @@
 export class EntryVm {
   readonly decisions = new DecisionRecord(maxKeptDecisions);
   readonly selfReport = new SelfReport(this);
+  readonly calls = new OpenCalls();
   readonly links: PeerLinks;
   readonly platform: PlatformClient;
   readonly engines: EngineClient;
@@ -386,8 +388,7 @@
       releaseLeases: () => this.placement.releaseAll(),
       closeListeners: () => undefined,
       handOver: () => this.requestHost.releaseAll(),
-      countInFlight: () =>
-        this.requests.countInFlight() + this.actions.countWaiting(),
+      countInFlight: () => this.calls.count() + this.requests.countUnattended(),
       exit: cut => this.options.exit(cut),
     });
   }
--- a/packages/router/src/root/tree.ts
+++ b/packages/router/src/root/tree.ts
@@ -100,6 +100,7 @@
     maxHeaderBytes: callers.maxHeaderBytes,
     requestMilliseconds: callers.requestMilliseconds,
     routes: buildRoutes(vm, startDrain),
+    calls: vm.calls,
     handleFailure: error => vm.reportFailure(error),
   }).pipe(Effect.asVoid);
   return {name: 'callers', start, run: Effect.never};
--- /dev/null
+++ b/packages/scenarios/__tests__/planned_stop.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import {createHash} from 'node:crypto';
+import {once} from 'node:events';
+import {after, before, test} from 'node:test';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import type {Problem} from '@zinniaspindle/shared';
+import {operatorName, sendControl, startFleet} from '@zinniaspindle/stand-ins';
+import type {Fleet} from '@zinniaspindle/stand-ins';
+import {fetchReply, openCall, readJson} from '../src/processes/entry_calls.js';
+import {EntryFleet} from '../src/processes/entry_fleet.js';
+import type {EntryProcess} from '../src/processes/entry_process.js';
+
+const retentionMilliseconds = 600_000;
+const signalGapMilliseconds = 300;
+const firstTokenMilliseconds = 400;
+const publishMilliseconds = 1500;
+const widePublishes = 16;
+const wideObjects = 150;
+const wideLabels = 32;
+const wideLabelBytes = 60;
+const operatorToken = `${operatorName}-token`;
+
+let fleet: Fleet;
+let entries: EntryFleet;
+let other: EntryProcess;
+let objectCount = 0;
+
+before(async () => {
+  fleet = await startFleet();
+  entries = new EntryFleet({
+    ...{log: fleet.log, vmList: fleet.vmList, retentionMilliseconds},
+    operatorDigest: computeDigest(operatorToken),
+  });
+  other = await entries.start('a1', 'dc1');
+  await entries.waitUntilReady(other, 0, 0);
+  const changes = fleet.objects.map(object => ({
+    key: {kind: object.kind, name: object.name},
+    base: -1,
+    object,
+  }));
+  await sendPublish(other, changes);
+  objectCount = fleet.objects.length;
+});
+
+after(async () => {
+  await entries.stop();
+  await fleet.stop();
+});
+
+function computeDigest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+function sendPublish(
+  entry: EntryProcess,
+  changes: unknown,
+  headers: Readonly<Record<string, string>> = {},
+) {
+  return fetchReply({
+    headers,
+    ...{address: entry.address, method: 'POST', path: '/v1/publishes'},
+    ...{token: operatorToken, body: {changes}},
+  });
+}
+
+async function startEntry(name: string): Promise<EntryProcess> {
+  const entry = await entries.start(name, 'dc2');
+  await entries.waitUntilReady(entry, objectCount, 1);
+  return entry;
+}
+
+/** Sends two signals; the second one shortens the stop. */
+async function stopTwice({child}: EntryProcess): Promise<void> {
+  child.kill('SIGTERM');
+  await waitMilliseconds(signalGapMilliseconds);
+  child.kill('SIGTERM');
+}
+
+async function waitExit({child}: EntryProcess): Promise<void> {
+  if (child.exitCode === null) await once(child, 'exit');
+  assert.equal(child.exitCode, 0);
+}
+
+/** Runs with a log that takes requests and answers none. */
+async function runWithoutLog(run: () => Promise<void>): Promise<void> {
+  await sendControl(fleet.log, {hangs: true});
+  try {
+    await run();
+  } finally {
+    await sendControl(fleet.log, {hangs: false});
+  }
+}
+
+test('a publish that waits for the log is answered before the exit', async () => {
+  const entry = await startEntry('publish');
+  await runWithoutLog(async () => {
+    const object = fleet.objects[0]!;
+    const key = {kind: object.kind, name: object.name};
+    const deadline = Date.now() + publishMilliseconds;
+    const answer = sendPublish(entry, [{key, base: 0, object}], {
+      'x-deadline': String(deadline),
+    });
+    await waitMilliseconds(firstTokenMilliseconds);
+    const [{body}] = await Promise.all([answer, stopTwice(entry)]);
+    assert.ok(['notAccepted', 'unknown'].includes((body as Problem).answer));
+    await waitExit(entry);
+  });
+});
+
+/** Makes accounts with as many labels as they may have. */
+function makeWideChanges(publish: number) {
+  const labels: Record<string, string> = {};
+  for (let number = 0; number < wideLabels; number += 1) {
+    const key = `${'k'.repeat(wideLabelBytes - 2)}${number}`;
+    labels[key] = 'v'.repeat(wideLabelBytes);
+  }
+  const changes = [];
+  for (let number = 0; number < wideObjects; number += 1) {
+    const {object} = fleet.accounts[1]!;
+    const name = `wide-${publish}-${number}`;
+    const tokenDigests = [computeDigest(name)];
+    const key = {kind: object.kind, name};
+    const wide = {...object, name, labels, tokenDigests};
+    changes.push({key, base: -1, object: wide});
+  }
+  return changes;
+}
+
+test('an answer to a slow reader is whole after a second SIGTERM', async () => {
+  const entry = await startEntry('slow');
+  for (let publish = 0; publish < widePublishes; publish += 1) {
+    const {body} = await sendPublish(other, makeWideChanges(publish));
+    const {answer} = body as {answer: string};
+    assert.equal(answer, 'accepted', JSON.stringify(body).slice(0, 300));
+  }
+  objectCount += widePublishes * wideObjects;
+  await entries.waitUntilReady(entry, objectCount, 1);
+  const response = await openCall({
+    ...{address: entry.address, method: 'GET', path: '/v1/objects'},
+    token: operatorToken,
+  });
+  await stopTwice(entry);
+  await waitMilliseconds(signalGapMilliseconds);
+  const {objects} = (await readJson(response)) as {objects: unknown[]};
+  assert.equal(objects.length, objectCount);
+  await waitExit(entry);
+});
