--- a/packages/decisions/src/actions/decide.ts
+++ b/packages/decisions/src/actions/decide.ts
@@ -15,6 +15,7 @@
 import {ActionInputKind, type ActionInput} from './inputs.js';
 import {
   acceptRequest,
+  answerWaiting,
   cancelRequest,
   expireRequests,
   sendLookups,
@@ -67,6 +68,9 @@
     case ActionInputKind.Requested:
       acceptRequest(turn, input.request);
       return;
+    case ActionInputKind.StopReached:
+      answerWaiting(turn);
+      return;
     case ActionInputKind.SubmitResolved:
       applySubmitOutcome(turn, input.token, input.outcome);
       return;
--- a/packages/decisions/src/actions/inputs.ts
+++ b/packages/decisions/src/actions/inputs.ts
@@ -23,6 +23,7 @@
   LookupAnswered = 'lookupAnswered',
   ReadyChanged = 'readyChanged',
   Requested = 'requested',
+  StopReached = 'stopReached',
   SubmitResolved = 'submitResolved',
   Tick = 'tick',
   WindowLoaded = 'windowLoaded',
@@ -97,6 +98,8 @@
       readonly kind: ActionInputKind.Requested;
       readonly request: ActionRequest;
     }
+  /** The VM ends: every request gets its answer now. */
+  | {readonly kind: ActionInputKind.StopReached}
   | {
       readonly kind: ActionInputKind.SubmitResolved;
       readonly token: SubmitToken;
--- a/packages/decisions/src/actions/requests.ts
+++ b/packages/decisions/src/actions/requests.ts
@@ -53,7 +53,16 @@
 export function expireRequests(turn: ActionsTurn): void {
   for (const waiting of [...turn.state.waiting.values()]) {
     if (!turn.state.waiting.has(waiting.request.request)) continue;
-    if (isDue(turn, waiting.deadline)) expireRequest(turn, waiting);
+    if (!isDue(turn, waiting.deadline)) continue;
+    expireRequest(turn, waiting, 'the deadline passed');
+  }
+}
+
+/** Answers every waiting request, since this VM ends. */
+export function answerWaiting(turn: ActionsTurn): void {
+  for (const waiting of [...turn.state.waiting.values()]) {
+    if (!turn.state.waiting.has(waiting.request.request)) continue;
+    expireRequest(turn, waiting, 'the entry VM stops');
   }
 }
 
@@ -183,7 +192,11 @@
   waiting.lookUpAt = unknown ? turn.now : turn.now + lookupMilliseconds;
 }
 
-function expireRequest(turn: ActionsTurn, waiting: WaitingRequest): void {
+function expireRequest(
+  turn: ActionsTurn,
+  waiting: WaitingRequest,
+  reason: string,
+): void {
   const {request} = waiting;
   const attempt = findAttempt(turn, request);
   const claimKey = formatClaimKey(request.account, request.key);
@@ -192,12 +205,12 @@
     attempt?.initiator === request &&
     attempt.stage !== AttemptStage.Calling
   ) {
-    cancelAttempt(turn, attempt, 'the deadline passed before the call');
+    cancelAttempt(turn, attempt, `${reason} before the call`);
     resolveWaiting(turn, claimKey);
     return;
   }
   if (!attempt && !canHaveRun(turn, entry)) {
-    answerNotRun(turn, request, 'the deadline passed before a claim won');
+    answerNotRun(turn, request, `${reason} before a claim won`);
     return;
   }
   if (!isGuarded(turn.state, ActionGuard.OnlyClaimantAbandons) && entry) {
@@ -205,7 +218,7 @@
     answerNotRun(turn, request, 'abandoned on behalf of the claimant');
     return;
   }
-  const detail = 'the deadline passed before the outcome was known';
+  const detail = `${reason} before the outcome was known`;
   answerOutcomeUnknown(turn, request, detail);
 }
 
--- a/packages/decisions/src/drain/drain.ts
+++ b/packages/decisions/src/drain/drain.ts
@@ -34,6 +34,8 @@
   readonly answerTtlMilliseconds: number;
   /** How long before the deadline the remaining requests are handed over. */
   readonly handOverMilliseconds: number;
+  /** How long before the deadline what is left is answered. */
+  readonly answerMilliseconds: number;
   readonly guards: DrainGuards;
 }
 
@@ -42,6 +44,7 @@
   propagationMilliseconds: 4000,
   answerTtlMilliseconds: 10_000,
   handOverMilliseconds: 2000,
+  answerMilliseconds: 500,
   guards: {answerExpiry: true, inFlight: true},
 };
 
@@ -67,6 +70,7 @@
   /** When the process exits even if requests are in flight. */
   deadline: Deadline;
   handedOver: boolean;
+  restAnswered: boolean;
 }
 
 /** Kinds of input events of a planned stop. */
@@ -92,6 +96,8 @@
 /** Kinds of commands that a planned stop issues. */
 export enum DrainCommandKind {
   AnnounceLeaving = 'announceLeaving',
+  /** Gives a final answer to every caller that still waits for one. */
+  AnswerRest = 'answerRest',
   CloseListeners = 'closeListeners',
   Exit = 'exit',
   HandOver = 'handOver',
@@ -103,6 +109,7 @@
   | {
       readonly kind:
         | DrainCommandKind.AnnounceLeaving
+        | DrainCommandKind.AnswerRest
         | DrainCommandKind.CloseListeners
         | DrainCommandKind.ReleaseLeases;
     }
@@ -130,6 +137,7 @@
     serveUntil: 0,
     deadline: Number.POSITIVE_INFINITY,
     handedOver: false,
+    restAnswered: false,
   };
 }
 
@@ -219,7 +227,13 @@
     stopProcess(turn);
     return;
   }
-  if (state.handedOver || !isNearDeadline(turn)) return;
+  if (!state.handedOver && isNearDeadline(turn)) startHandOver(turn);
+  const answerAt = state.deadline - state.options.answerMilliseconds;
+  if (!state.restAnswered && isPast(answerAt, now)) answerRest(turn);
+}
+
+function startHandOver(turn: DrainTurn): void {
+  const {state} = turn;
   state.handedOver = true;
   const {inFlight, deadline} = state;
   turn.commands.push({kind: DrainCommandKind.HandOver, inFlight, deadline});
@@ -227,6 +241,14 @@
   turn.logEvents.push({event: MembershipEvent.RequestsHandedOver, fields});
 }
 
+function answerRest(turn: DrainTurn): void {
+  const {state} = turn;
+  state.restAnswered = true;
+  turn.commands.push({kind: DrainCommandKind.AnswerRest});
+  const fields = {inFlight: state.inFlight};
+  turn.logEvents.push({event: MembershipEvent.RestAnswered, fields});
+}
+
 function stopProcess(turn: DrainTurn): void {
   const cut = turn.state.inFlight;
   turn.state.phase = DrainPhase.Stopped;
--- a/packages/decisions/src/requests/decide_request.ts
+++ b/packages/decisions/src/requests/decide_request.ts
@@ -67,6 +67,8 @@
       return closeRequest(state, FinalAnswer.Cancelled, 'the caller left');
     case RequestEventKind.DeadlineReached:
       return closeIncomplete(state, 'the deadline passed', now);
+    case RequestEventKind.StopReached:
+      return closeIncomplete(state, 'the entry VM stops', now);
     case RequestEventKind.Superseded:
       return closeSuperseded(state, event.attempt);
   }
--- a/packages/decisions/src/requests/messages.ts
+++ b/packages/decisions/src/requests/messages.ts
@@ -20,6 +20,7 @@
   Failed = 'failed',
   NotAccepted = 'notAccepted',
   Silent = 'silent',
+  StopReached = 'stopReached',
   StreamBroken = 'streamBroken',
   Superseded = 'superseded',
   Token = 'token',
@@ -92,6 +93,11 @@
   readonly kind: RequestEventKind.DeadlineReached;
 }
 
+/** The VM ends before the request does. */
+export interface StopReached {
+  readonly kind: RequestEventKind.StopReached;
+}
+
 /** Another VM took the request over. */
 export interface RequestSuperseded {
   readonly kind: RequestEventKind.Superseded;
@@ -105,6 +111,7 @@
   | ChainRefused
   | DeadlineReached
   | RequestSuperseded
+  | StopReached
   | StreamBroken
   | StreamEnded
   | StreamFailed
--- a/packages/router/__tests__/drain_host.test.ts
+++ b/packages/router/__tests__/drain_host.test.ts
@@ -18,6 +18,7 @@
     releaseLeases: () => undefined,
     closeListeners: () => undefined,
     handOver: () => undefined,
+    answerRest: () => undefined,
     countInFlight: () => 3,
     exit: cut => exits.push(cut),
   });
--- a/packages/router/src/actions/action_host.ts
+++ b/packages/router/src/actions/action_host.ts
@@ -132,6 +132,11 @@
     return () => this.machine.send({kind: ActionInputKind.CallerGone, request});
   }
 
+  /** Answers every action whose caller waits, since this VM ends. */
+  answerAll(): void {
+    this.machine.send({kind: ActionInputKind.StopReached});
+  }
+
   private runCommand(command: ActionCommand): void {
     switch (command.kind) {
       case ActionCommandKind.Answer:
--- a/packages/router/src/callers/errors.ts
+++ b/packages/router/src/callers/errors.ts
@@ -10,6 +10,7 @@
   NotFound = 'notFound',
   NotJson = 'notJson',
   NotReady = 'notReady',
+  Stopping = 'stopping',
   TooSlow = 'tooSlow',
   Unauthorized = 'unauthorized',
 }
@@ -23,6 +24,7 @@
   [CallerErrorCode.NotFound]: 404,
   [CallerErrorCode.NotJson]: 400,
   [CallerErrorCode.NotReady]: 503,
+  [CallerErrorCode.Stopping]: 504,
   [CallerErrorCode.TooSlow]: 408,
   [CallerErrorCode.Unauthorized]: 401,
 };
@@ -61,12 +63,15 @@
   );
 }
 
+/** Final answer of each error that is not the caller's. */
+const ownAnswers: Partial<Readonly<Record<CallerErrorCode, FinalAnswer>>> = {
+  [CallerErrorCode.NotReady]: FinalAnswer.NotRun,
+  [CallerErrorCode.Stopping]: FinalAnswer.OutcomeUnknown,
+};
+
 /** Turns an error into the problem document that the caller gets. */
 export function toProblem(error: CallerError): Problem {
-  const answer =
-    error.code === CallerErrorCode.NotReady
-      ? FinalAnswer.NotRun
-      : FinalAnswer.Rejected;
+  const answer = ownAnswers[error.code] ?? FinalAnswer.Rejected;
   return {
     type: `urn:zinniaspindle:problem:${error.code}`,
     title: error.code,
--- a/packages/router/src/callers/request_routes.ts
+++ b/packages/router/src/callers/request_routes.ts
@@ -146,6 +146,7 @@
         sendFinal(writer, spec.id, finish),
       handleRelease: () => response.destroy(),
       isOpen: () => isOpen,
+      canReconnect: format !== AnswerFormat.Json,
     };
     run.setListener(listener);
     writer.addToken();
--- a/packages/router/src/http/open_calls.ts
+++ b/packages/router/src/http/open_calls.ts
@@ -23,8 +23,11 @@
 
   /** Counts the calls without a written answer. */
   count(): number {
-    let count = 0;
-    for (const responses of this.calls.values()) count += responses.size;
-    return count;
+    return this.list().length;
+  }
+
+  /** Lists the responses whose answers are not written. */
+  list(): http.ServerResponse[] {
+    return [...this.calls.values()].flatMap(responses => [...responses]);
   }
 }
--- a/packages/router/src/membership/drain_host.ts
+++ b/packages/router/src/membership/drain_host.ts
@@ -24,6 +24,8 @@
   readonly closeListeners: () => void;
   /** Ends what runs so that callers resume it elsewhere. */
   readonly handOver: () => void;
+  /** Gives a final answer to every caller that still waits for one. */
+  readonly answerRest: () => void;
   readonly countInFlight: () => number;
   /** Ends the process; `cut` requests are cut off. */
   readonly exit: (cut: number) => void;
@@ -77,6 +79,8 @@
     switch (command.kind) {
       case DrainCommandKind.AnnounceLeaving:
         return ports.announceLeaving();
+      case DrainCommandKind.AnswerRest:
+        return ports.answerRest();
       case DrainCommandKind.ReleaseLeases:
         return ports.releaseLeases();
       case DrainCommandKind.CloseListeners:
--- a/packages/router/src/requests/request_host.ts
+++ b/packages/router/src/requests/request_host.ts
@@ -163,13 +163,21 @@
     this.table.find(id)?.send({kind, attempt});
   }
 
-  /** Hands every running request on, so that its caller resumes elsewhere. */
+  /** Hands on every running request that its caller can resume elsewhere. */
   releaseAll(): void {
     for (const run of this.table.listInFlight()) {
+      if (!run.canMove) continue;
       this.writeRecord(run.state, () => this.releaseRun(run));
     }
   }
 
+  /** Answers every running request whose caller waits, since this VM ends. */
+  answerAll(): void {
+    for (const run of this.table.listInFlight()) {
+      if (run.hasCaller) run.send({kind: RequestEventKind.StopReached});
+    }
+  }
+
   private releaseRun(run: RequestRun): void {
     run.release();
     this.table.remove(run.state.spec.id);
--- a/packages/router/src/requests/request_runner.ts
+++ b/packages/router/src/requests/request_runner.ts
@@ -56,6 +56,8 @@
   readonly handleRelease: () => void;
   /** Whether the caller is still connected. */
   readonly isOpen: () => boolean;
+  /** Whether the caller can go on with the answer on another connection. */
+  readonly canReconnect: boolean;
 }
 
 /** One request of a caller while this VM owns it. */
@@ -100,6 +102,11 @@
     return this.listener?.isOpen() ?? false;
   }
 
+  /** Whether another VM can go on with the request. */
+  get canMove(): boolean {
+    return this.listener?.canReconnect ?? true;
+  }
+
   /** Tells the milliseconds since the arrival or the token before. */
   recordTokenTime(now: Instant, record: (milliseconds: number) => void): void {
     record(now - this.lastTokenAt);
--- a/packages/router/src/root/entry_vm.ts
+++ b/packages/router/src/root/entry_vm.ts
@@ -61,6 +61,7 @@
 import type {RequestTable} from '../requests/request_table.js';
 import {FleetHost} from '../routing/fleet_host.js';
 import type {Settings} from '../settings/read_settings.js';
+import {answerRest} from './answer_rest.js';
 import {SelfReport} from './self_report.js';
 
 /** Decisions kept for `explain`. */
@@ -388,6 +389,7 @@
       releaseLeases: () => this.placement.releaseAll(),
       closeListeners: () => undefined,
       handOver: () => this.requestHost.releaseAll(),
+      answerRest: () => answerRest(this, this.loop),
       countInFlight: () => this.calls.count() + this.requests.countUnattended(),
       exit: cut => this.options.exit(cut),
     });
--- a/packages/scenarios/__tests__/planned_stop.test.ts
+++ b/packages/scenarios/__tests__/planned_stop.test.ts
@@ -3,21 +3,32 @@
 import {once} from 'node:events';
 import {after, before, test} from 'node:test';
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {FinalAnswer} from '@zinniaspindle/shared';
 import type {Problem} from '@zinniaspindle/shared';
-import {operatorName, sendControl, startFleet} from '@zinniaspindle/stand-ins';
+import {
+  computeExpectedTokens,
+  operatorName,
+  sendControl,
+  startFleet,
+} from '@zinniaspindle/stand-ins';
 import type {Fleet} from '@zinniaspindle/stand-ins';
+import {v7 as makeUuidV7} from 'uuid';
 import {fetchReply, openCall, readJson} from '../src/processes/entry_calls.js';
 import {EntryFleet} from '../src/processes/entry_fleet.js';
 import type {EntryProcess} from '../src/processes/entry_process.js';
 
+const layerCount = 24;
 const retentionMilliseconds = 600_000;
 const signalGapMilliseconds = 300;
 const firstTokenMilliseconds = 400;
 const publishMilliseconds = 1500;
+const longAnswerTokens = 1024;
 const widePublishes = 16;
 const wideObjects = 150;
 const wideLabels = 32;
 const wideLabelBytes = 60;
+const requestsPath = '/v1/pipelines/letters/requests';
+const callerToken = 'practice-token';
 const operatorToken = `${operatorName}-token`;
 
 let fleet: Fleet;
@@ -91,6 +102,43 @@
   }
 }
 
+test('a JSON request in flight at a second SIGTERM is answered', async () => {
+  const entry = await startEntry('json');
+  const prompt = 'Whole or told.';
+  const answer = fetchReply({
+    ...{address: entry.address, method: 'POST', path: requestsPath},
+    ...{token: callerToken, body: {prompt, maxTokens: longAnswerTokens}},
+  });
+  await waitMilliseconds(firstTokenMilliseconds);
+  const [{status, body}] = await Promise.all([answer, stopTwice(entry)]);
+  const problem = body as Problem & {readonly text: string};
+  assert.equal(status, 502);
+  assert.equal(problem.answer, FinalAnswer.Partial);
+  const generation = {prompt, maxTokens: longAnswerTokens, sampling: {}};
+  const whole = computeExpectedTokens(
+    ...([generation, layerCount, longAnswerTokens] as const),
+  ).join('');
+  assert.ok(problem.text.length > 0 && whole.startsWith(problem.text));
+  await waitExit(entry);
+});
+
+test('an action in flight at a second SIGTERM is answered', async () => {
+  const entry = await startEntry('action');
+  await runWithoutLog(async () => {
+    const answer = fetchReply({
+      ...{address: entry.address, method: 'POST', token: callerToken},
+      path: '/v1/services/orders/actions',
+      headers: {'idempotency-key': makeUuidV7()},
+      body: {action: 'ship', body: {order: 1}},
+    });
+    await waitMilliseconds(firstTokenMilliseconds);
+    const [{status, body}] = await Promise.all([answer, stopTwice(entry)]);
+    assert.equal(status, 503);
+    assert.equal((body as Problem).answer, FinalAnswer.NotRun);
+    await waitExit(entry);
+  });
+});
+
 test('a publish that waits for the log is answered before the exit', async () => {
   const entry = await startEntry('publish');
   await runWithoutLog(async () => {
@@ -107,6 +155,20 @@
   });
 });
 
+test('a publish that outlasts the stop is told that its outcome is unknown', async () => {
+  const entry = await startEntry('outlasts');
+  await runWithoutLog(async () => {
+    const object = fleet.objects[0]!;
+    const key = {kind: object.kind, name: object.name};
+    const answer = sendPublish(entry, [{key, base: 0, object}]);
+    await waitMilliseconds(firstTokenMilliseconds);
+    const [{status, body}] = await Promise.all([answer, stopTwice(entry)]);
+    assert.equal(status, 504);
+    assert.equal((body as Problem).answer, FinalAnswer.OutcomeUnknown);
+    await waitExit(entry);
+  });
+});
+
 /** Makes accounts with as many labels as they may have. */
 function makeWideChanges(publish: number) {
   const labels: Record<string, string> = {};
--- a/packages/scenarios/src/virtual/membership_vm.ts
+++ b/packages/scenarios/src/virtual/membership_vm.ts
@@ -103,6 +103,7 @@
         case DrainCommandKind.Exit:
           this.around.exit(this, command.cut);
           break;
+        case DrainCommandKind.AnswerRest:
         case DrainCommandKind.HandOver:
         case DrainCommandKind.ReleaseLeases:
       }
--- a/packages/shared/src/events/membership_events.ts
+++ b/packages/shared/src/events/membership_events.ts
@@ -24,6 +24,7 @@
   ListenersClosed = 3202,
   RequestsHandedOver = 3203,
   StopFinished = 3204,
+  RestAnswered = 3205,
   RecordStored = 3300,
   RecordRefused = 3301,
   RecordUnderReplicated = 3302,
@@ -68,6 +69,8 @@
   [MembershipEvent.RequestsHandedOver]: '{inFlight} requests handed over',
   [MembershipEvent.StopFinished]:
     'graceful shutdown finished, {cut} requests were cut off',
+  [MembershipEvent.RestAnswered]:
+    'the stop ends: {inFlight} requests left get their final answer',
   [MembershipEvent.RecordStored]:
     'replica of the record of request {request}, attempt {attempt}, stored for owner {owner}',
   [MembershipEvent.RecordRefused]:
