--- a/packages/router/src/http/http_server.ts
+++ b/packages/router/src/http/http_server.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import {describeError, FinalAnswer, parseAddress} from '@zinniaspindle/shared';
 import type {Problem} from '@zinniaspindle/shared';
 import {Effect} from 'effect';
@@ -13,6 +14,9 @@
 
 const statusInternal = 500;
 
+/** Milliseconds for connections to end before they are broken off. */
+const closeMilliseconds = 200;
+
 /** Limits and address of an HTTP server. */
 export interface HttpServerOptions {
   /** host:port to listen on. */
@@ -29,7 +33,9 @@
 export function serveHttp(
   options: HttpServerOptions,
 ): Effect.Effect<http.Server, HttpError, Scope.Scope> {
-  return Effect.acquireRelease(openServer(options), closeServer);
+  return Effect.acquireRelease(openServer(options), server =>
+    closeServer(server, options.calls),
+  );
 }
 
 function openServer(
@@ -57,10 +63,15 @@
   });
 }
 
-function closeServer(server: http.Server): Effect.Effect<void> {
+function closeServer(
+  server: http.Server,
+  calls: OpenCalls,
+): Effect.Effect<void> {
   return Effect.callback<void>(resume => {
-    server.close(() => resume(Effect.void));
-    server.closeAllConnections();
+    // close() of an HTTP server destroys connections with unwritten answers.
+    net.Server.prototype.close.call(server, () => resume(Effect.void));
+    calls.closeIdle();
+    setTimeout(() => server.closeAllConnections(), closeMilliseconds).unref();
   });
 }
 
@@ -70,7 +81,10 @@
   response: http.ServerResponse,
 ): void {
   response.on('error', () => response.destroy());
-  options.calls.addCall(response, request.socket);
+  if (!options.calls.acceptCall(response, request.socket)) {
+    request.resume();
+    return;
+  }
   const url = parseUrl(request.url ?? '/');
   const match =
     url && findRoute(options.routes, request.method ?? '', url.pathname);
--- a/packages/router/src/http/open_calls.ts
+++ b/packages/router/src/http/open_calls.ts
@@ -1,24 +1,55 @@
 import type http from 'node:http';
 import type net from 'node:net';
 
+/** A connection and the calls on it, in the order of their answers. */
+interface CallConnection {
+  readonly responses: Set<http.ServerResponse>;
+  /** Whether one of the answers says that the connection ends with it. */
+  isEnding: boolean;
+}
+
 /**
  * The calls that a server took and has not written the answers of. An answer
  * counts as written once the operating system has all of its bytes.
  */
 export class OpenCalls {
-  private readonly calls = new Map<net.Socket, Set<http.ServerResponse>>();
+  private readonly connections = new Map<net.Socket, CallConnection>();
+  private isClosing = false;
 
   /** Adds the connection that calls come on. */
   addConnection(socket: net.Socket): void {
-    this.calls.set(socket, new Set());
-    socket.on('close', () => this.calls.delete(socket));
+    this.connections.set(socket, {responses: new Set(), isEnding: false});
+    socket.on('close', () => this.connections.delete(socket));
+  }
+
+  /**
+   * Takes a call, until its answer is written or cut off. False if the
+   * connection ends with an earlier answer: then the call must not be run.
+   */
+  acceptCall(response: http.ServerResponse, socket: net.Socket): boolean {
+    const connection = this.connections.get(socket);
+    if (connection === undefined || connection.isEnding) return false;
+    const {responses} = connection;
+    responses.add(response);
+    if (this.isClosing) setLast(connection);
+    response.on('close', () => {
+      responses.delete(response);
+      if (this.isClosing && responses.size === 0) socket.end();
+    });
+    return true;
   }
 
-  /** Adds a call; it is removed when its answer is written or cut off. */
-  addCall(response: http.ServerResponse, socket: net.Socket): void {
-    const responses = this.calls.get(socket);
-    responses?.add(response);
-    response.on('close', () => responses?.delete(response));
+  /** Makes each connection end with the answers that it waits for. */
+  startClosing(): void {
+    this.isClosing = true;
+    for (const connection of this.connections.values()) setLast(connection);
+  }
+
+  /** Ends the connections on which no call is open; what is written arrives. */
+  closeIdle(): void {
+    for (const [socket, {responses}] of this.connections) {
+      if (responses.size === 0) socket.end();
+    }
   }
 
   /** Counts the calls without a written answer. */
@@ -28,6 +59,15 @@
 
   /** Lists the responses whose answers are not written. */
   list(): http.ServerResponse[] {
-    return [...this.calls.values()].flatMap(responses => [...responses]);
+    const connections = [...this.connections.values()];
+    return connections.flatMap(({responses}) => [...responses]);
   }
 }
+
+/** Tells the caller that its connection ends with the last of the answers. */
+function setLast(connection: CallConnection): void {
+  const last = [...connection.responses].at(-1);
+  if (last === undefined || last.headersSent) return;
+  last.setHeader('connection', 'close');
+  connection.isEnding = true;
+}
--- a/packages/router/src/root/entry_vm.ts
+++ b/packages/router/src/root/entry_vm.ts
@@ -383,6 +383,7 @@
       answerTtlMilliseconds:
         this.options.settings.callers.entryLifetimeMilliseconds,
       announceLeaving: () => {
+        this.calls.startClosing();
         this.membership.sendLeaving();
         this.selfReport.send();
       },
