--- a/packages/router/src/root/tree.ts
+++ b/packages/router/src/root/tree.ts
@@ -125,8 +125,10 @@
       ...shared,
       table: vm.requests,
       findPipeline: vm.queries.findPipeline,
-      resumeRequest: (id, account, held) =>
-        vm.requestHost.resumeRequest(id, account, held),
+      resumeRequest: async (id, account, held) =>
+        vm.drain.isClosed
+          ? undefined
+          : vm.requestHost.resumeRequest(id, account, held),
       coalesceMilliseconds: callers.coalesceMilliseconds,
       reconnectMilliseconds: callers.reconnectMilliseconds,
     }),
--- a/packages/scenarios/__tests__/planned_stop.test.ts
+++ b/packages/scenarios/__tests__/planned_stop.test.ts
@@ -316,3 +316,33 @@
   assert.equal(objects.length, objectCount);
   await waitExit(entry);
 });
+
+test('a VM that hands its streams over takes none back', async () => {
+  const entry = await startEntry('takes');
+  const open = (method: string, path: string, accept: string, lastId = '') =>
+    openCall({
+      ...{address: entry.address, method, path, token: callerToken},
+      headers: {accept, ...(lastId === '' ? {} : {'last-event-id': lastId})},
+      ...(method === 'POST'
+        ? {body: {prompt: 'Move on.', maxTokens: longAnswerTokens}}
+        : {}),
+    });
+  const json = open('POST', requestsPath, 'application/json');
+  const sse = 'text/event-stream';
+  const response = await open('POST', requestsPath, sse);
+  const id = String(response.headers['x-request-id']);
+  let last = '';
+  const broken = (async () => {
+    for await (const event of readEvents(response)) last = event.id;
+  })().catch(() => undefined);
+  await waitMilliseconds(firstTokenMilliseconds);
+  await stopTwice(entry);
+  await broken;
+  const path = `/v1/requests/${id}`;
+  const refused = await open('GET', path, sse, last);
+  assert.equal(refused.statusCode, 404);
+  refused.resume();
+  const {statusCode} = await json;
+  assert.equal(statusCode, 502);
+  await waitExit(entry);
+});
