--- a/packages/router/src/callers/request_routes.ts
+++ b/packages/router/src/callers/request_routes.ts
@@ -12,6 +12,7 @@
   PipelineObject,
   RequestId,
 } from '@zinniaspindle/shared';
+import {requestIdHeader} from '../http/open_calls.js';
 import {readJsonBody} from '../http/read_body.js';
 import type {Route, RouteCall} from '../http/route_table.js';
 import type {RequestListener, RequestRun} from '../requests/request_runner.js';
@@ -113,6 +114,8 @@
       throw this.makeUnknownError(id);
     }
     checkHeld(run, held);
+    // A VM that stops has answered; the record of the request stays at peers.
+    if (call.response.headersSent) return;
     this.addCaller(call, run, readFormat(call.request), held);
   }
 
@@ -135,6 +138,7 @@
   ): void {
     const {response} = call;
     const {spec, delivered: given} = run.state;
+    response.setHeader(requestIdHeader, spec.id);
     const writer = new TokenWriter(
       ...([response, format, spec.id, given, held] as const),
       this.ports.coalesceMilliseconds,
--- a/packages/router/src/callers/token_writer.ts
+++ b/packages/router/src/callers/token_writer.ts
@@ -141,9 +141,6 @@
 
   private sendHeaders(): void {
     if (this.response.headersSent) return;
-    this.response.writeHead(statusOk, {
-      ...eventStreamHeaders,
-      'x-request-id': this.request,
-    });
+    this.response.writeHead(statusOk, eventStreamHeaders);
   }
 }
--- a/packages/router/src/http/open_calls.ts
+++ b/packages/router/src/http/open_calls.ts
@@ -1,9 +1,26 @@
 import type http from 'node:http';
 import type net from 'node:net';
+import type {Instant} from '@zinniaspindle/shared';
+
+/** Header that names the request which an answer is about. */
+export const requestIdHeader = 'x-request-id';
+
+/** A call without a written answer, for people. */
+export interface CallView {
+  readonly method: string;
+  readonly path: string;
+  /** Id of the request that it is about, or "none". */
+  readonly request: string;
+  /** Milliseconds since it came. */
+  readonly milliseconds: number;
+  /** Bytes of its answer that wait in this process. */
+  readonly unwrittenBytes: number;
+}
 
 /** A connection and the calls on it, in the order of their answers. */
 interface CallConnection {
-  readonly responses: Set<http.ServerResponse>;
+  /** When each call came. */
+  readonly responses: Map<http.ServerResponse, Instant>;
   /** Whether one of the answers says that the connection ends with it. */
   isEnding: boolean;
 }
@@ -16,9 +33,11 @@
   private readonly connections = new Map<net.Socket, CallConnection>();
   private isClosing = false;
 
+  constructor(private readonly getNow: () => Instant) {}
+
   /** Adds the connection that calls come on. */
   addConnection(socket: net.Socket): void {
-    this.connections.set(socket, {responses: new Set(), isEnding: false});
+    this.connections.set(socket, {responses: new Map(), isEnding: false});
     socket.on('close', () => this.connections.delete(socket));
   }
 
@@ -30,7 +49,7 @@
     const connection = this.connections.get(socket);
     if (connection === undefined || connection.isEnding) return false;
     const {responses} = connection;
-    responses.add(response);
+    responses.set(response, this.getNow());
     if (this.isClosing) setLast(connection);
     response.on('close', () => {
       responses.delete(response);
@@ -60,13 +79,30 @@
   /** Lists the responses whose answers are not written. */
   list(): http.ServerResponse[] {
     const connections = [...this.connections.values()];
-    return connections.flatMap(({responses}) => [...responses]);
+    return connections.flatMap(({responses}) => [...responses.keys()]);
+  }
+
+  /** Describes the calls whose answers are not written. */
+  describe(): CallView[] {
+    const views: CallView[] = [];
+    for (const {responses} of this.connections.values()) {
+      for (const [response, begunAt] of responses) {
+        const {method = '', url = ''} = response.req;
+        views.push({
+          ...{method, path: url.split('?')[0]!},
+          request: String(response.getHeader(requestIdHeader) ?? 'none'),
+          milliseconds: this.getNow() - begunAt,
+          unwrittenBytes: response.writableLength,
+        });
+      }
+    }
+    return views;
   }
 }
 
 /** Tells the caller that its connection ends with the last of the answers. */
 function setLast(connection: CallConnection): void {
-  const last = [...connection.responses].at(-1);
+  const last = [...connection.responses.keys()].at(-1);
   if (last === undefined || last.headersSent) return;
   last.setHeader('connection', 'close');
   connection.isEnding = true;
--- a/packages/router/src/requests/request_table.ts
+++ b/packages/router/src/requests/request_table.ts
@@ -35,9 +35,9 @@
     return count;
   }
 
-  /** Counts those in flight whose caller is away and may come back. */
-  countUnattended(): number {
-    return this.listInFlight().filter(run => !run.hasCaller).length;
+  /** Lists those in flight whose caller is away and may come back. */
+  listUnattended(): RequestRun[] {
+    return this.listInFlight().filter(run => !run.hasCaller);
   }
 
   /** Lists the requests that have no final answer yet. */
--- a/packages/router/src/root/entry_vm.ts
+++ b/packages/router/src/root/entry_vm.ts
@@ -50,7 +50,7 @@
 import type {Metrics} from '../metrics/metrics.js';
 import {PeerArea} from '../peers/messages.js';
 import type {PeerEnvelope} from '../peers/messages.js';
-import {DrainHost} from '../membership/drain_host.js';
+import type {DrainHost} from '../membership/drain_host.js';
 import {MembershipHost} from '../membership/membership_host.js';
 import {PeerLinks} from '../peers/peer_links.js';
 import {PlacementHost} from '../placement/placement_host.js';
@@ -61,7 +61,7 @@
 import type {RequestTable} from '../requests/request_table.js';
 import {FleetHost} from '../routing/fleet_host.js';
 import type {Settings} from '../settings/read_settings.js';
-import {answerRest} from './answer_rest.js';
+import {makeDrain} from './make_drain.js';
 import {SelfReport} from './self_report.js';
 
 /** Decisions kept for `explain`. */
@@ -88,7 +88,7 @@
 export class EntryVm {
   readonly decisions = new DecisionRecord(maxKeptDecisions);
   readonly selfReport = new SelfReport(this);
-  readonly calls = new OpenCalls();
+  readonly calls: OpenCalls;
   readonly links: PeerLinks;
   readonly platform: PlatformClient;
   readonly engines: EngineClient;
@@ -119,6 +119,7 @@
     this.vm = toId(settings.vm.id);
     this.dataCentre = toId(settings.vm.dataCentre);
     const writer = toId<WriterId>(`${this.vm}@${options.getNow()}`);
+    this.calls = new OpenCalls(options.getNow);
     this.links = new PeerLinks(this.vm);
     this.platform = makePlatformClient(settings.platform);
     this.engines = makeEngineClient(this.agent);
@@ -163,7 +164,7 @@
       appendRecord: this.appendRecord,
     });
     this.membership = this.makeMembership();
-    this.drain = this.makeDrain();
+    this.drain = makeDrain(this, this.makeLoopPorts());
     this.exchange = new StateExchange({
       ...this.makeLoopPorts(),
       configuration: this.configuration,
@@ -377,25 +378,6 @@
     });
   }
 
-  private makeDrain(): DrainHost {
-    return new DrainHost({
-      ...this.makeLoopPorts(),
-      answerTtlMilliseconds:
-        this.options.settings.callers.entryLifetimeMilliseconds,
-      announceLeaving: () => {
-        this.calls.startClosing();
-        this.membership.sendLeaving();
-        this.selfReport.send();
-      },
-      releaseLeases: () => this.placement.releaseAll(),
-      closeListeners: () => undefined,
-      handOver: () => this.requestHost.releaseAll(),
-      answerRest: () => answerRest(this, this.loop),
-      countInFlight: () => this.calls.count() + this.requests.countUnattended(),
-      exit: cut => this.options.exit(cut),
-    });
-  }
-
   private updatePeers(lost: VmId | undefined): void {
     if (lost !== undefined) {
       this.fleet.removePeer(lost);
--- a/packages/scenarios/__tests__/planned_stop.test.ts
+++ b/packages/scenarios/__tests__/planned_stop.test.ts
@@ -45,12 +45,14 @@
 let entries: EntryFleet;
 let other: EntryProcess;
 let objectCount = 0;
+const lines: string[] = [];
 
 before(async () => {
   fleet = await startFleet();
   entries = new EntryFleet({
     ...{log: fleet.log, vmList: fleet.vmList, retentionMilliseconds},
     operatorDigest: computeDigest(operatorToken),
+    handleLine: line => lines.push(line),
   });
   other = await entries.start('a1', 'dc1');
   await entries.waitUntilReady(other, 0, 0);
@@ -346,3 +348,17 @@
   assert.equal(statusCode, 502);
   await waitExit(entry);
 });
+
+test('a call that the exit cuts off has a line of its own', async () => {
+  const entry = await startEntry('cut');
+  const response = await openCall({
+    ...{address: entry.address, method: 'GET', path: '/v1/objects'},
+    token: operatorToken,
+  });
+  await stopTwice(entry);
+  await waitExit(entry);
+  response.on('error', () => undefined).destroy();
+  const found = lines.filter(line => line.includes(' cut 3206 '));
+  assert.equal(found.length, 1, lines.slice(-5).join('\n'));
+  assert.match(found[0]!, /GET \/v1\/objects, request none, after \d+ ms, \d+/);
+});
--- a/packages/scenarios/src/processes/entry_process.ts
+++ b/packages/scenarios/src/processes/entry_process.ts
@@ -1,6 +1,7 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
+import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 import {reservePort} from '@zinniaspindle/stand-ins';
 
@@ -28,6 +29,8 @@
   readonly vmList: string;
   readonly retentionMilliseconds: number;
   readonly operatorDigest: string;
+  /** Takes the log lines; only errors are logged, and dropped, without it. */
+  readonly handleLine?: (line: string) => void;
   /** Folder for the settings file. */
   readonly directory: string;
 }
@@ -44,8 +47,11 @@
   const child = spawn(
     process.execPath,
     ['--import', 'tsx', mainFile, 'run', '--settings', file],
-    {stdio: ['ignore', 'ignore', 'inherit']},
+    {stdio: ['ignore', setup.handleLine ? 'pipe' : 'ignore', 'inherit']},
   );
+  if (setup.handleLine !== undefined) {
+    createInterface({input: child.stdout!}).on('line', setup.handleLine);
+  }
   return {name, dataCentre, address, peerAddress, child};
 }
 
@@ -74,6 +80,6 @@
 bootstrapTokenDigest = ${setup.operatorDigest}
 
 [logging]
-level = error
+level = ${setup.handleLine ? 'info' : 'error'}
 `;
 }
--- a/packages/shared/src/events/membership_events.ts
+++ b/packages/shared/src/events/membership_events.ts
@@ -25,6 +25,8 @@
   RequestsHandedOver = 3203,
   StopFinished = 3204,
   RestAnswered = 3205,
+  CallCut = 3206,
+  RequestCut = 3207,
   RecordStored = 3300,
   RecordRefused = 3301,
   RecordUnderReplicated = 3302,
@@ -71,6 +73,10 @@
     'graceful shutdown finished, {cut} requests were cut off',
   [MembershipEvent.RestAnswered]:
     'the stop ends: {inFlight} requests left get their final answer',
+  [MembershipEvent.CallCut]:
+    'the exit cuts off {method} {path}, request {request}, after {milliseconds} ms, {unwrittenBytes} bytes of its answer unwritten',
+  [MembershipEvent.RequestCut]:
+    'the exit cuts off request {request}, whose caller is away, after {tokens} tokens',
   [MembershipEvent.RecordStored]:
     'replica of the record of request {request}, attempt {attempt}, stored for owner {owner}',
   [MembershipEvent.RecordRefused]:
