--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -119,8 +119,15 @@
     return this.listLive().some(({isOwner}) => isOwner);
   }
 
+  /** Lists all peers but those that left: leaving ones that are unreachable. */
+  listPresent(): Peer[] {
+    return [...this.peers.values()].filter(
+      ({phase, isReachable}) => isReachable || phase !== PeerPhase.Leaving,
+    );
+  }
+
   /** Lists all peers that are not leaving, including unreachable ones. */
-  listKnown(): Peer[] {
+  listStaying(): Peer[] {
     return [...this.peers.values()].filter(
       ({phase}) => phase !== PeerPhase.Leaving,
     );
@@ -160,7 +167,7 @@
   }
 
   private makeHello(): Hello {
-    const known = this.listKnown().map(({peerAddress}) => peerAddress);
+    const known = this.listStaying().map(({peerAddress}) => peerAddress);
     return {kind: PeerMessageKind.Hello, ...this.own, known};
   }
 
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -239,7 +239,7 @@
 
   private sendHeartbeatIfDue(): void {
     const now = getMonotonic();
-    const period = computeHeartbeatPeriod(this.parts.mesh.listKnown().length);
+    const period = computeHeartbeatPeriod(this.parts.mesh.listStaying().length);
     // The margin keeps a slightly late timer from skipping a heartbeat.
     if (now - this.lastHeartbeatAt < period - heartbeatMilliseconds / 2) return;
     this.sendHeartbeat();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -258,7 +258,7 @@
   {metrics, endpoints, paths, prober}: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
-  const countVms = () => mesh.listKnown().length + 1;
+  const countVms = () => mesh.listStaying().length + 1;
   const queue = new PathQueue(paths, getNow);
   const callers = new CallerServer({
     codec: ports.exchange,
@@ -271,12 +271,12 @@
     writeEvent: log.write,
     getNow,
     findStop,
-    computeRefusingShare: () => computeRefusingShare(mesh.listKnown()),
+    computeRefusingShare: () => computeRefusingShare(mesh.listPresent()),
   });
   const ownAddress = formatAddress(settings.listen.callers);
   const directory = new DirectoryServer(ports.directory, {
     listAddresses: () =>
-      listCallerAddresses(ownAddress, getPhase(), mesh.listKnown()),
+      listCallerAddresses(ownAddress, getPhase(), mesh.listPresent()),
     isReady: () => getPhase() === PeerPhase.Ready,
     renderMetrics: () => metrics.render(),
   });
