--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -21,6 +21,7 @@
 /** Latency histograms, in milliseconds. */
 export enum Latency {
   Answer = 'answer_milliseconds',
+  Plain = 'plain_answer_milliseconds',
   Stream = 'stream_milliseconds',
   FirstEvent = 'first_event_milliseconds',
   EventGap = 'event_gap_milliseconds',
@@ -46,6 +47,8 @@
   [Counter.Probes]: 'Reports requested from endpoints.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
+  [Latency.Plain]:
+    'Time from the receipt of a request of a safe or unsafe route to the end of its answer.',
   [Latency.Stream]:
     'Time from the receipt of a request to the end of its stream.',
   [Latency.FirstEvent]:
@@ -58,7 +61,7 @@
 /** A median of fewer values says little. */
 const minMedianCount = 10;
 /** Shares of fewer values say little about the longest ones. */
-const minShareCount = 50;
+const minShareCount = 20;
 const percentiles = [50, 95, 99, 99.9];
 
 /** Counters and latency histograms, rendered in the Prometheus text format. */
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:net';
 import {canTake, computeStopRetryDelay} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
-import {Counter, Latency} from '../log/metrics.js';
+import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
   type CallerLimits,
@@ -12,16 +12,12 @@
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
-import {
-  ClosedBy,
-  OpenRequests,
-  reportCut,
-  type OpenRequest,
-} from './open_requests.js';
+import {ClosedBy, OpenRequests, type OpenRequest} from './open_requests.js';
 import {PlainRequestHandler} from './plain_request_handler.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
 import {pickTarget, RouteIndex} from './route_index.js';
+import {getDurationLatency} from './send_answer.js';
 import {StreamRequestHandler} from './stream_request_handler.js';
 
 /**
@@ -56,7 +52,11 @@
         if (open !== undefined) void this.handle(request, open);
       },
     );
-    this.server.on('clientError', answerParserError);
+    this.server.on('clientError', (error, socket) => {
+      // Bytes written now would become part of the answer that is under way.
+      if (this.openRequests.closeConnection(socket as Socket)) return;
+      answerParserError(error, socket as Socket);
+    });
   }
 
   /** Starts listening. */
@@ -78,6 +78,16 @@
     return this.openRequests.count();
   }
 
+  /**
+   * Answers each request whose caller has got nothing yet, since the process
+   * exits: not run, or an unknown outcome.
+   */
+  answerRest(): void {
+    for (const open of this.openRequests.list()) {
+      if (!open.response.headersSent) open.answerNow();
+    }
+  }
+
   /** Logs each request that the exit of the process cuts off. */
   logCutOff(): void {
     const {context} = this;
@@ -194,8 +204,7 @@
     const {findStop, computeRefusingShare, metrics, getNow} = this.context;
     const plan = findStop();
     if (plan === undefined) return undefined;
-    const isStream = kind === RouteKind.Streaming;
-    const latency = isStream ? Latency.Stream : Latency.Answer;
+    const latency = getDurationLatency(kind);
     const refusingShare = computeRefusingShare();
     const findDuration = (share: number) => metrics.findShare(latency, share);
     const now = getNow();
@@ -259,11 +268,12 @@
     ? new StreamRequestHandler(context, model)
     : new PlainRequestHandler(context);
   open.describeProgress = () => handler.describeProgress();
-  reportCut(response, closedBy => {
+  open.answerNow = () => handler.answerNow();
+  open.handleCut = closedBy => {
     handler.cancel();
     recordCut(context, closedBy);
-  });
-  if (response.destroyed) return handler.cancel();
+  };
+  if (response.req.socket.destroyed) return handler.cancel();
   await handler.run();
 }
 
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -25,13 +25,22 @@
   /** Whether this VM broke the answer off, which has a log line of its own. */
   isBrokenOff: boolean;
   describeProgress: () => RequestProgress;
+  /** Gives the final answer that is true now; the caller has got nothing yet. */
+  answerNow: () => void;
+  /** Called when the connection closed before the answer was written out. */
+  handleCut: (closedBy: ClosedBy) => void;
+}
+
+/** A connection with open requests, in the order of their answers. */
+interface CallerConnection {
+  readonly requests: OpenRequest[];
+  /** Whether it ends with an answer that is under way. */
+  isEnding: boolean;
 }
 
 /** Requests from the receipt of their headers until their answer is written out. */
 export class OpenRequests {
-  private readonly requests = new Set<OpenRequest>();
-  /** Connections that end with an answer that is under way. */
-  private readonly ending = new WeakSet<Socket>();
+  private readonly connections = new Map<Socket, CallerConnection>();
 
   /**
    * Adds a request; it is removed when its answer or its connection ends.
@@ -42,7 +51,9 @@
     response: http.ServerResponse,
     receivedAt: Instant,
   ): OpenRequest | undefined {
-    if (this.ending.has(response.req.socket)) return undefined;
+    const {socket} = response.req;
+    const connection = this.getConnection(socket);
+    if (connection.isEnding) return undefined;
     const request: OpenRequest = {
       response,
       receivedAt,
@@ -50,9 +61,18 @@
       path: '',
       isBrokenOff: false,
       describeProgress: () => ({endpoint: '', lastEventId: ''}),
+      answerNow: () => undefined,
+      handleCut: () => undefined,
     };
-    this.requests.add(request);
-    response.on('close', () => this.requests.delete(request));
+    connection.requests.push(request);
+    let isWritten = false;
+    // The library reports an answer as finished once it has been ended, so the
+    // state of the connection decides whether it is written out.
+    response.on('finish', () => (isWritten = !socket.destroyed));
+    response.on('close', () => {
+      if (isWritten) this.remove(socket, request);
+      else this.removeCut(socket, request);
+    });
     return request;
   }
 
@@ -61,42 +81,60 @@
    * request is open on it.
    */
   closeAfter({response}: OpenRequest): boolean {
-    const {socket} = response.req;
-    const onSocket = this.list().filter(
-      request => request.response.req.socket === socket,
-    );
-    if (onSocket.at(-1)?.response !== response) return false;
-    this.ending.add(socket);
+    const connection = this.getConnection(response.req.socket);
+    if (connection.requests.at(-1)?.response !== response) return false;
+    connection.isEnding = true;
+    return true;
+  }
+
+  /**
+   * Ends a connection, of which no further request can be read, after the
+   * answers that it waits for; returns false if there are none.
+   */
+  closeConnection(socket: Socket): boolean {
+    const connection = this.connections.get(socket);
+    const last = connection?.requests.at(-1);
+    if (connection === undefined || last === undefined) return false;
+    if (!connection.isEnding) last.response.on('close', () => socket.end());
+    connection.isEnding = true;
     return true;
   }
 
   /** Counts the open requests. */
   count(): number {
-    return this.requests.size;
+    return this.list().length;
   }
 
   /** Lists the open requests. */
   list(): OpenRequest[] {
-    return [...this.requests];
+    return [...this.connections.values()].flatMap(({requests}) => requests);
+  }
+
+  private getConnection(socket: Socket): CallerConnection {
+    const known = this.connections.get(socket);
+    if (known !== undefined) return known;
+    const connection: CallerConnection = {requests: [], isEnding: false};
+    this.connections.set(socket, connection);
+    // The library does not close responses that wait behind another one.
+    socket.on('close', () => {
+      for (const request of [...connection.requests]) {
+        this.removeCut(socket, request);
+      }
+      this.connections.delete(socket);
+    });
+    return connection;
   }
-}
 
-/**
- * Calls back when an answer was cut: its connection closed before all bytes were
- * written out. The library reports such an answer as finished once it has been
- * ended, so the state of the connection decides.
- */
-export function reportCut(
-  response: http.ServerResponse,
-  handleCut: (closedBy: ClosedBy) => void,
-): void {
-  const {socket} = response;
-  let isWritten = false;
-  response.on('finish', () => (isWritten = socket?.destroyed === false));
-  response.on('close', () => {
-    if (isWritten) return;
-    const isCaller =
-      socket !== null && (socket.readableEnded || socket.errored);
-    handleCut(isCaller ? ClosedBy.Caller : ClosedBy.Gateway);
-  });
+  private removeCut(socket: Socket, request: OpenRequest): void {
+    if (!this.remove(socket, request)) return;
+    const isCaller = socket.readableEnded || socket.errored !== null;
+    request.handleCut(isCaller ? ClosedBy.Caller : ClosedBy.Gateway);
+  }
+
+  private remove(socket: Socket, request: OpenRequest): boolean {
+    const requests = this.connections.get(socket)?.requests ?? [];
+    const at = requests.indexOf(request);
+    if (at !== -1) requests.splice(at, 1);
+    return at !== -1;
+  }
 }
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -52,6 +52,8 @@
 export class PlainRequestHandler {
   private upstream: Upstream | undefined;
   private isAbandoned = false;
+  /** Whether an endpoint has the request and has not ended it. */
+  private isAttempting = false;
   /** Attempts that may have run the request. */
   private runs = 0;
   /** Attempts that certainly did not run the request. */
@@ -74,7 +76,9 @@
         recordRetry(this.context, endpoint.entry.id, this.runs + this.notRun);
       }
       const attemptDeadline = this.computeAttemptDeadline();
+      this.isAttempting = true;
       const result = await this.sendTo(endpoint, attemptDeadline);
+      this.isAttempting = false;
       if (this.isAbandoned) return;
       if (this.resolveAttempt(endpoint, result)) return;
       if (isPast(deadline, server.getNow())) break;
@@ -91,6 +95,13 @@
     return {endpoint: [...this.tried].at(-1) ?? '', lastEventId: ''};
   }
 
+  /** Ends the request with an unknown outcome if it may have run, else unrun. */
+  answerNow(): void {
+    if (this.isAttempting) this.runs += 1;
+    this.cancel();
+    this.answerFailure();
+  }
+
   /** Cancels the request, whose caller has disconnected. */
   cancel(): void {
     this.isAbandoned = true;
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -1,6 +1,10 @@
 import {GatewayEvent, isPast} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
-import type {EndpointAnswer, RawHeaders} from '../ports/index.js';
+import {
+  RouteKind,
+  type EndpointAnswer,
+  type RawHeaders,
+} from '../ports/index.js';
 import {FailureReason} from './failure.js';
 import type {RequestContext} from './request_context.js';
 
@@ -68,6 +72,11 @@
   });
 }
 
+/** The latency that tells how long requests of a kind take. */
+export function getDurationLatency(kind: RouteKind): Latency {
+  return kind === RouteKind.Streaming ? Latency.Stream : Latency.Plain;
+}
+
 /** Logs a request that was answered and records its latency. */
 export function recordAnswered(
   context: RequestContext,
@@ -77,6 +86,7 @@
   const {server, request, route, receivedAt, account} = context;
   const ms = Math.round(server.getNow() - receivedAt);
   server.metrics.record(Latency.Answer, ms);
+  server.metrics.record(getDurationLatency(route.kind), ms);
   server.writeEvent(GatewayEvent.RequestAnswered, {
     request: request.attemptId,
     route: route.name,
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -95,10 +95,15 @@
 
   /** Tells how far the stream has come. */
   describeProgress(): RequestProgress {
-    return {
-      endpoint: this.reservation?.path.key ?? '',
-      lastEventId: this.lastEventId ?? '',
-    };
+    const endpoint = this.reservation?.path.key ?? '';
+    return {endpoint, lastEventId: this.lastEventId ?? ''};
+  }
+
+  /** Ends the stream with an unknown outcome if it may have run, else unrun. */
+  answerNow(): void {
+    if (this.finishAttempt && this.answer === undefined) this.runs += 1;
+    this.cancel();
+    this.answerFailure();
   }
 
   /** Cancels the stream, whose caller has disconnected. */
@@ -393,8 +398,6 @@
     const {response, server} = this.context;
     response.end();
     server.metrics.count(Counter.Answered);
-    const ms = server.getNow() - this.context.receivedAt;
-    server.metrics.record(Latency.Stream, ms);
     recordAnswered(
       this.context,
       this.reservation!.path.key,
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -5,6 +5,8 @@
 import type {CallerServer} from '../requests/caller_server.js';
 
 const pollMilliseconds = 50;
+/** Time for the last answers to be written out. */
+const flushMilliseconds = 50;
 
 /**
  * Keeps serving until callers have dropped this VM from their cached directory
@@ -25,6 +27,8 @@
   while (!canExit(plan, callers.countInFlight(), getNow())) {
     await waitMilliseconds(pollMilliseconds);
   }
+  callers.answerRest();
+  await waitMilliseconds(flushMilliseconds);
   callers.logCutOff();
   log.write(GatewayEvent.Stopped, {cutOff: callers.countInFlight()});
 }
