--- a/packages/router/src/http/http_server.ts
+++ b/packages/router/src/http/http_server.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import net from 'node:net';
 import {describeError, FinalAnswer, parseAddress} from '@zinniaspindle/shared';
 import type {Problem} from '@zinniaspindle/shared';
 import {Effect} from 'effect';
@@ -7,11 +8,15 @@
 import {sendProblem} from './answers.js';
 import {HttpErrorCode, makeHttpError} from './errors.js';
 import type {HttpError} from './errors.js';
+import type {OpenCalls} from './open_calls.js';
 import {findRoute} from './route_table.js';
 import type {Route, RouteCall} from './route_table.js';
 
 const statusInternal = 500;
 
+/** Milliseconds for connections to end before they are broken off. */
+const closeMilliseconds = 200;
+
 /** Limits and address of an HTTP server. */
 export interface HttpServerOptions {
   /** host:port to listen on. */
@@ -20,6 +25,7 @@
   /** Milliseconds within which a whole request must have arrived. */
   readonly requestMilliseconds: number;
   readonly routes: readonly Route[];
+  readonly calls: OpenCalls;
   readonly handleFailure: (error: unknown) => void;
 }
 
@@ -27,7 +33,9 @@
 export function serveHttp(
   options: HttpServerOptions,
 ): Effect.Effect<http.Server, HttpError, Scope.Scope> {
-  return Effect.acquireRelease(openServer(options), closeServer);
+  return Effect.acquireRelease(openServer(options), server =>
+    closeServer(server, options.calls),
+  );
 }
 
 function openServer(
@@ -43,6 +51,7 @@
       },
       (request, response) => handleCall(options, request, response),
     );
+    server.on('connection', socket => options.calls.addConnection(socket));
     const {host, port} = parseAddress(options.address);
     server.once('error', error => {
       const code = HttpErrorCode.NotConnected;
@@ -54,10 +63,15 @@
   });
 }
 
-function closeServer(server: http.Server): Effect.Effect<void> {
+function closeServer(
+  server: http.Server,
+  calls: OpenCalls,
+): Effect.Effect<void> {
   return Effect.callback<void>(resume => {
-    server.close(() => resume(Effect.void));
-    server.closeAllConnections();
+    // close() of an HTTP server destroys connections with unwritten answers.
+    net.Server.prototype.close.call(server, () => resume(Effect.void));
+    calls.closeIdle();
+    setTimeout(() => server.closeAllConnections(), closeMilliseconds).unref();
   });
 }
 
@@ -67,6 +81,10 @@
   response: http.ServerResponse,
 ): void {
   response.on('error', () => response.destroy());
+  if (!options.calls.acceptCall(response, request.socket)) {
+    request.resume();
+    return;
+  }
   const url = parseUrl(request.url ?? '/');
   const match =
     url && findRoute(options.routes, request.method ?? '', url.pathname);
--- a/packages/router/src/root/tree.ts
+++ b/packages/router/src/root/tree.ts
@@ -100,6 +100,7 @@
     maxHeaderBytes: callers.maxHeaderBytes,
     requestMilliseconds: callers.requestMilliseconds,
     routes: buildRoutes(vm, startDrain),
+    calls: vm.calls,
     handleFailure: error => vm.reportFailure(error),
   }).pipe(Effect.asVoid);
   return {name: 'callers', start, run: Effect.never};
@@ -124,8 +125,10 @@
       ...shared,
       table: vm.requests,
       findPipeline: vm.queries.findPipeline,
-      resumeRequest: (id, account, held) =>
-        vm.requestHost.resumeRequest(id, account, held),
+      resumeRequest: async (id, account, held) =>
+        vm.drain.isClosed
+          ? undefined
+          : vm.requestHost.resumeRequest(id, account, held),
       coalesceMilliseconds: callers.coalesceMilliseconds,
       reconnectMilliseconds: callers.reconnectMilliseconds,
     }),
--- a/packages/scenarios/src/processes/entry_process.ts
+++ b/packages/scenarios/src/processes/entry_process.ts
@@ -1,10 +1,12 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
+import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 import {reservePort} from '@zinniaspindle/stand-ins';
 
 const loopback = '127.0.0.1';
+const defaultMaxInFlight = 4000;
 const mainFile = fileURLToPath(
   new URL('../../../cli/src/main.ts', import.meta.url),
 );
@@ -28,6 +30,10 @@
   readonly vmList: string;
   readonly retentionMilliseconds: number;
   readonly operatorDigest: string;
+  /** Takes the log lines; only errors are logged, and dropped, without it. */
+  readonly handleLine?: (line: string) => void;
+  /** Requests that it runs at once. */
+  readonly maxInFlight?: number;
   /** Folder for the settings file. */
   readonly directory: string;
 }
@@ -44,8 +50,11 @@
   const child = spawn(
     process.execPath,
     ['--import', 'tsx', mainFile, 'run', '--settings', file],
-    {stdio: ['ignore', 'ignore', 'inherit']},
+    {stdio: ['ignore', setup.handleLine ? 'pipe' : 'ignore', 'inherit']},
   );
+  if (setup.handleLine !== undefined) {
+    createInterface({input: child.stdout!}).on('line', setup.handleLine);
+  }
   return {name, dataCentre, address, peerAddress, child};
 }
 
@@ -73,7 +82,10 @@
 [operators]
 bootstrapTokenDigest = ${setup.operatorDigest}
 
+[policy]
+maxInFlight = ${setup.maxInFlight ?? defaultMaxInFlight}
+
 [logging]
-level = error
+level = ${setup.handleLine ? 'info' : 'error'}
 `;
 }
