--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -27,8 +27,12 @@
   while (!canExit(plan, callers.countInFlight(), getNow())) {
     await waitMilliseconds(pollMilliseconds);
   }
-  callers.answerRest();
-  await waitMilliseconds(flushMilliseconds);
+  // Nothing may run between the last look at the requests in flight and the exit,
+  // unless the time for new requests is over.
+  if (callers.countInFlight() > 0) {
+    callers.answerRest();
+    await waitMilliseconds(flushMilliseconds);
+  }
   callers.logCutOff();
   log.write(GatewayEvent.Stopped, {cutOff: callers.countInFlight()});
 }
