--- a/packages/decisions/src/stages/endpoint_health.ts
+++ b/packages/decisions/src/stages/endpoint_health.ts
@@ -8,6 +8,8 @@
   Silent = 'silent',
   /** It refuses requests although it has capacity. */
   Refusing = 'refusing',
+  /** It stated that it leaves: certain, and true for its whole incarnation. */
+  Leaving = 'leaving',
 }
 
 /** A VM's report that an endpoint has failed. */
--- a/packages/decisions/src/stages/index.ts
+++ b/packages/decisions/src/stages/index.ts
@@ -2,6 +2,7 @@
 export * from './change_watch.js';
 export * from './crossing_budget.js';
 export * from './endpoint_health.js';
+export * from './endpoint_notices.js';
 export {findDisjointChains} from './find_disjoint_chains.js';
 export * from './find_paths.js';
 export {findGap} from './layer_gaps.js';
--- a/packages/gateway/__tests__/endpoint_prober.test.ts
+++ b/packages/gateway/__tests__/endpoint_prober.test.ts
@@ -108,3 +108,29 @@
   const sent = suspected.length;
   assert.ok(sent <= 20, `${sent} suspicions`);
 });
+
+test('an endpoint whose report says that it leaves gets no new requests', async () => {
+  const table = new EndpointTable(logNothing, () => performance.now());
+  table.applyEntry(makeEntry({held}));
+  const state = table.find('e1')!;
+  const code = EndpointErrorCode.Malformed;
+  const fetchReport: EndpointCalls['fetchReport'] = (_address, handle) => {
+    handle({isLeaving: true});
+    return Promise.resolve(Result.err(makeEndpointError(code, 'status 503')));
+  };
+  const prober = new EndpointProber(
+    table,
+    {fetchReport} as Partial<EndpointCalls> as EndpointCalls,
+    {
+      sendFacts: logNothing,
+      sendSuspicion: logNothing,
+      handleDown: logNothing,
+    },
+    new Metrics(),
+    () => true,
+    () => 1,
+    () => performance.now(),
+  );
+  await prober.fetchReport(state);
+  assert.equal(table.isDraining(state), true);
+});
--- a/packages/gateway/__tests__/endpoint_table.test.ts
+++ b/packages/gateway/__tests__/endpoint_table.test.ts
@@ -101,3 +101,50 @@
   clock.now += 500;
   assert.equal(table.isUsable(state), true);
 });
+
+const leaving = {isLeaving: true};
+
+test('a ready entry does not take back that an endpoint leaves', () => {
+  const {table} = makeTable();
+  table.acceptNotice({id, bornAt: 100}, leaving, 'request r1');
+  assert.equal(table.isUsable(table.find(id)!), false);
+  table.applyEntry(makeEntry({bornAt: 100, held: {first: 0, end: 4}}));
+  assert.equal(table.isUsable(table.find(id)!), false);
+});
+
+// The entry is lost with the newest records of the store and written again.
+test('an entry that is removed and written again does not take it back', () => {
+  const {table, clock} = makeTable();
+  table.acceptNotice({id, bornAt: 100}, leaving, 'request r1');
+  table.removeEntry(id, clock.now);
+  clock.now += 5000;
+  table.expireRemovals();
+  table.applyEntry(makeEntry({bornAt: 100}));
+  assert.equal(table.isUsable(table.find(id)!), false);
+});
+
+test('a new incarnation of an endpoint that left is used', () => {
+  const {table} = makeTable();
+  table.acceptNotice({id, bornAt: 100}, leaving, 'request r1');
+  const {revision} = table;
+  table.applyEntry(makeEntry({bornAt: 200}));
+  assert.equal(table.isUsable(table.find(id)!), true);
+  assert.ok(table.revision > revision);
+});
+
+test('an endpoint that leaves is told to the peers once', () => {
+  const told: string[] = [];
+  const table = new EndpointTable(
+    () => undefined,
+    () => 1000,
+    one => told.push(one.id),
+  );
+  table.applyEntry(makeEntry({bornAt: 100}));
+  table.acceptNotice({id, bornAt: 100}, leaving, 'request r1');
+  table.acceptNotice({id, bornAt: 100}, leaving, 'request r2');
+  assert.deepEqual(told, [id]);
+  table.recordLeaving({id: 'e2', bornAt: 100}, 'peer vm-2');
+  table.applyEntry(makeEntry({id: 'e2', bornAt: 100}));
+  assert.equal(table.isUsable(table.find('e2')!), false);
+  assert.deepEqual(told, [id]);
+});
--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -316,3 +316,21 @@
   await run(300);
   assert.ok(reports.count > before, `${reports.count}`);
 });
+
+test('the owner orders the layers of an endpoint that leaves elsewhere', async () => {
+  const {table, orders, run} = await makeRunner(() => OrderOutcome.Started);
+  await run(0);
+  const leaving = {id: 'e1', bornAt: 1};
+  table.acceptNotice(leaving, {isLeaving: true}, 'request r1');
+  await run(800);
+  const {model} = configuration.services.get('letters')!;
+  const left = table.listLeaving('letters', model!);
+  assert.deepEqual(
+    left.map(one => one.id),
+    ['e1'],
+  );
+  assert.deepEqual(
+    orders.map(({endpointId, range}) => [endpointId, range.first, range.end]),
+    [['e2', 0, 8]],
+  );
+});
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -221,3 +221,19 @@
   const starts = listFirsts();
   assert.ok(starts.length > 0 && !starts.includes('b0'), starts.join(' '));
 });
+
+test('no path leads through an endpoint that leaves, wherever it stands', () => {
+  for (const id of ['a0', 'a2']) {
+    const {endpoints, paths} = makePaths();
+    const path = paths.pick('letters', model, 10)!;
+    const stream = makeStream();
+    paths.reserve(path, 10, stream);
+    endpoints.acceptNotice({id, bornAt: 1}, {isLeaving: true}, 'request r1');
+    const found = paths.list('letters', model);
+    assert.ok(found.length > 0);
+    for (const {parts} of found) {
+      assert.ok(parts.every(({endpoint}) => endpoint.id !== id));
+    }
+    assert.equal(stream.stalls, 0);
+  }
+});
--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -12,6 +12,7 @@
     attemptId: String(message.headers['x-id']),
     hasSeal: true,
     isNotRun: false,
+    isLeaving: false,
     endpointId: undefined,
     failedAddress: undefined,
     forwardedHeaders: [],
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -13,6 +13,7 @@
   EndpointErrorCode,
   type EndpointCalls,
   type EndpointError,
+  type EndpointNotice,
   type EndpointReport,
 } from '../ports/index.js';
 import {
@@ -210,12 +211,20 @@
     state: EndpointState,
   ): Promise<Result<EndpointReport, EndpointError> | undefined> {
     const {id, address} = state.entry;
+    const asked = {id, bornAt: state.bornAt};
+    const source = 'report';
+    let notice: EndpointNotice | undefined;
     this.metrics.count(Counter.Probes);
-    const report = await this.calls.fetchReport(address);
+    const report = await this.calls.fetchReport(address, stated => {
+      notice = stated;
+      this.table.acceptNotice(asked, stated, source);
+    });
     if (this.table.find(id) !== state) return undefined;
     if (report.isErr) return report;
     const {bornAt, orderCount, held} = report.value;
     const facts = {id, bornAt, orderCount, held};
+    // The report may be that of an incarnation which was not known.
+    if (notice !== undefined) this.table.acceptNotice(facts, notice, source);
     if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
     return report;
   }
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -11,7 +11,11 @@
   type StageEndpoint,
 } from '@zinniaspindle/decisions';
 import type {WriteEvent} from '../log/event_log.js';
-import type {EndpointEntry, ServiceModel} from '../ports/index.js';
+import type {
+  EndpointEntry,
+  EndpointNotice,
+  ServiceModel,
+} from '../ports/index.js';
 import {
   createEndpointState,
   formatHeld,
@@ -20,6 +24,7 @@
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
+import {NoticeTable, type Incarnation} from './notice_table.js';
 
 /** Endpoints update their entries every 1.2 s; store outages delay them further. */
 const listLagMilliseconds = 5000;
@@ -36,13 +41,19 @@
 /** The endpoints that this VM knows, by id. */
 export class EndpointTable {
   private readonly states = new Map<string, EndpointState>();
+  private readonly notices: NoticeTable;
   /** Incremented by every change that affects which paths are usable. */
   revision = 0;
 
   constructor(
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
-  ) {}
+    /** Tells the peers that an endpoint leaves. */
+    private readonly sendLeaving: (leaving: Incarnation) => void = () =>
+      undefined,
+  ) {
+    this.notices = new NoticeTable(writeEvent, getNow);
+  }
 
   /** Finds an endpoint by its id. */
   find(id: string): EndpointState | undefined {
@@ -127,6 +138,46 @@
         this.removeEntry(id, now);
       }
     }
+    this.notices.expire(id => this.states.has(id));
+  }
+
+  /**
+   * Applies what an endpoint stated about itself in an answer to this VM.
+   * @param incarnation the one that answered, as far as known
+   * @param notice what it stated
+   * @param source what it answered, for the log
+   */
+  acceptNotice(
+    incarnation: Incarnation,
+    notice: EndpointNotice,
+    source: string,
+  ): void {
+    if (!notice.isLeaving) return;
+    if (this.recordLeaving(incarnation, source)) this.sendLeaving(incarnation);
+  }
+
+  /**
+   * Records that an endpoint has stated, here or to a peer, that it leaves;
+   * returns whether that is news.
+   */
+  recordLeaving(incarnation: Incarnation, source: string): boolean {
+    if (!this.notices.recordLeaving(incarnation, source)) return false;
+    this.revision += 1;
+    return true;
+  }
+
+  /** Lists the endpoints that have stated that they leave. */
+  listLeavingNotices(): Incarnation[] {
+    return this.notices.listLeaving();
+  }
+
+  /**
+   * Tells whether an endpoint leaves, by its entry or by what it stated; it gets
+   * no new requests. An entry does not take a statement back.
+   */
+  isDraining({entry, bornAt}: EndpointState): boolean {
+    if (entry.isDraining) return true;
+    return this.notices.isLeaving({id: entry.id, bornAt});
   }
 
   /**
@@ -216,13 +267,13 @@
 
   /** Tells whether an endpoint accepts new requests from this VM. */
   isUsable(state: EndpointState): boolean {
-    if (state.entry.isDraining) return false;
+    if (this.isDraining(state)) return false;
     return isPast(state.suspectUntil, this.getNow());
   }
 
   /** Tells whether paths may pass through an endpoint that this VM does not reach. */
   private isUsableMidPath(state: EndpointState): boolean {
-    if (state.entry.isDraining) return false;
+    if (this.isDraining(state)) return false;
     return isConfirmedAlive(state.health, this.getNow());
   }
 
@@ -278,7 +329,7 @@
   ): PlannedEndpoint[] {
     const stages: PlannedEndpoint[] = [];
     for (const state of this.list(service)) {
-      if (state.entry.isDraining || !canHold(state)) continue;
+      if (this.isDraining(state) || !canHold(state)) continue;
       const pending = this.findPending(state);
       const held = pending?.range ?? state.held;
       const stage = buildStage(state, model, held);
@@ -292,7 +343,7 @@
   listLeaving(service: string, model: ServiceModel): StageEndpoint[] {
     const stages: StageEndpoint[] = [];
     for (const state of this.list(service)) {
-      if (!state.entry.isDraining) continue;
+      if (!this.isDraining(state)) continue;
       const stage = buildStage(state, model, state.held);
       if (stage !== undefined) stages.push(stage);
     }
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -159,14 +159,17 @@
     const {id, address} = state.entry;
     const {bornAt, orderCount} = state;
     this.metrics.count(Counter.Orders);
-    const outcome = await this.calls.sendOrder({
-      address,
-      endpointId: id,
-      range,
-      cutsRequests: isUrgent,
-      fencingToken,
-      expectedOrderCount: orderCount,
-    });
+    const outcome = await this.calls.sendOrder(
+      {
+        address,
+        endpointId: id,
+        range,
+        cutsRequests: isUrgent,
+        fencingToken,
+        expectedOrderCount: orderCount,
+      },
+      notice => this.table.acceptNotice({id, bornAt}, notice, 'order'),
+    );
     const layers = formatLayerRange(range);
     if (outcome.isErr) {
       // The order may still be executed; the report shows it.
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -1,4 +1,4 @@
-import type {FailureCause} from '@zinniaspindle/decisions';
+import {FailureCause} from '@zinniaspindle/decisions';
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import type {LoadRow} from '../fleet/load_tracker.js';
@@ -105,7 +105,8 @@
 }
 
 /**
- * Reports that an endpoint does not answer the sender or refuses its requests.
+ * Reports that an endpoint does not answer the sender, refuses its requests or
+ * has stated that it leaves.
  */
 export interface SuspicionMessage {
   readonly kind: PeerMessageKind.Suspicion;
@@ -114,6 +115,19 @@
   readonly cause: FailureCause;
 }
 
+/**
+ * Makes the message that an endpoint leaves. It is a suspicion by its kind: VMs
+ * of earlier versions close a connection on a message of unknown kind, and count
+ * a suspicion of unknown cause as that of one unanswered probe.
+ */
+export function makeLeavingMessage({
+  id,
+  bornAt,
+}: Pick<SuspicionMessage, 'id' | 'bornAt'>): SuspicionMessage {
+  const cause = FailureCause.Leaving;
+  return {kind: PeerMessageKind.Suspicion, id, bornAt, cause};
+}
+
 /** Refutes a suspicion: the suspected endpoint answers the sender. */
 export interface RefutationMessage {
   readonly kind: PeerMessageKind.Refutation;
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -11,6 +11,7 @@
 import type {TopicState} from '../following/topic_state.js';
 import {Topic, type KeyedRecord} from '../ports/index.js';
 import {
+  makeLeavingMessage,
   PeerMessageKind,
   type SuspicionMessage,
   type Heartbeat,
@@ -178,12 +179,16 @@
 
   /**
    * Sends endpoint reports after a snapshot: they are newer than the endpoint
-   * records, which lag and are not updated during a store outage.
+   * records, which lag and are not updated during a store outage. Sends the
+   * endpoints that leave as well, whose records need not say so.
    */
   private sendFacts(peer: Peer): void {
     for (const facts of this.endpoints.listFacts()) {
       this.sendTo(peer, {kind: PeerMessageKind.Facts, facts});
     }
+    for (const leaving of this.endpoints.listLeavingNotices()) {
+      this.sendTo(peer, makeLeavingMessage(leaving));
+    }
   }
 
   private acceptSnapshot(peer: Peer, message: TopicSnapshot): void {
@@ -201,6 +206,10 @@
    */
   private acceptSuspicion(peer: Peer, suspicion: SuspicionMessage): void {
     const {id, bornAt, cause} = suspicion;
+    if (cause === FailureCause.Leaving) {
+      this.endpoints.recordLeaving({id, bornAt}, `peer ${peer.vm}`);
+      return;
+    }
     const state = this.endpoints.find(id);
     if (state === undefined || state.bornAt !== bornAt) return;
     const now = this.getNow();
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -1,6 +1,7 @@
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {Result} from 'true-myth';
 import type {EndpointError} from './errors.js';
+import type {HandleNotice} from './exchange.js';
 
 /** An endpoint's own record in the store. */
 export interface EndpointEntry {
@@ -65,6 +66,12 @@
 
 /** Direct calls from the gateway to endpoints. */
 export interface EndpointCalls {
-  fetchReport(address: string): Promise<Result<EndpointReport, EndpointError>>;
-  sendOrder(order: RangeOrder): Promise<Result<OrderOutcome, EndpointError>>;
+  fetchReport(
+    address: string,
+    handleNotice: HandleNotice,
+  ): Promise<Result<EndpointReport, EndpointError>>;
+  sendOrder(
+    order: RangeOrder,
+    handleNotice: HandleNotice,
+  ): Promise<Result<OrderOutcome, EndpointError>>;
 }
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -38,8 +38,17 @@
   readonly bodyBytes: number;
 }
 
+/** What an endpoint states about itself in the headers of any answer. */
+export interface EndpointNotice {
+  /** Whether it is about to exit and wants no new work. */
+  readonly isLeaving: boolean;
+}
+
+/** Receives what an endpoint states, as soon as the headers are there. */
+export type HandleNotice = (notice: EndpointNotice) => void;
+
 /** The decoded head of an endpoint's answer. */
-export interface EndpointAnswer {
+export interface EndpointAnswer extends EndpointNotice {
   readonly status: number;
   readonly attemptId: string | undefined;
   /** Whether the answer has a seal; a success without one is not accepted. */
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -1,4 +1,5 @@
-import type {ForwardingContext} from '../ports/index.js';
+import type {Instant} from '@zinniaspindle/shared';
+import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
 import type {RequestContext} from './request_context.js';
 import {Upstream, type UpstreamListener} from './upstream.js';
 
@@ -25,9 +26,35 @@
     bodyBytes: body.length,
   });
   const {path, attemptId} = request;
+  const bornAt = server.endpoints.find(id)?.bornAt;
+  const handleHead = (answer: EndpointAnswer) => {
+    acceptNotice(context, {id, bornAt}, answer);
+  };
   return new Upstream(
     {address, method, path, headers, body, attemptId, deadline},
     server.codec,
-    listener,
+    {
+      handleHead,
+      handleAnswer: answer => listener.handleAnswer(answer),
+      handleChunk: chunk => listener.handleChunk(chunk),
+      handleEnd: (end, detail) => listener.handleEnd(end, detail),
+    },
   );
 }
+
+/**
+ * Applies what an answer states about the endpoint that gave it. That is the
+ * first of a path, also where the answer names another one as the cause of a
+ * failure; a misdirected request is answered by the new owner of the address.
+ */
+function acceptNotice(
+  {server: {endpoints}, request}: RequestContext,
+  target: {readonly id: string; readonly bornAt: Instant | undefined},
+  answer: EndpointAnswer,
+): void {
+  const id = answer.endpointId ?? target.id;
+  const isTarget = id === target.id;
+  const bornAt = isTarget ? target.bornAt : endpoints.find(id)?.bornAt;
+  if (bornAt === undefined) return;
+  endpoints.acceptNotice({id, bornAt}, answer, `request ${request.attemptId}`);
+}
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -107,7 +107,8 @@
     let best: EndpointState | undefined;
     let lowestRank = Infinity;
     for (const state of server.endpoints.list(service.name)) {
-      if (state.entry.isDraining || this.tried.has(state.entry.id)) continue;
+      if (this.tried.has(state.entry.id)) continue;
+      if (server.endpoints.isDraining(state)) continue;
       const isFailing = !canSend(state.breaker, now);
       const rank =
         state.running + Math.random() + (isFailing ? failingPenalty : 0);
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -44,6 +44,8 @@
 
 /** Receives the answer; handleEnd is called last, and exactly once. */
 export interface UpstreamListener {
+  /** Called with each head, also that of an answer that is not accepted. */
+  handleHead?(answer: EndpointAnswer): void;
   handleAnswer(answer: EndpointAnswer): void;
   handleChunk(chunk: Buffer): void;
   handleEnd(end: UpstreamEnd, detail: string): void;
@@ -145,6 +147,7 @@
     if (this.hasEnded) return;
     this.message = message;
     const answer = this.codec.decodeAnswer(message);
+    this.listener.handleHead?.(answer);
     if (answer.attemptId !== this.options.attemptId && !answer.isNotRun) {
       this.close(UpstreamEnd.Broken, `answer has id "${answer.attemptId}"`);
       return;
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -21,6 +21,7 @@
 import {
   PeerMessageKind,
   PeerPhase,
+  makeLeavingMessage,
   type OrderMessage,
 } from '../peers/messages.js';
 import {PeerHandler} from '../peers/peer_handler.js';
@@ -125,7 +126,9 @@
   getParts: () => GatewayParts,
 ): FleetParts {
   const metrics = new Metrics();
-  const endpoints = new EndpointTable(log.write, getNow);
+  const endpoints = new EndpointTable(log.write, getNow, leaving => {
+    getParts().mesh.sendAll(makeLeavingMessage(leaving));
+  });
   const loads = new LoadTracker();
   const paths = new PathTable(
     endpoints,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -25,6 +25,7 @@
   EndpointRecovered = 7206,
   PathsChanged = 7207,
   PathStalled = 7208,
+  EndpointLeaving = 7209,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -82,6 +83,8 @@
     'paths of service {service} changed: {count} found',
   [GatewayEvent.PathStalled]:
     'path {path} is avoided, {silentMs} ms after its last progress; its {streams} streams move if another path is available',
+  [GatewayEvent.EndpointLeaving]:
+    'endpoint {endpoint} states that it leaves and gets no new requests, heard from {source}',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
