--- a/packages/decisions/src/following/index.ts
+++ b/packages/decisions/src/following/index.ts
@@ -2,3 +2,4 @@
 export * from './message_delay.js';
 export * from './read_schedule.js';
 export * from './store_access.js';
+export * from './store_era.js';
--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -8,6 +8,7 @@
 import type {Instant} from '@zinniaspindle/shared';
 import {EndpointTable} from '../src/fleet/endpoint_table.js';
 import type {EndpointProber} from '../src/fleet/endpoint_prober.js';
+import {EraWatch} from '../src/following/era_watch.js';
 import {StoreReplica} from '../src/following/store_replica.js';
 import {
   TopicFollower,
@@ -214,8 +215,10 @@
       getNow,
       ({version}) => appliedAt.set(version, this.now),
     );
+    const eras = new EraWatch(log);
     const handler = new PeerHandler(
       replica,
+      eras,
       table,
       {} as EndpointProber,
       log,
@@ -232,6 +235,7 @@
       this.makeStore(index),
       this.schedule,
       createStoreAccess(),
+      eras,
       {
         sendChanges: (from, changes, next) => {
           handler.sendChanges(topic, from, changes, next);
@@ -239,6 +243,7 @@
         sendSnapshot: () => {
           if (this.options.isFirstStart) handler.sendSnapshotToAll(topic);
         },
+        sendReplacement: () => handler.sendSnapshotToAll(topic),
         handleUpdate: () => replica.checkOutage(),
       },
       log,
@@ -336,6 +341,7 @@
       sentAt: this.now,
       topics,
       loads: [],
+      storeEra: undefined,
     });
   }
 
@@ -413,7 +419,7 @@
         return answer(refused, this.now + storeMilliseconds, () =>
           from < this.firstRetained
             ? Result.err(makeStoreError(StoreErrorCode.Expired, 'expired'))
-            : Result.ok(this.records.slice(from)),
+            : Result.ok({records: this.records.slice(from), era: undefined}),
         );
       },
       readNewest: () =>
@@ -421,7 +427,9 @@
           const newest = this.records.at(-1);
           const records = newest === undefined ? [] : [newest];
           const next = this.records.length;
-          return Result.ok<NewestRecords, StoreError>({records, next});
+          return Result.ok<NewestRecords, StoreError>({
+            ...{records, next, era: undefined},
+          });
         }),
     } as Partial<Store> as Store;
   }
--- a/packages/gateway/__tests__/topic_follower.test.ts
+++ b/packages/gateway/__tests__/topic_follower.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {createStoreAccess, deriveReadSchedule} from '@zinniaspindle/decisions';
 import {Result} from 'true-myth';
+import {EraWatch} from '../src/following/era_watch.js';
 import {TopicFollower} from '../src/following/topic_follower.js';
 import {TopicState} from '../src/following/topic_state.js';
 import type {EventFields} from '../src/log/event_log.js';
@@ -26,9 +27,11 @@
     store,
     deriveReadSchedule(2000),
     createStoreAccess(),
+    new EraWatch(() => undefined),
     {
       sendChanges: () => undefined,
       sendSnapshot: () => undefined,
+      sendReplacement: () => undefined,
       handleUpdate: () => undefined,
     },
     (_event, fields) => events.push(fields),
--- a/packages/gateway/__tests__/topic_state.test.ts
+++ b/packages/gateway/__tests__/topic_state.test.ts
@@ -133,3 +133,46 @@
     ['a@6', 'c@5'],
   );
 });
+
+test('a snapshot of a later era replaces records at the same offsets', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest(
+    [makeRecord('a', 3, 'x'), makeRecord('b', 4, 'y')],
+    5,
+    1,
+    1,
+  );
+  state.acceptNewest([makeRecord('a', 3, 'z')], 4, 2, 2);
+  assert.deepEqual(applied.slice(2), ['b@4=gone', 'a@3=z']);
+  assert.equal(state.next, 4);
+  assert.equal(state.era, 2);
+  assert.equal(state.asOf, 2);
+});
+
+test('records of another era are not taken for those of this one', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 3, 'x')], 4, 1, 2);
+  assert.equal(state.acceptBatch(4, [makeRecord('a', 4, 'y')], 9, 1), true);
+  assert.equal(state.acceptBatch(4, [makeRecord('a', 4, 'y')], 9), true);
+  assert.equal(state.acceptBatch(4, [makeRecord('a', 4, 'y')], 9, 3), false);
+  state.acceptNewest([makeRecord('a', 8, 'z')], 9, 9, 1);
+  state.acceptNewest([makeRecord('a', 8, 'z')], 9, 9);
+  assert.deepEqual(applied, ['a@3=x']);
+  assert.equal(state.next, 4);
+});
+
+test('the age of a peer in another era is not used', () => {
+  const {state} = makeState();
+  state.acceptNewest([], 4, 10, 2);
+  state.updateAge(4, 30, 1);
+  state.updateAge(4, 30);
+  assert.equal(state.asOf, 10);
+});
+
+test('a position before any era is known is void once one is known', () => {
+  const {state, applied} = makeState();
+  state.acceptNewest([makeRecord('a', 3, 'x')], 4, 1);
+  state.acceptNewest([makeRecord('a', 1, 'w')], 2, 2, 1);
+  assert.deepEqual(applied, ['a@3=x', 'a@1=w']);
+  assert.equal(state.next, 2);
+});
--- a/packages/gateway/src/following/store_replica.ts
+++ b/packages/gateway/src/following/store_replica.ts
@@ -1,4 +1,8 @@
-import {isFailing, type ReadSchedule} from '@zinniaspindle/decisions';
+import {
+  canApplyCopiedEntry,
+  isFailing,
+  type ReadSchedule,
+} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {WriteEvent} from '../log/event_log.js';
@@ -8,7 +12,7 @@
   type KeyedRecord,
   type RecordCodec,
 } from '../ports/index.js';
-import {TopicState} from './topic_state.js';
+import {RecordOrigin, TopicState} from './topic_state.js';
 
 /**
  * Entries that expired during an outage are listed again within 2 s of its end.
@@ -31,6 +35,8 @@
  * age at which all of them read it counts as an outage.
  */
 const outageMarginMilliseconds = 300;
+/** Removed endpoints that are remembered; more than leave within a minute. */
+const maxRemoved = 4096;
 
 /** This VM's replica of the store's records: configuration and endpoints. */
 export class StoreReplica {
@@ -39,6 +45,8 @@
   >;
   private newestConfiguration: Configuration | undefined;
   private recoveringUntil: Instant = -Infinity;
+  /** Start of the incarnation that was removed last, by id of the endpoint. */
+  private readonly removedBornAt = new Map<string, Instant>();
 
   constructor(
     private readonly codec: RecordCodec,
@@ -56,8 +64,9 @@
       [Topic.Configuration]: new TopicState(Topic.Configuration, record => {
         this.applyConfiguration(record);
       }),
-      [Topic.Endpoints]: new TopicState(Topic.Endpoints, record => {
-        this.applyEndpoint(record);
+      [Topic.Endpoints]: new TopicState(Topic.Endpoints, (record, origin) => {
+        if (origin === RecordOrigin.Followed) this.applyEndpoint(record);
+        else this.applyCopiedEndpoint(record);
       }),
     };
   }
@@ -103,14 +112,48 @@
   private applyEndpoint(record: KeyedRecord): void {
     const {key, value} = record;
     if (value === undefined) {
+      this.recordRemoval(key);
       this.endpoints.removeEntry(key, this.computeRemovalTime(key));
       return;
     }
+    this.removedBornAt.delete(key);
     const entry = this.codec.decodeEndpoint(key, value);
     if (entry === undefined) this.refuseRecord(Topic.Endpoints, record);
     else this.endpoints.applyEntry(entry);
   }
 
+  /**
+   * Applies an entry of an older copy of the store as far as it is news. Entries
+   * that the copy lacks are written again within the time of an outage.
+   */
+  private applyCopiedEndpoint({key, value}: KeyedRecord): void {
+    this.recoveringUntil = this.getNow() + outageRecoveryMilliseconds;
+    if (value === undefined) {
+      this.endpoints.removeEntry(key, this.recoveringUntil);
+      return;
+    }
+    const entry = this.codec.decodeEndpoint(key, value);
+    if (entry === undefined) return;
+    const state = this.endpoints.find(key);
+    const known = state && {
+      bornAt: state.bornAt,
+      isDraining: state.entry.isDraining,
+    };
+    const removed = this.removedBornAt.get(key);
+    if (!canApplyCopiedEntry(entry, known, removed)) return;
+    this.endpoints.applyEntry(entry);
+  }
+
+  private recordRemoval(id: string): void {
+    const state = this.endpoints.find(id);
+    if (state === undefined) return;
+    this.removedBornAt.delete(id);
+    this.removedBornAt.set(id, state.bornAt);
+    if (this.removedBornAt.size <= maxRemoved) return;
+    const [oldest] = this.removedBornAt.keys();
+    this.removedBornAt.delete(oldest!);
+  }
+
   /** Computes when an endpoint whose record is gone may no longer be used. */
   private computeRemovalTime(id: string): Instant {
     const now = this.getNow();
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -1,15 +1,23 @@
 import {
   computeMaxAge,
+  deriveAnswerEra,
   isReadDue,
   recordReadFailure,
   recordReadSuccess,
   type ReadSchedule,
   type StoreAccess,
+  type StoreEra,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
-import {StoreErrorCode, type KeyedRecord, type Store} from '../ports/index.js';
+import {
+  StoreErrorCode,
+  type KeyedRecord,
+  type NewestRecords,
+  type Store,
+} from '../ports/index.js';
+import type {EraWatch} from './era_watch.js';
 import type {TopicState} from './topic_state.js';
 
 /** Where a VM stands among the VMs that may read the store. */
@@ -30,6 +38,8 @@
   ) => void;
   /** The newest record of each key, read without a known position before. */
   readonly sendSnapshot: () => void;
+  /** The newest record of each key, read after the store came back older. */
+  readonly sendReplacement: () => void;
   /** Called before an update from the store is applied. */
   readonly handleUpdate: () => void;
 }
@@ -46,6 +56,8 @@
     private readonly schedule: ReadSchedule,
     /** Shared by all followers, so that only one of them tries a lost store. */
     private readonly access: StoreAccess,
+    /** Shared by all that call the store. */
+    private readonly eras: EraWatch,
     private readonly listeners: ReadListeners,
     private readonly writeEvent: WriteEvent,
     private readonly metrics: Metrics,
@@ -73,40 +85,60 @@
   private async read(isFirst: boolean, liveRank: number): Promise<void> {
     const {state, store} = this;
     const from = state.next;
+    const sentEra = state.era;
+    const isVoid = this.isExpired || this.eras.isPast(sentEra);
     const sentAt = this.getNow();
     this.metrics.count(Counter.StoreCalls);
-    if (from === undefined || this.isExpired) {
+    if (from === undefined || isVoid) {
       const newest = await store.readNewest(state.topic);
       if (newest.isErr) return this.handleFailure(newest.error, liveRank);
-      this.acceptNewest(from, newest.value.records, newest.value.next, sentAt);
+      this.eras.acceptAnswer(newest.value.era);
+      this.acceptNewest(from, newest.value, sentEra, sentAt);
       return;
     }
     const waitMilliseconds = isFirst ? this.schedule.waitMilliseconds : 0;
     const batch = await store.readRecords(state.topic, from, waitMilliseconds);
     if (batch.isErr) return this.handleFailure(batch.error, liveRank);
-    const records = batch.value;
+    const {records} = batch.value;
+    this.eras.acceptAnswer(batch.value.era);
     // The store answers a waiting read with its state at the end of the wait.
     const asOf = waitMilliseconds > 0 ? this.getNow() : sentAt;
+    const answer = deriveAnswerEra(state.era, sentEra, batch.value.era);
+    // Offsets of an older era: the next read fetches all keys.
+    if (answer.isOutdated || answer.era !== sentEra) return;
     this.listeners.handleUpdate();
-    state.acceptBatch(from, records, asOf);
+    state.acceptBatch(from, records, asOf, answer.era);
     this.listeners.sendChanges(from, records, from + records.length);
     this.handleSuccess(asOf);
   }
 
   private acceptNewest(
     from: number | undefined,
-    records: readonly KeyedRecord[],
-    next: number,
+    {records, next, era: seen}: NewestRecords,
+    sentEra: StoreEra,
     asOf: Instant,
   ): void {
+    const {state, listeners} = this;
+    const {era, isOutdated} = deriveAnswerEra(state.era, sentEra, seen);
+    if (isOutdated) return;
     this.isExpired = false;
-    this.listeners.handleUpdate();
-    const changes = this.state.acceptNewest(records, next, asOf);
-    if (from === undefined) this.listeners.sendSnapshot();
-    else this.listeners.sendChanges(from, changes, next);
+    const isReplaced = from !== undefined && era !== state.era;
+    listeners.handleUpdate();
+    const changes = state.acceptNewest(records, next, asOf, era);
+    if (from === undefined) listeners.sendSnapshot();
+    else if (isReplaced) this.handleReplaced(changes, records.length);
+    else listeners.sendChanges(from, changes, next);
     this.handleSuccess(asOf);
   }
 
+  private handleReplaced(changes: readonly KeyedRecord[], keys: number): void {
+    const {topic, next, era} = this.state;
+    const missing = changes.length - keys;
+    const fields = {topic, next: next!, era: era ?? 'unknown', keys, missing};
+    this.writeEvent(GatewayEvent.TopicReplaced, fields);
+    this.listeners.sendReplacement();
+  }
+
   private handleSuccess(asOf: Instant): void {
     this.state.readAsOf = Math.max(this.state.readAsOf, asOf);
     const wasFailing = !this.canRead();
--- a/packages/gateway/src/peers/heartbeat_codec.ts
+++ b/packages/gateway/src/peers/heartbeat_codec.ts
@@ -1,3 +1,4 @@
+import {parseEra, type StoreEra} from '@zinniaspindle/decisions';
 import type {LoadRow} from '../fleet/load_tracker.js';
 import {Topic} from '../ports/index.js';
 import {PeerMessageKind, PeerPhase, type Heartbeat} from './messages.js';
@@ -19,8 +20,15 @@
   loads: readonly LoadRow[],
   canRead: boolean,
   sentAt: number,
+  /**
+   * The latest era known, then the era of each topic in the order of the ages;
+   * -1 if unknown. Older builds neither send nor read it.
+   */
+  eras?: readonly number[],
 ];
 
+const unknownEra = -1;
+
 const numbersPerTopic = 3;
 
 /** Encodes a heartbeat. */
@@ -36,6 +44,9 @@
     heartbeat.loads,
     heartbeat.canRead,
     heartbeat.sentAt,
+    [heartbeat.storeEra, ...heartbeat.topics.map(({era}) => era)].map(
+      era => era ?? unknownEra,
+    ),
   ];
 }
 
@@ -43,7 +54,7 @@
 export function decodeHeartbeat(
   row: readonly unknown[],
 ): Heartbeat | undefined {
-  const [phaseCode, isOwner, ages, loads, canRead, sentAt] =
+  const [phaseCode, isOwner, ages, loads, canRead, sentAt, ...rest] =
     row as HeartbeatRow;
   const phase = phases[phaseCode];
   if (phase === undefined || !Array.isArray(ages) || !Array.isArray(loads)) {
@@ -51,17 +62,26 @@
   }
   if (typeof sentAt !== 'number') return undefined;
   const kind = PeerMessageKind.Heartbeat;
-  const topics = decodeAges(ages);
-  return {kind, phase, isOwner, canRead, sentAt, topics, loads};
+  const [storeEra, ...eras] = decodeEras(rest[0]);
+  const topics = decodeAges(ages, eras);
+  return {kind, phase, isOwner, canRead, sentAt, topics, loads, storeEra};
+}
+
+function decodeEras(eras: unknown): StoreEra[] {
+  return Array.isArray(eras) ? eras.map(parseEra) : [];
 }
 
-function decodeAges(ages: readonly number[]): Heartbeat['topics'] {
+function decodeAges(
+  ages: readonly number[],
+  eras: readonly StoreEra[],
+): Heartbeat['topics'] {
   const decoded: Heartbeat['topics'][number][] = [];
   for (let at = 0; at + numbersPerTopic <= ages.length; at += numbersPerTopic) {
     const topic = topics[ages[at]!];
     if (topic === undefined) continue;
     const next = ages[at + 1]!;
-    decoded.push({topic, next, ageMilliseconds: ages[at + 2]!});
+    const era = eras[at / numbersPerTopic];
+    decoded.push({topic, era, next, ageMilliseconds: ages[at + 2]!});
   }
   return decoded;
 }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -1,4 +1,4 @@
-import type {FailureCause} from '@zinniaspindle/decisions';
+import type {FailureCause, StoreEra} from '@zinniaspindle/decisions';
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import type {LoadRow} from '../fleet/load_tracker.js';
@@ -48,6 +48,8 @@
  */
 export interface TopicAge {
   readonly topic: Topic;
+  /** Era of the store that the offset belongs to. */
+  readonly era: StoreEra;
   readonly next: number;
   readonly ageMilliseconds: number;
 }
@@ -64,6 +66,8 @@
   readonly sentAt: Instant;
   readonly topics: readonly TopicAge[];
   readonly loads: readonly LoadRow[];
+  /** The latest era of the store that the VM knows of; older builds send none. */
+  readonly storeEra: StoreEra;
 }
 
 /** A record as sent between VMs; a null value deletes its key. */
@@ -80,6 +84,8 @@
 export interface Records {
   readonly kind: PeerMessageKind.Records;
   readonly topic: Topic;
+  /** Era of the offsets; older builds send none. */
+  readonly era?: number;
   readonly from: number;
   readonly next: number;
   /** When it was sent, in Unix milliseconds of the sender's clock. */
@@ -97,6 +103,8 @@
 export interface TopicSnapshot {
   readonly kind: PeerMessageKind.Snapshot;
   readonly topic: Topic;
+  /** Era of the offsets; older builds send none. */
+  readonly era?: number;
   readonly next: number;
   readonly ageMilliseconds: number;
   /** When it was sent, in Unix milliseconds of the sender's clock. */
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -1,12 +1,16 @@
 import {
   FailureCause,
   isConfirmedFailed,
+  isLaterEra,
+  parseEra,
   recordDelay,
+  type StoreEra,
 } from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
+import type {EraWatch} from '../following/era_watch.js';
 import type {StoreReplica} from '../following/store_replica.js';
 import type {TopicState} from '../following/topic_state.js';
 import {Topic, type KeyedRecord} from '../ports/index.js';
@@ -41,6 +45,7 @@
 
   constructor(
     private readonly storeReplica: StoreReplica,
+    private readonly eras: EraWatch,
     private readonly endpoints: EndpointTable,
     private readonly prober: EndpointProber,
     private readonly handleOrder: (order: OrderMessage) => void,
@@ -88,17 +93,17 @@
    */
   listAges(): TopicAge[] {
     const ages: TopicAge[] = [];
-    for (const {topic, next, readAsOf} of this.listStates()) {
+    for (const {topic, era, next, readAsOf} of this.listStates()) {
       if (next === undefined) continue;
       const age = Math.min(maxAgeMilliseconds, this.getNow() - readAsOf);
-      ages.push({topic, next, ageMilliseconds: Math.ceil(age)});
+      ages.push({topic, era, next, ageMilliseconds: Math.ceil(age)});
     }
     return ages;
   }
 
   /** Forwards the changes that this VM read from the store. */
   sendChanges(
-    topic: Topic,
+    topic: Topic.Configuration | Topic.Endpoints,
     from: number,
     changes: readonly KeyedRecord[],
     next: number,
@@ -106,7 +111,8 @@
     const rows = changes.map(toRow);
     const sentAt = this.getWallClock();
     const kind = PeerMessageKind.Records;
-    this.sendAll({kind, topic, from, next, sentAt, rows});
+    const {era} = this.storeReplica.topics[topic];
+    this.sendAll({kind, topic, ...makeEra(era), from, next, sentAt, rows});
   }
 
   /** Sends a snapshot of a topic that this VM read from the store. */
@@ -117,13 +123,17 @@
 
   private acceptHeartbeat(peer: Peer, heartbeat: Heartbeat): void {
     const writtenAt = this.computeWrittenAt(peer, heartbeat.sentAt);
-    for (const {topic, next, ageMilliseconds} of heartbeat.topics) {
+    this.eras.acceptFromPeer(heartbeat.storeEra, peer.vm);
+    for (const {topic, era, next, ageMilliseconds} of heartbeat.topics) {
       const state = this.findState(topic);
       if (state === undefined) continue;
-      if (state.next === undefined || next > state.next) {
-        this.sendSnapshotRequest(peer, topic);
-      } else if (next === state.next) {
-        state.updateAge(next, writtenAt - ageMilliseconds);
+      const isNewer =
+        state.next === undefined ||
+        isLaterEra(era, state.era) ||
+        (era === state.era && next > state.next);
+      if (isNewer) this.sendSnapshotRequest(peer, topic);
+      else if (next === state.next) {
+        state.updateAge(next, writtenAt - ageMilliseconds, era);
       }
     }
   }
@@ -135,7 +145,9 @@
     if (state === undefined) return;
     this.storeReplica.checkOutage();
     const records = rows.map(toRecord);
-    const isAccepted = state.acceptChanges(from, records, next, writtenAt);
+    const era = parseEra(message.era);
+    this.eras.acceptFromPeer(era, peer.vm);
+    const isAccepted = state.acceptChanges(from, records, next, writtenAt, era);
     if (!isAccepted) this.sendSnapshotRequest(peer, topic);
   }
 
@@ -169,6 +181,7 @@
     return {
       kind: PeerMessageKind.Snapshot,
       topic,
+      ...makeEra(state.era),
       next: state.next,
       ageMilliseconds: Math.ceil(age),
       sentAt: this.getWallClock(),
@@ -192,7 +205,10 @@
     if (state === undefined) return;
     this.storeReplica.checkOutage();
     const asOf = writtenAt - message.ageMilliseconds;
-    state.acceptNewest(message.rows.map(toRecord), message.next, asOf);
+    const era = parseEra(message.era);
+    this.eras.acceptFromPeer(era, peer.vm);
+    const records = message.rows.map(toRecord);
+    state.acceptNewest(records, message.next, asOf, era);
   }
 
   /**
@@ -239,6 +255,11 @@
   }
 }
 
+/** Older builds read messages without an era, which is left out if unknown. */
+function makeEra(era: StoreEra): {era?: number} {
+  return era === undefined ? {} : {era};
+}
+
 function toRow({key, value, offset}: KeyedRecord): RecordRow {
   return [key, value ?? null, offset];
 }
--- a/packages/gateway/src/ports/store.ts
+++ b/packages/gateway/src/ports/store.ts
@@ -1,3 +1,4 @@
+import type {StoreEra} from '@zinniaspindle/decisions';
 import type {Result} from 'true-myth';
 import type {Configuration} from './configuration.js';
 import type {EndpointEntry} from './endpoints.js';
@@ -17,16 +18,27 @@
   readonly offset: number;
 }
 
+/** What an answer of the store says of the store itself. */
+export interface StoreAnswer {
+  /** Undefined if the answer has none that can be used. */
+  readonly era: StoreEra;
+}
+
+/** Consecutive records of a topic. */
+export interface RecordBatch extends StoreAnswer {
+  readonly records: readonly KeyedRecord[];
+}
+
 /** The newest record of each key of a topic. */
-export interface NewestRecords {
+export interface NewestRecords extends StoreAnswer {
   readonly records: readonly KeyedRecord[];
   /** The offset to read from next. */
   readonly next: number;
 }
 
 /** A member's view of a group, one member of which is the owner. */
-export interface GroupView {
-  /** Increases with every change of the group. */
+export interface GroupView extends StoreAnswer {
+  /** Increases with every change of the group within an era. */
   readonly generation: number;
   readonly isOwner: boolean;
 }
@@ -38,7 +50,7 @@
     topic: Topic,
     from: number,
     waitMilliseconds: number,
-  ): Promise<Result<readonly KeyedRecord[], StoreError>>;
+  ): Promise<Result<RecordBatch, StoreError>>;
   /** Reads the newest record of each key. */
   readNewest(topic: Topic): Promise<Result<NewestRecords, StoreError>>;
   /** Appends a record to a topic that the gateway writes. */
@@ -46,7 +58,7 @@
     topic: Topic,
     key: string,
     value: Buffer | undefined,
-  ): Promise<Result<void, StoreError>>;
+  ): Promise<Result<StoreAnswer, StoreError>>;
   /** Joins or renews the membership of the group that elects the owner. */
   joinOwnerGroup(
     member: string,
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -247,7 +247,7 @@
 
   private sendHeartbeat(): void {
     this.lastHeartbeatAt = getMonotonic();
-    const {mesh, ownership, peerHandler, loads} = this.parts;
+    const {mesh, ownership, peerHandler, loads, eras} = this.parts;
     mesh.sendAll({
       kind: PeerMessageKind.Heartbeat,
       phase: this.phase,
@@ -256,6 +256,7 @@
       sentAt: Date.now(),
       topics: peerHandler.listAges(),
       loads: loads.listOwn(),
+      storeEra: eras.known,
     });
   }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -12,6 +12,7 @@
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
+import {EraWatch} from '../following/era_watch.js';
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
 import type {EventLog} from '../log/event_log.js';
@@ -73,6 +74,7 @@
 
 /** The exchange of state with the store and with peers. */
 interface SyncParts {
+  readonly eras: EraWatch;
   readonly storeReplica: StoreReplica;
   readonly followers: readonly TopicFollower[];
   readonly mesh: PeerMesh;
@@ -173,8 +175,10 @@
     getNow,
     configuration => getParts().callers.applyConfiguration(configuration),
   );
+  const eras = new EraWatch(log.write);
   const peerHandler = new PeerHandler(
     storeReplica,
+    eras,
     fleet.endpoints,
     fleet.prober,
     order => applyOrder(fleet, order),
@@ -208,6 +212,7 @@
         ports.store,
         schedule,
         access,
+        eras,
         {
           sendChanges: (from, changes, next) => {
             peerHandler.sendChanges(topic, from, changes, next);
@@ -216,6 +221,7 @@
           sendSnapshot: () => {
             if (settings.isFirstStart) peerHandler.sendSnapshotToAll(topic);
           },
+          sendReplacement: () => peerHandler.sendSnapshotToAll(topic),
           handleUpdate: () => storeReplica.checkOutage(),
         },
         log.write,
@@ -223,7 +229,7 @@
         getNow,
       ),
   );
-  return {storeReplica, followers, mesh, peerHandler};
+  return {eras, storeReplica, followers, mesh, peerHandler};
 }
 
 function buildOrders(
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -17,6 +17,9 @@
   StoreRecovered = 7102,
   RecordRefused = 7103,
   ConfigurationApplied = 7104,
+  StoreEraRisen = 7105,
+  StoreEraUnknown = 7106,
+  TopicReplaced = 7107,
   EndpointAdded = 7201,
   EndpointDraining = 7202,
   EndpointRemoved = 7203,
@@ -66,6 +69,12 @@
     'record {key} at offset {offset} of {topic} is malformed and was ignored',
   [GatewayEvent.ConfigurationApplied]:
     'configuration version {version} applied from offset {offset}: {routes} routes',
+  [GatewayEvent.StoreEraRisen]:
+    'the store came back from an older copy: era {era} after {before}, seen by {source}',
+  [GatewayEvent.StoreEraUnknown]:
+    'the store answered with era {seen} after {known}; it is treated as unknown',
+  [GatewayEvent.TopicReplaced]:
+    'records of {topic} were replaced by those of era {era}, up to offset {next}: {keys} keys, {missing} keys of before are missing',
   [GatewayEvent.EndpointAdded]:
     'endpoint {endpoint} of service {service} added at {address}',
   [GatewayEvent.EndpointDraining]:
