--- a/packages/gateway/src/orders/ownership.ts
+++ b/packages/gateway/src/orders/ownership.ts
@@ -1,4 +1,10 @@
+import {
+  canReplaceClaim,
+  makeFencingToken,
+  type OwnerClaim,
+} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import type {EraWatch} from '../following/era_watch.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import type {Store} from '../ports/index.js';
@@ -19,7 +25,7 @@
  * orders.
  */
 export class Ownership {
-  private generation = 0;
+  private claim: OwnerClaim = {era: undefined, generation: 0};
   private isOwner = false;
   private isMember = false;
   private isJoining = false;
@@ -30,6 +36,7 @@
   constructor(
     private readonly store: Store,
     private readonly vm: string,
+    private readonly eras: EraWatch,
     private readonly writeEvent: WriteEvent,
     private readonly metrics: Metrics,
     private readonly getNow: () => Instant,
@@ -40,7 +47,8 @@
    * owner.
    */
   findFencingToken(): number | undefined {
-    return this.isOwner ? this.generation : undefined;
+    if (!this.isOwner || this.eras.isPast(this.claim.era)) return undefined;
+    return makeFencingToken(this.claim);
   }
 
   /**
@@ -50,6 +58,10 @@
    */
   poll(rank: number | undefined, hasOtherOwner: boolean): void {
     const now = this.getNow();
+    if (this.isOwner && this.eras.isPast(this.claim.era)) {
+      this.setOwner(false, 'the store came back from an older copy');
+      this.joinAt = now;
+    }
     const isExpired = now - this.confirmedAt > ttlMilliseconds;
     if (this.isOwner && isExpired && hasOtherOwner) {
       this.setOwner(
@@ -96,7 +108,9 @@
 
   private async join(): Promise<void> {
     this.metrics.count(Counter.StoreCalls);
-    const {vm, generation} = this;
+    const {vm, claim} = this;
+    // A generation of an older era says nothing to the store.
+    const generation = this.eras.isPast(claim.era) ? 0 : claim.generation;
     this.isMember = true;
     const view = await this.store.joinOwnerGroup(
       vm,
@@ -110,16 +124,18 @@
       this.joinAt = this.getNow() + failedJoinDelayMilliseconds;
       return;
     }
-    if (view.value.generation < this.generation) return;
+    const {era, isOwner} = view.value;
+    this.eras.acceptAnswer(era);
+    if (!canReplaceClaim(this.claim, view.value, this.eras.known)) return;
     this.confirmedAt = this.getNow();
-    this.generation = view.value.generation;
-    this.setOwner(view.value.isOwner, 'the store assigned it to another VM');
+    this.claim = {era, generation: view.value.generation};
+    this.setOwner(isOwner, 'the store assigned it to another VM');
   }
 
   private setOwner(isOwner: boolean, reason: string): void {
     if (isOwner === this.isOwner) return;
     this.isOwner = isOwner;
-    const {generation} = this;
+    const {generation} = this.claim;
     if (isOwner) this.writeEvent(GatewayEvent.OwnershipGained, {generation});
     else this.writeEvent(GatewayEvent.OwnershipLost, {reason});
   }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -116,7 +116,7 @@
   const getParts = () => parts;
   const fleet = buildFleet(context, getParts);
   const sync = buildSync(context, fleet, getParts);
-  const orders = buildOrders(context, fleet, sync.mesh);
+  const orders = buildOrders(context, fleet, sync);
   const serving = buildServing(context, fleet, sync.mesh);
   const parts: GatewayParts = {...fleet, ...sync, ...orders, ...serving};
   return parts;
@@ -235,12 +235,12 @@
 function buildOrders(
   {settings, ports, log, getNow}: GatewayContext,
   fleet: FleetParts,
-  mesh: PeerMesh,
+  {mesh, eras}: SyncParts,
 ): Pick<GatewayParts, 'ownership' | 'orders'> {
   const {metrics, endpoints} = fleet;
   const {vm} = settings;
   const {store} = ports;
-  const ownership = new Ownership(store, vm, log.write, metrics, getNow);
+  const ownership = new Ownership(store, vm, eras, log.write, metrics, getNow);
   const handleOrder = (order: Omit<OrderMessage, 'kind'>) => {
     applyOrder(fleet, order);
     mesh.sendAll({kind: PeerMessageKind.Order, ...order});
