--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -23,6 +23,7 @@
 } from '../peers/compute_rank.js';
 import {PeerMessageKind, PeerPhase} from '../peers/messages.js';
 import {Topic, type GatewaySettings} from '../ports/index.js';
+import {AddressPublisher} from './address_publisher.js';
 import {
   buildParts,
   deriveSchedule,
@@ -46,11 +47,6 @@
  * takes as long.
  */
 const peerDiscoveryMilliseconds = 600;
-/**
- * Peer addresses in the store, for a VM whose seeds are all lost. When VMs of the
- * first ranks are lost, others move up and publish theirs.
- */
-const maxPublishedAddresses = 6;
 const orderMilliseconds = 100;
 const publishMilliseconds = 1000;
 
@@ -79,8 +75,7 @@
   private lastHeartbeatAt: Instant = -Infinity;
   private stopPlan: StopPlan | undefined;
   private stopped: Promise<void> | undefined;
-  private isPublished = false;
-  private isPublishing = false;
+  private readonly publisher: AddressPublisher;
 
   constructor(
     private settings: GatewaySettings,
@@ -101,6 +96,17 @@
       getRank: () => this.rank,
       schedule: this.schedule,
     });
+    const {eras, mesh, metrics} = this.parts;
+    this.publisher = new AddressPublisher(
+      ports.store,
+      eras,
+      mesh,
+      metrics,
+      vm,
+      this.getPeerAddress(),
+      getMonotonic,
+      Math.random,
+    );
   }
 
   /** Opens the listeners and starts the periodic tasks. */
@@ -277,35 +283,9 @@
     return formatAddress(this.settings.listen.peers);
   }
 
-  /**
-   * Publishes the peer address of this VM in the store. A VM that reaches no peer
-   * connects to those listed there.
-   */
   private publishAddress(): void {
-    if (this.isPublished || this.isPublishing) return;
     if (this.phase === PeerPhase.Leaving) return;
-    if (this.rank >= maxPublishedAddresses) return;
-    this.isPublishing = true;
-    void this.publishOnce().finally(() => {
-      this.isPublishing = false;
-    });
-  }
-
-  private async publishOnce(): Promise<void> {
-    const {store} = this.ports;
-    const {mesh, metrics} = this.parts;
-    if (mesh.countLive() === 0) {
-      metrics.count(Counter.StoreCalls);
-      const newest = await store.readNewest(Topic.Vms);
-      if (newest.isErr) return metrics.count(Counter.StoreFailures);
-      for (const {key} of newest.value.records) mesh.addAddress(key);
-    }
-    metrics.count(Counter.StoreCalls);
-    const value = Buffer.from(this.settings.vm);
-    const address = this.getPeerAddress();
-    const added = await store.appendRecord(Topic.Vms, address, value);
-    if (added.isErr) return metrics.count(Counter.StoreFailures);
-    this.isPublished = true;
+    this.publisher.poll(this.rank);
   }
 }
 
