--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -401,13 +401,10 @@
 
   private answerComplete(): void {
     const {response, server} = this.context;
+    const {key} = this.reservation!.path;
     response.end();
     server.metrics.count(Counter.Answered);
-    recordAnswered(
-      this.context,
-      this.reservation!.path.key,
-      this.answer!.status,
-    );
+    recordAnswered(this.context, key, this.answer!.status);
     this.finishAttempt?.(AttemptEnd.Done, 'complete');
   }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -12,6 +12,7 @@
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
+import {EraWatch} from '../following/era_watch.js';
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
 import type {EventLog} from '../log/event_log.js';
@@ -74,6 +75,7 @@
 
 /** The exchange of state with the store and with peers. */
 interface SyncParts {
+  readonly eras: EraWatch;
   readonly storeReplica: StoreReplica;
   readonly followers: readonly TopicFollower[];
   readonly mesh: PeerMesh;
@@ -115,7 +117,7 @@
   const getParts = () => parts;
   const fleet = buildFleet(context, getParts);
   const sync = buildSync(context, fleet, getParts);
-  const orders = buildOrders(context, fleet, sync.mesh);
+  const orders = buildOrders(context, fleet, sync);
   const serving = buildServing(context, fleet, sync.mesh);
   const parts: GatewayParts = {...fleet, ...sync, ...orders, ...serving};
   return parts;
@@ -176,8 +178,10 @@
     getNow,
     configuration => getParts().callers.applyConfiguration(configuration),
   );
+  const eras = new EraWatch(log.write);
   const peerHandler = new PeerHandler(
     storeReplica,
+    eras,
     fleet.endpoints,
     fleet.prober,
     order => applyOrder(fleet, order),
@@ -211,6 +215,7 @@
         ports.store,
         schedule,
         access,
+        eras,
         {
           sendChanges: (from, changes, next) => {
             peerHandler.sendChanges(topic, from, changes, next);
@@ -219,6 +224,7 @@
           sendSnapshot: () => {
             if (settings.isFirstStart) peerHandler.sendSnapshotToAll(topic);
           },
+          sendReplacement: () => peerHandler.sendSnapshotToAll(topic),
           handleUpdate: () => storeReplica.checkOutage(),
         },
         log.write,
@@ -226,18 +232,18 @@
         getNow,
       ),
   );
-  return {storeReplica, followers, mesh, peerHandler};
+  return {eras, storeReplica, followers, mesh, peerHandler};
 }
 
 function buildOrders(
   {settings, ports, log, getNow}: GatewayContext,
   fleet: FleetParts,
-  mesh: PeerMesh,
+  {mesh, eras}: SyncParts,
 ): Pick<GatewayParts, 'ownership' | 'orders'> {
   const {metrics, endpoints} = fleet;
   const {vm} = settings;
   const {store} = ports;
-  const ownership = new Ownership(store, vm, log.write, metrics, getNow);
+  const ownership = new Ownership(store, vm, eras, log.write, metrics, getNow);
   const handleOrder = (order: Omit<OrderMessage, 'kind'>) => {
     applyOrder(fleet, order);
     mesh.sendAll({kind: PeerMessageKind.Order, ...order});
