--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -201,8 +201,8 @@
     {kind}: Route,
     deadline: Deadline,
   ): LocalAnswer | undefined {
-    const {findStop, computeRefusingShare, metrics, getNow} = this.context;
-    const plan = findStop();
+    const {findStopPlan, computeRefusingShare, metrics, getNow} = this.context;
+    const plan = findStopPlan();
     if (plan === undefined) return undefined;
     const latency = getDurationLatency(kind);
     const refusingShare = computeRefusingShare();
@@ -237,7 +237,7 @@
       String(body.length),
     ];
     const isLast =
-      context.findStop() !== undefined || status === 413 || status === 408;
+      context.findStopPlan() !== undefined || status === 413 || status === 408;
     if (isLast && this.openRequests.closeAfter(open)) {
       headers.push('Connection', 'close');
     }
@@ -278,8 +278,8 @@
 }
 
 /** Computes the time since the stop of this VM began; 0 before. */
-function computeStopAge({findStop, getNow}: ServerContext): number {
-  const plan = findStop();
+function computeStopAge({findStopPlan, getNow}: ServerContext): number {
+  const plan = findStopPlan();
   return plan === undefined ? 0 : getNow() - plan.startedAt;
 }
 
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -30,7 +30,7 @@
   readonly writeEvent: (event: GatewayEvent, fields: EventFields) => void;
   readonly getNow: () => Instant;
   /** The graceful stop of this VM that is under way, if any. */
-  readonly findStop: () => StopPlan | undefined;
+  readonly findStopPlan: () => StopPlan | undefined;
   /** Share of the other VMs that take no requests, from 0 to 1. */
   readonly computeRefusingShare: () => number;
 }
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -20,7 +20,7 @@
   if (bodyBytes !== undefined) {
     headers.push('Content-Length', String(bodyBytes));
   }
-  if (server.findStop() !== undefined && context.closeAfter()) {
+  if (server.findStopPlan() !== undefined && context.closeAfter()) {
     headers.push('Connection', 'close');
   }
   response.sendDate = false;
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -92,7 +92,7 @@
       log,
       getNow: getMonotonic,
       getPhase: () => this.phase,
-      findStop: () => this.stopPlan,
+      findStopPlan: () => this.stopPlan,
       getRank: () => this.rank,
       schedule: this.schedule,
     });
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -58,7 +58,7 @@
   readonly getNow: () => Instant;
   readonly getPhase: () => PeerPhase;
   /** The graceful stop that is under way, if any. */
-  readonly findStop: () => StopPlan | undefined;
+  readonly findStopPlan: () => StopPlan | undefined;
   /** Rank of this VM among the live VMs. */
   readonly getRank: () => number;
   readonly schedule: ReadSchedule;
@@ -263,7 +263,7 @@
 }
 
 function buildServing(
-  {settings, ports, log, getNow, getPhase, findStop}: GatewayContext,
+  {settings, ports, log, getNow, getPhase, findStopPlan}: GatewayContext,
   {metrics, endpoints, paths, prober}: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
@@ -279,7 +279,7 @@
     metrics,
     writeEvent: log.write,
     getNow,
-    findStop,
+    findStopPlan,
     computeRefusingShare: () => computeRefusingShare(mesh.listPresent()),
   });
   const ownAddress = formatAddress(settings.listen.callers);
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -122,7 +122,7 @@
   [GatewayEvent.RequestAbandoned]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its answer was complete',
   [GatewayEvent.RequestCutOff]:
-    'request {request} cut off by the exit {ms} ms after its receipt, {afterStopMs} ms after the stop began it was received',
+    'request {request} cut off by the exit after {ms} ms; it was received {afterStopMs} ms after the stop began',
   [GatewayEvent.AnswerUnwritten]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its complete answer was written out',
 };
