--- /dev/null
+++ b/packages/gateway/__tests__/line_writer.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import {Writable} from 'node:stream';
+import {test, type TestContext} from 'node:test';
+import {GatewayEvent} from '@zinniaspindle/shared';
+import {EventLog} from '../src/log/event_log.js';
+
+const manyRequests = 300;
+const tooManyRequests = 100_000;
+/** Most that a log may hold for a reader that is blocked. */
+const maxHeldBytes = 256 * 1024;
+const fillerSeconds = 20;
+const linesPerSecond = 100;
+
+/** A reader of a log that can be blocked. */
+class Reader {
+  text = '';
+  private isBlocked = false;
+  private readonly waiting: (() => void)[] = [];
+  readonly output = new Writable({
+    highWaterMark: 1,
+    decodeStrings: false,
+    write: (chunk: string, _encoding, done) => {
+      const accept = () => {
+        this.text += chunk;
+        done();
+      };
+      if (this.isBlocked) this.waiting.push(accept);
+      else accept();
+    },
+  });
+
+  stop(): void {
+    this.isBlocked = true;
+  }
+
+  resume(): void {
+    this.isBlocked = false;
+    for (const accept of this.waiting.splice(0)) accept();
+  }
+
+  hasRequest(id: string): boolean {
+    return new RegExp(`[" ]${id}[" ]`).test(this.text);
+  }
+}
+
+/** Makes a log whose timers and clock the test moves. */
+function makeLog({mock}: TestContext): {log: EventLog; reader: Reader} {
+  mock.timers.enable({apis: ['setTimeout', 'Date']});
+  const reader = new Reader();
+  return {log: new EventLog('vm-1', reader.output), reader};
+}
+
+/** Logs requests as cut off; returns their ids. */
+function logCutOff(log: EventLog, count: number): string[] {
+  const ids: string[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const request = `cut${index}`;
+    ids.push(request);
+    log.write(GatewayEvent.RequestCutOff, {
+      request,
+      path: '/write/b',
+      ms: 5000,
+      afterStopMs: -200,
+      endpoint: 'c0:0-8',
+      lastEventId: '79',
+    });
+  }
+  return ids;
+}
+
+/** Moves the clock step by step, so that what timers lead to runs as well. */
+async function waitSeconds({mock}: TestContext, seconds: number) {
+  for (let tick = 0; tick < seconds * 10; tick += 1) {
+    mock.timers.tick(100);
+    await Promise.resolve();
+  }
+}
+
+test('each of several hundred requests cut at one exit is named', async t => {
+  const {log, reader} = makeLog(t);
+  const ids = logCutOff(log, manyRequests);
+  await waitSeconds(t, 2);
+  const unnamed = ids.filter(id => !reader.hasRequest(id));
+  assert.deepEqual(unnamed, []);
+});
+
+test('cut requests are named although the buffer is full', async t => {
+  const {log, reader} = makeLog(t);
+  reader.stop();
+  for (let second = 0; second < fillerSeconds; second += 1) {
+    for (let line = 0; line < linesPerSecond; line += 1) {
+      log.write(GatewayEvent.RequestAnswered, {
+        request: `filler${second}-${line}`,
+      });
+    }
+    await waitSeconds(t, 1);
+  }
+  const ids = logCutOff(log, manyRequests);
+  await waitSeconds(t, 1);
+  reader.resume();
+  await waitSeconds(t, 1);
+  const unnamed = ids.filter(id => !reader.hasRequest(id));
+  assert.deepEqual(unnamed, []);
+});
+
+test('a log that is not read holds a bounded number of bytes', async t => {
+  const {log, reader} = makeLog(t);
+  reader.stop();
+  logCutOff(log, tooManyRequests);
+  await waitSeconds(t, 1);
+  logCutOff(log, tooManyRequests);
+  await waitSeconds(t, 1);
+  reader.resume();
+  await waitSeconds(t, 2);
+  assert.ok(reader.text.length < maxHeldBytes, `${reader.text.length}`);
+  assert.match(reader.text, /"droppedLines":\d+/);
+});
