fix(log): name each of many requests that end without an answer

With more than 100 requests cut at one exit the log named 100 of them: the limit of lines a second dropped the others with their ids.

--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -20,11 +20,32 @@
 const maxLinesPerSecond = 100;
 const windowMilliseconds = 1000;
 
+/** Time over which requests over the limit are gathered. */
+const gatherMilliseconds = 200;
+/** Requests are gathered in lines of about this many bytes. */
+const maxGatheredBytes = 2048;
+
+/** Events by which a request ends without a whole answer. */
+const lossEvents: ReadonlySet<GatewayEvent> = new Set([
+  GatewayEvent.RequestFailed,
+  GatewayEvent.RequestAbandoned,
+  GatewayEvent.RequestCutOff,
+  GatewayEvent.AnswerUnwritten,
+]);
+
+/** Requests of an event over the limit of lines, to be named in one line. */
+interface GatheredRequests {
+  readonly ids: string[];
+  bytes: number;
+}
+
 /** Writes events as JSON lines, with a rate limit for each event. */
 export class EventLog {
   private readonly logger = loglevel.getLogger('gateway');
   private readonly counts = new Map<GatewayEvent, number>();
   private windowEndsAt = 0;
+  private readonly gathered = new Map<GatewayEvent, GatheredRequests>();
+  private gatherTimer: NodeJS.Timeout | undefined;
   private readonly writer: LineWriter;
 
   constructor(
@@ -41,7 +62,12 @@
   /** Writes an event with its fields. */
   readonly write: WriteEvent = (event, fields) => {
     if (!this.takeLineQuota(event)) {
-      this.writer.countDropped();
+      const {request} = fields;
+      if (lossEvents.has(event) && typeof request === 'string') {
+        this.addGathered(event, request);
+      } else {
+        this.writer.countDropped();
+      }
       return;
     }
     const logEvent: LogEvent = {event, fields};
@@ -59,9 +85,38 @@
 
   /** Waits until buffered lines are written out, or until a deadline. */
   close(deadline: Deadline): Promise<void> {
+    this.writeGathered();
     return this.writer.close(deadline, () => performance.now());
   }
 
+  private addGathered(event: GatewayEvent, id: string): void {
+    const gathered = this.gathered.get(event) ?? {ids: [], bytes: 0};
+    this.gathered.set(event, gathered);
+    gathered.ids.push(id);
+    gathered.bytes += id.length + 1;
+    if (gathered.bytes >= maxGatheredBytes) this.writeGathered();
+    else {
+      this.gatherTimer ??= setTimeout(
+        () => this.writeGathered(),
+        gatherMilliseconds,
+      );
+    }
+  }
+
+  private writeGathered(): void {
+    clearTimeout(this.gatherTimer);
+    this.gatherTimer = undefined;
+    for (const [of, {ids}] of this.gathered) {
+      const requests = ids.join(' ');
+      this.write(GatewayEvent.FurtherRequests, {
+        of,
+        count: ids.length,
+        requests,
+      });
+    }
+    this.gathered.clear();
+  }
+
   private takeLineQuota(event: GatewayEvent): boolean {
     const now = Date.now();
     if (now >= this.windowEndsAt) {
