fix(log): keep lines about cut requests when the buffer is full

While a reader was blocked, lines of answered requests filled the buffer of 64 KiB, and the lines about requests that the exit cut were dropped. These, and the lines of a stop, may now use 128 KiB; and a full buffer is written out at once unless the output is blocked.

--- a/packages/gateway/__tests__/line_writer.test.ts
+++ b/packages/gateway/__tests__/line_writer.test.ts
@@ -154,3 +154,15 @@
   logCutOff(log, 3);
   await log.close(Infinity);
 });
+
+test('a full buffer is written out while the reader is not slow', async t => {
+  const {log, reader} = makeLog(t);
+  const path = '/x'.repeat(500);
+  const ids = [...Array(linesPerSecond).keys()].map(index => `wide${index}`);
+  for (const request of ids) {
+    log.write(GatewayEvent.RequestAnswered, {request, path});
+  }
+  await waitSeconds(t, 1);
+  const unnamed = ids.filter(id => !reader.hasRequest(id));
+  assert.deepEqual(unnamed, []);
+});
--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -33,6 +33,16 @@
   GatewayEvent.AnswerUnwritten,
 ]);
 
+/** Events whose lines are kept when the reader is slow. */
+const keptEvents: ReadonlySet<GatewayEvent> = new Set([
+  GatewayEvent.Stopping,
+  GatewayEvent.Stopped,
+  GatewayEvent.FurtherRequests,
+  GatewayEvent.RequestAbandoned,
+  GatewayEvent.RequestCutOff,
+  GatewayEvent.AnswerUnwritten,
+]);
+
 /** Requests of an event over the limit of lines, to be named in one line. */
 interface GatheredRequests {
   readonly ids: string[];
@@ -53,8 +63,8 @@
     output: NodeJS.WritableStream & {writable: boolean},
   ) {
     this.writer = new LineWriter(output as NodeJS.WriteStream);
-    this.logger.methodFactory = () => message => {
-      this.writer.write(String(message));
+    this.logger.methodFactory = () => (line, isKept) => {
+      this.writer.write(String(line), isKept === true);
     };
     this.logger.setLevel('info', false);
   }
@@ -74,7 +84,8 @@
     const time = new Date().toISOString();
     const text = renderEvent(logEvent);
     const {vm} = this;
-    this.logger.info(JSON.stringify({time, vm, event, text, ...fields}));
+    const line = JSON.stringify({time, vm, event, text, ...fields});
+    this.logger.info(line, keptEvents.has(event));
   };
 
   /** Logs the failure of a background task. */
--- a/packages/gateway/src/log/line_writer.ts
+++ b/packages/gateway/src/log/line_writer.ts
@@ -6,6 +6,8 @@
 const flushMilliseconds = 200;
 /** Further lines are dropped and counted while the reader is slow. */
 const maxBufferedBytes = 64 * 1024;
+/** The same for lines that are kept before others. */
+const maxKeptBytes = 128 * 1024;
 const closePollMilliseconds = 5;
 
 /**
@@ -33,9 +35,15 @@
     this.timer ??= setTimeout(() => this.writeAll(), flushMilliseconds);
   }
 
-  /** Buffers a line, or drops it when the buffer is full. */
-  write(line: string): void {
-    if (this.bufferedBytes + line.length > maxBufferedBytes) {
+  /**
+   * Buffers a line, or drops it when the buffer is full; a line that is kept
+   * before others may use more of it.
+   */
+  write(line: string, isKept = false): void {
+    const maxBytes = isKept ? maxKeptBytes : maxBufferedBytes;
+    const isFull = this.bufferedBytes + line.length > maxBytes;
+    if (isFull && !this.isBlocked) this.writeAll();
+    if (this.bufferedBytes + line.length > maxBytes) {
       this.dropped += 1;
       return;
     }
