--- a/packages/gateway/__tests__/line_writer.test.ts
+++ b/packages/gateway/__tests__/line_writer.test.ts
@@ -139,20 +139,25 @@
 
 test('closing a log that is not read ends at its deadline', async () => {
   const reader = new Reader();
-  const log = new EventLog('vm-1', reader.output);
+  const lost: string[] = [];
+  const log = new EventLog('vm-1', reader.output, line => lost.push(line));
   reader.stop();
-  logCutOff(log, 3);
+  logCutOff(log, manyRequests);
   const deadline = performance.now() + 50;
   await log.close(deadline);
   assert.ok(performance.now() >= deadline);
+  assert.equal(lost.length, 1);
+  assert.match(lost[0]!, /"event":7016,.*"lines":101}/);
 });
 
 test('closing a log whose reader is gone does not wait', async () => {
   const reader = new Reader();
-  const log = new EventLog('vm-1', reader.output);
+  const lost: string[] = [];
+  const log = new EventLog('vm-1', reader.output, line => lost.push(line));
   reader.output.destroy();
   logCutOff(log, 3);
   await log.close(Infinity);
+  assert.match(lost.join(''), /"lines":3}/);
 });
 
 test('a full buffer is written out while the reader is not slow', async t => {
--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -62,6 +62,7 @@
   constructor(
     private readonly vm: string,
     output: NodeJS.WritableStream & {writable: boolean},
+    private readonly reportLost: (line: string) => void = () => undefined,
   ) {
     this.writer = new LineWriter(output as NodeJS.WriteStream);
     this.logger.methodFactory = () => (line, isKept) => {
@@ -81,11 +82,7 @@
       }
       return;
     }
-    const logEvent: LogEvent = {event, fields};
-    const time = new Date().toISOString();
-    const text = renderEvent(logEvent);
-    const {vm} = this;
-    const line = JSON.stringify({time, vm, event, text, ...fields});
+    const line = this.renderLine(event, fields);
     this.logger.info(line, keptEvents.has(event));
   };
 
@@ -100,10 +97,24 @@
     this.writer.writeAll();
   }
 
-  /** Waits until buffered lines are written out, or until a deadline. */
-  close(deadline: Deadline): Promise<void> {
+  /**
+   * Waits until buffered lines are written out, or until a deadline; reports how
+   * many lines are lost.
+   */
+  async close(deadline: Deadline): Promise<void> {
     this.writeGathered();
-    return this.writer.close(deadline, () => performance.now());
+    const getNow = () => performance.now();
+    const lines = await this.writer.close(deadline, getNow);
+    if (lines === 0) return;
+    this.reportLost(this.renderLine(GatewayEvent.LinesLost, {lines}));
+  }
+
+  private renderLine(event: GatewayEvent, fields: EventFields): string {
+    const logEvent: LogEvent = {event, fields};
+    const time = new Date().toISOString();
+    const text = renderEvent(logEvent);
+    const {vm} = this;
+    return JSON.stringify({time, vm, event, text, ...fields});
   }
 
   private addGathered(event: GatewayEvent, id: string): void {
--- a/packages/gateway/src/log/line_writer.ts
+++ b/packages/gateway/src/log/line_writer.ts
@@ -75,8 +75,11 @@
     });
   }
 
-  /** Waits until all lines are written out, or until a deadline. */
-  async close(deadline: Deadline, getNow: () => Instant): Promise<void> {
+  /**
+   * Waits until all lines are written out, or until a deadline; returns the
+   * number of lines that are not.
+   */
+  async close(deadline: Deadline, getNow: () => Instant): Promise<number> {
     for (;;) {
       this.writeAll();
       if (this.countUnwritten() === 0 || !this.output.writable) break;
@@ -85,6 +88,7 @@
     }
     clearTimeout(this.timer);
     this.timer = undefined;
+    return this.countUnwritten();
   }
 
   /** Counts the lines that are buffered, dropped or not written out yet. */
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -15,6 +15,7 @@
   StopRepeated = 7010,
   RequestsInFlight = 7014,
   FurtherRequests = 7015,
+  LinesLost = 7016,
   StoreLost = 7101,
   StoreRecovered = 7102,
   RecordRefused = 7103,
@@ -70,6 +71,8 @@
     '{count} requests in flight {untilExitMs} ms before the latest exit: {requests}',
   [GatewayEvent.FurtherRequests]:
     'event {of} also happened to {count} requests over the limit of lines in a second: {requests}',
+  [GatewayEvent.LinesLost]:
+    '{lines} lines were not written to the output of the log before the exit',
   [GatewayEvent.StoreLost]:
     'cannot read {topic} from the store; {newest}: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
