fix(log): end the log with the line of the exit

While a closed log waits for its reader, the connections that the exit closes were logged again as 7502 and 7506, after 7507 and 7003 of the same requests: with 240 cut requests 201 more lines. A log takes no events once it is being closed. The test of the last moment asserts that 7003 is the last line; it failed before and passes.

--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -55,6 +55,7 @@
   private readonly logger = loglevel.getLogger('gateway');
   private readonly counts = new Map<GatewayEvent, number>();
   private windowEndsAt = 0;
+  private isClosed = false;
   private readonly gathered = new Map<GatewayEvent, GatheredRequests>();
   private gatherTimer: NodeJS.Timeout | undefined;
   private readonly writer: LineWriter;
@@ -73,6 +74,7 @@
 
   /** Writes an event with its fields. */
   readonly write: WriteEvent = (event, fields) => {
+    if (this.isClosed) return;
     if (!this.takeLineQuota(event)) {
       const {request} = fields;
       if (lossEvents.has(event) && typeof request === 'string') {
@@ -99,10 +101,12 @@
 
   /**
    * Waits until buffered lines are written out, or until a deadline; reports how
-   * many lines are lost.
+   * many lines are lost. Events that follow are those of closing connections,
+   * whose requests are logged already.
    */
   async close(deadline: Deadline): Promise<void> {
     this.writeGathered();
+    this.isClosed = true;
     const getNow = () => performance.now();
     const lines = await this.writer.close(deadline, getNow);
     if (lines === 0) return;
