--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -55,6 +55,7 @@
   private readonly logger = loglevel.getLogger('gateway');
   private readonly counts = new Map<GatewayEvent, number>();
   private windowEndsAt = 0;
+  private isClosed = false;
   private readonly gathered = new Map<GatewayEvent, GatheredRequests>();
   private gatherTimer: NodeJS.Timeout | undefined;
   private readonly writer: LineWriter;
@@ -62,6 +63,7 @@
   constructor(
     private readonly vm: string,
     output: NodeJS.WritableStream & {writable: boolean},
+    private readonly reportLost: (line: string) => void = () => undefined,
   ) {
     this.writer = new LineWriter(output as NodeJS.WriteStream);
     this.logger.methodFactory = () => (line, isKept) => {
@@ -72,6 +74,7 @@
 
   /** Writes an event with its fields. */
   readonly write: WriteEvent = (event, fields) => {
+    if (this.isClosed) return;
     if (!this.takeLineQuota(event)) {
       const {request} = fields;
       if (lossEvents.has(event) && typeof request === 'string') {
@@ -81,11 +84,7 @@
       }
       return;
     }
-    const logEvent: LogEvent = {event, fields};
-    const time = new Date().toISOString();
-    const text = renderEvent(logEvent);
-    const {vm} = this;
-    const line = JSON.stringify({time, vm, event, text, ...fields});
+    const line = this.renderLine(event, fields);
     this.logger.info(line, keptEvents.has(event));
   };
 
@@ -100,10 +99,26 @@
     this.writer.writeAll();
   }
 
-  /** Waits until buffered lines are written out, or until a deadline. */
-  close(deadline: Deadline): Promise<void> {
+  /**
+   * Waits until buffered lines are written out, or until a deadline; reports how
+   * many lines are lost. Events that follow are those of closing connections,
+   * whose requests are logged already.
+   */
+  async close(deadline: Deadline): Promise<void> {
     this.writeGathered();
-    return this.writer.close(deadline, () => performance.now());
+    this.isClosed = true;
+    const getNow = () => performance.now();
+    const lines = await this.writer.close(deadline, getNow);
+    if (lines === 0) return;
+    this.reportLost(this.renderLine(GatewayEvent.LinesLost, {lines}));
+  }
+
+  private renderLine(event: GatewayEvent, fields: EventFields): string {
+    const logEvent: LogEvent = {event, fields};
+    const time = new Date().toISOString();
+    const text = renderEvent(logEvent);
+    const {vm} = this;
+    return JSON.stringify({time, vm, event, text, ...fields});
   }
 
   private addGathered(event: GatewayEvent, id: string): void {
