--- a/packages/decisions/__tests__/stop_plan.test.ts
+++ b/packages/decisions/__tests__/stop_plan.test.ts
@@ -71,6 +71,12 @@
   assert.ok(!canTake(plan, makeStream(1), 12_700));
 });
 
+test('a short kind of stream is refused once callers know of the stop', () => {
+  const work = {...makeStream(1), findDuration: () => 100};
+  assert.ok(canTake(plan, work, 12_600));
+  assert.ok(!canTake(plan, work, 12_700));
+});
+
 test('a stream of unknown length is taken only if all VMs would refuse it', () => {
   const findDuration = () => undefined;
   assert.ok(!canTake(plan, {...makeStream(0.9), findDuration}, 10_000));
