--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -18,23 +18,50 @@
   readonly takeUntil: Deadline;
   /** Until then callers may hold a directory answer that names this VM. */
   readonly lingerUntil: Deadline;
+  /** From then on nothing is taken, and idle connections are closed. */
+  readonly closeAt: Instant;
   /** The process exits then, whatever is in flight. */
   readonly exitAt: Deadline;
 }
 
+/** What an exit does to the answer of a request. */
+export enum AnswerSize {
+  /** It may be cut while its caller reads it. */
+  Large = 'large',
+  /** It is written out at once, or another final answer is. */
+  Small = 'small',
+  /** It is forwarded as it arrives, and may be cut at any time. */
+  Stream = 'stream',
+}
+
 /** A request that arrives during a stop. */
 export interface StopWork {
   /** The request is answered by then in any case. */
   readonly deadline: Deadline;
+  readonly answer: AnswerSize;
   /**
-   * Finds the milliseconds within which a share of the requests of its kind are
-   * answered; undefined if too few were measured.
+   * Finds the milliseconds within which a share of the answers of its kind are
+   * written out, all of them for 1; undefined if too few were measured.
    */
   readonly findDuration: (share: number) => number | undefined;
   /** Share of the other VMs that a refused caller would be refused by as well. */
   readonly refusingShare: number;
 }
 
+/** What speaks for a request that a stopping VM takes. */
+export enum TakeReason {
+  DeadlineBeforeExit = 'its deadline is before the exit',
+  LongFits = 'almost all of its kind end before the exit',
+  RiskWeighed = 'a cut is less likely than a second refusal',
+  NoVmReady = 'no other VM is ready',
+}
+
+/** Why a request is taken, and the duration that was compared, if any. */
+export interface TakeGrounds {
+  readonly reason: TakeReason;
+  readonly durationMilliseconds: number | undefined;
+}
+
 /** Some callers cache a directory answer for this many times its lifetime. */
 const lifetimeFactor = 3;
 const lingerMarginMilliseconds = 500;
@@ -42,9 +69,11 @@
 const killMarginMilliseconds = 500;
 /** Share of the grace period that this time is at most. */
 const killMarginShare = 1 / 12;
+/** Time before the exit in which nothing is taken any more. */
+const closingMilliseconds = 250;
 /** A signal may be handled this late, and a request may be on its way as long. */
 const signalDelayMilliseconds = 300;
-/** Share of requests within whose duration one is taken as certain to end. */
+/** Share of requests whose durations are compared with the time left. */
 const certainShare = 0.99;
 /** Factor on that duration, for a request that takes longer still. */
 const certainHeadroom = 1.25;
@@ -57,58 +86,116 @@
 /** Time over which the retries of callers refused together are spread. */
 const retrySpreadMilliseconds = 1000;
 
-/** Plans a graceful stop that begins now. */
+/**
+ * Finds the earliest instant at which a signal that is handled now may have been
+ * sent, given the instants at which turns of the event loop began, oldest first.
+ * Each of these turns has read the signals that were pending at its begin. One
+ * turn more is allowed for a signal that another thread received.
+ */
+export function findEarliestSending(
+  turns: readonly Instant[],
+  handledAt: Instant,
+): Instant {
+  return turns.at(-2) ?? turns.at(0) ?? handledAt;
+}
+
+/**
+ * Plans a graceful stop. The platform counts the grace period from the sending of
+ * the signal, so the plan counts from the earliest instant of it.
+ */
 export function planStop(
   {directoryTtlMilliseconds, graceMilliseconds}: StopSettings,
-  now: Instant,
+  sentAt: Instant,
+  handledAt: Instant,
 ): StopPlan {
   const killMargin = Math.min(
     killMarginMilliseconds,
     graceMilliseconds * killMarginShare,
   );
-  const exitAt = now + graceMilliseconds - killMargin;
-  const cachedUntil = now + directoryTtlMilliseconds * lifetimeFactor;
+  const killedAt = sentAt + graceMilliseconds;
+  const exitAt = Math.max(
+    killedAt - killMargin,
+    handledAt + closingMilliseconds,
+  );
+  const closeAt = exitAt - closingMilliseconds;
+  const lifetimes = directoryTtlMilliseconds * lifetimeFactor;
+  const knownAt = sentAt + lifetimes - signalDelayMilliseconds;
+  const cachedUntil = handledAt + lifetimes + lingerMarginMilliseconds;
   return {
-    startedAt: now,
-    takeUntil: Math.min(cachedUntil - signalDelayMilliseconds, exitAt),
-    lingerUntil: Math.min(cachedUntil + lingerMarginMilliseconds, exitAt),
+    startedAt: handledAt,
+    takeUntil: Math.min(knownAt, closeAt),
+    lingerUntil: Math.min(cachedUntil, closeAt),
+    closeAt,
     exitAt,
   };
 }
 
+/** Decides whether to take a request that arrives during a stop. */
+export function canTake(plan: StopPlan, work: StopWork, now: Instant): boolean {
+  return findTakeGrounds(plan, work, now) !== undefined;
+}
+
 /**
- * Decides whether to take a request that arrives during a stop. It is taken when
- * it ends before the exit for certain. While callers could not know of the stop,
- * it is also taken when the risk of a cut is smaller than that of a second
- * refusal: in a rolling restart that reaches many VMs at once, a caller that is
- * sent away is likely to meet another VM that stops. One that is cut as likely as
- * not is refused in any case.
+ * Finds what speaks for taking a request that arrives during a stop; undefined to
+ * refuse it. It is taken when its deadline is before the exit. No measured duration
+ * makes the end of another one certain, so what the exit can cut is not taken
+ * once callers know of the stop. A small answer reaches its caller whole in any
+ * case and is taken while almost all of its kind end in time.
+ *
+ * While callers could not know of the stop, a request is also taken when the risk
+ * of a cut is smaller than that of a second refusal: in a rolling restart that
+ * reaches many VMs at once, a caller that is sent away is likely to meet another VM
+ * that stops. One that is cut as likely as not is refused in any case, and so is
+ * one with a large answer that may take longer than all before it.
  */
-export function canTake(
-  {takeUntil, exitAt}: StopPlan,
-  {deadline, findDuration, refusingShare}: StopWork,
+export function findTakeGrounds(
+  plan: StopPlan,
+  work: StopWork,
   now: Instant,
-): boolean {
-  if (deadline <= exitAt) return true;
-  const longest = findDuration(certainShare) ?? Infinity;
-  if (now + longest * certainHeadroom <= exitAt) return true;
-  if (now >= takeUntil) return false;
+): TakeGrounds | undefined {
+  const {deadline, answer, findDuration} = work;
+  const {takeUntil, closeAt, exitAt} = plan;
+  if (now >= closeAt) return undefined;
+  if (deadline <= exitAt) {
+    const reason = TakeReason.DeadlineBeforeExit;
+    return {reason, durationMilliseconds: undefined};
+  }
+  const isKnown = now >= takeUntil;
+  if (isKnown && answer !== AnswerSize.Small) return undefined;
+  const isLarge = answer === AnswerSize.Large;
+  const share = isLarge ? 1 : certainShare;
+  const longest = (findDuration(share) ?? Infinity) * certainHeadroom;
+  if (now + longest <= exitAt) {
+    return {reason: TakeReason.LongFits, durationMilliseconds: longest};
+  }
+  return isKnown || isLarge ? undefined : findRiskGrounds(plan, work, now);
+}
+
+function findRiskGrounds(
+  {exitAt}: StopPlan,
+  {findDuration, refusingShare}: StopWork,
+  now: Instant,
+): TakeGrounds | undefined {
   const risk = Math.max(acceptedRisk, Math.min(refusingShare, highestRisk));
   const usual = findDuration(1 - risk);
-  if (usual === undefined) return refusingShare === 1;
-  return now + usual <= exitAt;
+  if (usual === undefined) {
+    if (refusingShare < 1) return undefined;
+    return {reason: TakeReason.NoVmReady, durationMilliseconds: undefined};
+  }
+  if (now + usual > exitAt) return undefined;
+  return {reason: TakeReason.RiskWeighed, durationMilliseconds: usual};
 }
 
 /**
- * Tells whether a stopping VM may exit: callers no longer learn of it from the
+ * Tells whether a stopping VM may close its connections before it exits: callers no longer learn of it from the
  * directory, and nothing is in flight.
  */
-export function canExit(
-  {lingerUntil, exitAt}: StopPlan,
+export function canClose(
+  {lingerUntil, closeAt}: StopPlan,
   inFlight: number,
   now: Instant,
 ): boolean {
-  if (now >= exitAt) return true;
+  if (now >= closeAt) return true;
   return now >= lingerUntil && inFlight === 0;
 }
 
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,6 +1,11 @@
 import http from 'node:http';
-import type {Socket} from 'node:net';
-import {canTake, computeStopRetryDelay} from '@zinniaspindle/decisions';
+import net, {type Socket} from 'node:net';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {
+  AnswerSize,
+  computeStopRetryDelay,
+  findTakeGrounds,
+} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
 import {Counter} from '../log/metrics.js';
 import {
@@ -12,7 +17,12 @@
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
-import {ClosedBy, OpenRequests, type OpenRequest} from './open_requests.js';
+import {
+  ClosedBy,
+  countUnwrittenBytes,
+  OpenRequests,
+  type OpenRequest,
+} from './open_requests.js';
 import {PlainRequestHandler} from './plain_request_handler.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
@@ -25,6 +35,8 @@
  */
 const maxHeaderBytes = 64 * 1024;
 const startupRetryMilliseconds = 500;
+/** Time to read the requests that have arrived when connections are closed. */
+const readMilliseconds = 50;
 /** Status lines for requests that cannot be parsed, by parser error code. */
 const parserStatuses: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -38,6 +50,7 @@
   private readonly server: http.Server;
   private routes: RouteIndex | undefined;
   private readonly openRequests = new OpenRequests();
+  private isClosing = false;
 
   constructor(private readonly context: ServerContext) {
     this.server = http.createServer(
@@ -52,6 +65,9 @@
         if (open !== undefined) void this.handle(request, open);
       },
     );
+    this.server.on('connection', (socket: Socket) => {
+      this.openRequests.addConnection(socket);
+    });
     this.server.on('clientError', (error, socket) => {
       // Bytes written now would become part of the answer that is under way.
       if (this.openRequests.closeConnection(socket as Socket)) return;
@@ -83,6 +99,20 @@
     return this.openRequests.list().map(({attemptId}) => attemptId);
   }
 
+  /**
+   * Refuses the requests that arrive from now on; closes the listener, and each
+   * connection when it has no open request.
+   */
+  async closeIdle(): Promise<void> {
+    this.isClosing = true;
+    await waitMilliseconds(readMilliseconds);
+    // The HTTP server would also destroy connections whose answer is not written.
+    net.Server.prototype.close.call(this.server);
+    // A connection accepted last is read in the next turn.
+    await waitMilliseconds(1);
+    this.openRequests.closeIdle();
+  }
+
   /**
    * Answers each request whose caller has got nothing yet, since the process
    * exits: not run, or an unknown outcome.
@@ -105,6 +135,8 @@
         path: open.path,
         ms: Math.round(age),
         afterStopMs: Math.round(computeStopAge(context) - age),
+        isEndpointDone: open.response.writableEnded,
+        unwrittenBytes: countUnwrittenBytes(open),
         ...open.describeProgress(),
       });
     }
@@ -151,7 +183,7 @@
       route.timeoutMilliseconds,
     );
     const deadline = receivedAt + timeout;
-    const stopFailure = this.checkStop(route, deadline);
+    const stopFailure = this.checkStop(open, route, deadline);
     if (stopFailure !== undefined) return refuse(stopFailure);
     await serveRequest({
       server: this.context,
@@ -203,18 +235,42 @@
 
   /** Refuses a request that the exit of this VM would cut off. */
   private checkStop(
-    {kind}: Route,
+    open: OpenRequest,
+    route: Route,
     deadline: Deadline,
   ): LocalAnswer | undefined {
     const {findStopPlan, computeRefusingShare, metrics, getNow} = this.context;
+    const {answersByRoute} = this.context;
     const plan = findStopPlan();
     if (plan === undefined) return undefined;
+    const {name, kind} = route;
     const latency = getDurationLatency(kind);
     const refusingShare = computeRefusingShare();
-    const findDuration = (share: number) => metrics.findShare(latency, share);
+    const findDuration = (share: number) =>
+      answersByRoute.findShare(name, share) ??
+      metrics.findShare(latency, share);
     const now = getNow();
-    const work = {deadline, findDuration, refusingShare};
-    if (canTake(plan, work, now)) return undefined;
+    const work = {
+      deadline,
+      answer: this.findAnswerSize(route),
+      findDuration,
+      refusingShare,
+    };
+    const grounds = this.isClosing
+      ? undefined
+      : findTakeGrounds(plan, work, now);
+    if (grounds !== undefined) {
+      this.context.writeEvent(GatewayEvent.RequestTakenInStop, {
+        request: open.attemptId,
+        route: name,
+        reason: grounds.reason,
+        stopMs: Math.round(now - plan.startedAt),
+        deadlineAfterExitMs: Math.round(deadline - plan.exitAt),
+        comparedMs: Math.round(grounds.durationMilliseconds ?? 0),
+        refusingShare,
+      });
+      return undefined;
+    }
     return {
       status: 503,
       reason: FailureReason.Stopping,
@@ -227,6 +283,12 @@
     };
   }
 
+  private findAnswerSize({name, kind}: Route): AnswerSize {
+    if (kind === RouteKind.Streaming) return AnswerSize.Stream;
+    const isLarge = this.context.answersByRoute.isLarge(name);
+    return isLarge ? AnswerSize.Large : AnswerSize.Small;
+  }
+
   private refuse(
     request: CallerRequest,
     open: OpenRequest,
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -10,6 +10,15 @@
   readonly lastEventId: string;
 }
 
+/** Counts the bytes of an answer that are not handed to the kernel. */
+export function countUnwrittenBytes({response}: OpenRequest): number {
+  // An answer that waits behind another one keeps its bytes itself.
+  return Math.max(
+    response.writableLength,
+    response.socket?.writableLength ?? 0,
+  );
+}
+
 /** Which side closed a caller's connection. */
 export enum ClosedBy {
   Caller = 'caller',
@@ -27,6 +36,8 @@
   describeProgress: () => RequestProgress;
   /** Gives the final answer that is true now; the caller has got nothing yet. */
   answerNow: () => void;
+  /** Called when the answer is written out, with its size. */
+  handleWritten: (bytes: number) => void;
   /** Called when the connection closed before the answer was written out. */
   handleCut: (closedBy: ClosedBy) => void;
 }
@@ -41,6 +52,18 @@
 /** Requests from the receipt of their headers until their answer is written out. */
 export class OpenRequests {
   private readonly connections = new Map<Socket, CallerConnection>();
+  private isClosing = false;
+
+  /** Adds a connection, which has no request yet. */
+  addConnection(socket: Socket): void {
+    this.getConnection(socket);
+  }
+
+  /** Ends each connection as soon as it has no open request. */
+  closeIdle(): void {
+    this.isClosing = true;
+    for (const socket of this.connections.keys()) this.closeIfIdle(socket);
+  }
 
   /**
    * Adds a request; it is removed when its answer or its connection ends.
@@ -62,13 +85,18 @@
       isBrokenOff: false,
       describeProgress: () => ({endpoint: '', lastEventId: ''}),
       answerNow: () => undefined,
+      handleWritten: () => undefined,
       handleCut: () => undefined,
     };
     connection.requests.push(request);
     let isWritten = false;
     // The library reports an answer as finished once it has been ended, so the
     // state of the connection decides whether it is written out.
-    response.on('finish', () => (isWritten = !socket.destroyed));
+    const bytesBefore = socket.bytesWritten;
+    response.on('finish', () => {
+      isWritten = !socket.destroyed;
+      if (isWritten) request.handleWritten(socket.bytesWritten - bytesBefore);
+    });
     response.on('close', () => {
       if (isWritten) this.remove(socket, request);
       else this.removeCut(socket, request);
@@ -125,6 +153,14 @@
     return connection;
   }
 
+  /** What was sent is received before the end, unlike with `destroy`. */
+  private closeIfIdle(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined || connection.requests.length > 0) return;
+    connection.isEnding = true;
+    socket.end();
+  }
+
   private removeCut(socket: Socket, request: OpenRequest): void {
     if (!this.remove(socket, request)) return;
     const isCaller = socket.readableEnded || socket.errored !== null;
@@ -135,6 +171,7 @@
     const requests = this.connections.get(socket)?.requests ?? [];
     const at = requests.indexOf(request);
     if (at !== -1) requests.splice(at, 1);
+    if (this.isClosing) this.closeIfIdle(socket);
     return at !== -1;
   }
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -13,6 +13,7 @@
   TaskFailed = 7008,
   ProcessPaused = 7009,
   StopRepeated = 7010,
+  Closing = 7011,
   RequestsInFlight = 7014,
   FurtherRequests = 7015,
   LinesLost = 7016,
@@ -49,13 +50,14 @@
   RequestAbandoned = 7506,
   RequestCutOff = 7507,
   AnswerUnwritten = 7508,
+  RequestTakenInStop = 7509,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
 export const gatewayEventTexts: Readonly<Record<GatewayEvent, string>> = {
   [GatewayEvent.Started]: 'gateway {vm} started in data centre {dataCentre}',
   [GatewayEvent.Stopping]:
-    'graceful shutdown: serving callers that know this VM for {lingerMs} ms, exit in {exitMs} ms at the latest, {inFlight} requests in flight',
+    'graceful shutdown: serving callers that know this VM for {lingerMs} ms, exit in {exitMs} ms at the latest, {inFlight} requests in flight; the signal was sent at most {sentMs} ms before',
   [GatewayEvent.Stopped]:
     'gateway stopped; {cutOff} requests in flight were cut off',
   [GatewayEvent.SettingsReloaded]: 'settings reloaded',
@@ -67,6 +69,8 @@
   [GatewayEvent.ProcessPaused]: 'the process was paused for {pauseMs} ms',
   [GatewayEvent.StopRepeated]:
     'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
+  [GatewayEvent.Closing]:
+    'closing the listener and idle connections {sinceMs} ms after the stop began, {inFlight} requests in flight',
   [GatewayEvent.RequestsInFlight]:
     '{count} requests in flight {untilExitMs} ms before the latest exit: {requests}',
   [GatewayEvent.FurtherRequests]:
@@ -131,7 +135,9 @@
   [GatewayEvent.RequestAbandoned]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its answer was complete',
   [GatewayEvent.RequestCutOff]:
-    'request {request} cut off by the exit after {ms} ms; it was received {afterStopMs} ms after the stop began',
+    'request {request} cut off by the exit after {ms} ms; it was received {afterStopMs} ms after the stop began; endpoint done: {isEndpointDone}, {unwrittenBytes} bytes of its answer not written out',
   [GatewayEvent.AnswerUnwritten]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its complete answer was written out',
+  [GatewayEvent.RequestTakenInStop]:
+    'request {request} taken {stopMs} ms after the stop began: {reason}',
 };
