feat(gateway): log what ends or keeps the attempts of a request

A line for a path without progress did not tell whether the retry budget, the wait for a place, the attempts or the deadline ended a stream. 7510 tells why a request whose attempt has ended gets no further one, how long after its end, and the path it was on. 7511 tells why a request stays at a path without progress, once for each reason and attempt. The counts of attempts move to the decisions; no decision changes.

--- /dev/null
+++ b/packages/gateway/src/requests/attempt_log.ts
@@ -0,0 +1,67 @@
+import type {RetryDenial} from '@zinniaspindle/decisions';
+import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import type {EventFields} from '../log/event_log.js';
+import type {RequestContext} from './request_context.js';
+
+/** Logs what becomes of the attempts of one request. */
+export class AttemptLog {
+  /** The path or endpoint of the last attempt. */
+  private path = '';
+  /** When the last attempt ended; undefined before the first one has. */
+  private endedAt: Instant | undefined;
+  /** Why the running attempt last kept its request. */
+  private stayDenial: RetryDenial | undefined;
+
+  constructor(private readonly context: RequestContext) {}
+
+  /** Records that an attempt begins. */
+  recordStart(path: string): void {
+    this.path = path;
+    this.stayDenial = undefined;
+  }
+
+  /** Records that the attempt has ended. */
+  recordEnd(): void {
+    this.endedAt = this.context.server.getNow();
+  }
+
+  /** Logs that an attempt failed or was given up. */
+  logFailed(endpoint: string, reason: string, more: EventFields = {}): void {
+    const {server, request} = this.context;
+    server.writeEvent(GatewayEvent.RequestAttemptFailed, {
+      request: request.attemptId,
+      endpoint,
+      reason,
+      ...more,
+    });
+  }
+
+  /** Logs why a request whose attempt has ended gets no further one. */
+  logGivenUp(denial: RetryDenial): void {
+    const {path, endedAt} = this;
+    if (endedAt === undefined) return;
+    const {server, request} = this.context;
+    server.writeEvent(GatewayEvent.RequestGivenUp, {
+      request: request.attemptId,
+      path,
+      denial,
+      sinceMs: Math.round(server.getNow() - endedAt),
+    });
+  }
+
+  /**
+   * Logs why a request is not moved off an attempt without progress; each reason
+   * once an attempt, since it is checked again and again.
+   */
+  logStay(denial: RetryDenial, progressAt: Instant): void {
+    if (this.stayDenial === denial) return;
+    this.stayDenial = denial;
+    const {server, request} = this.context;
+    server.writeEvent(GatewayEvent.RequestStays, {
+      request: request.attemptId,
+      path: this.path,
+      denial,
+      silentMs: Math.round(server.getNow() - progressAt),
+    });
+  }
+}
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -4,14 +4,16 @@
   recordFailure,
   recordSend,
   recordSuccess,
+  RetryDenial,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
+import {isPast, type Deadline} from '@zinniaspindle/shared';
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
 import {AnswerBuffer} from './answer_buffer.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
+import {AttemptLog} from './attempt_log.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
 import {
@@ -59,38 +61,59 @@
   private runs = 0;
   /** Attempts that certainly did not run the request. */
   private notRun = 0;
+  private readonly log: AttemptLog;
   private readonly tried = new Set<string>();
   /** A failed answer of an endpoint, forwarded when no attempt succeeds. */
   private lastFailure: AttemptResult | undefined;
 
-  constructor(private readonly context: RequestContext) {}
+  constructor(private readonly context: RequestContext) {
+    this.log = new AttemptLog(context);
+  }
 
   /** Tries endpoints until one answers or no further attempt is allowed. */
   async run(): Promise<void> {
-    const {route, service, deadline, server} = this.context;
+    const {service, server} = this.context;
     server.budgets.recordRequest(service.name);
     let isRetry = false;
     for (;;) {
       const endpoint = this.pickEndpoint();
-      if (endpoint === undefined) break;
+      if (endpoint === undefined) {
+        this.log.logGivenUp(RetryDenial.Place);
+        break;
+      }
       if (isRetry) {
         recordRetry(this.context, endpoint.entry.id, this.runs + this.notRun);
       }
       const attemptDeadline = this.computeAttemptDeadline();
       this.isAttempting = true;
+      this.log.recordStart(endpoint.entry.id);
       const result = await this.sendTo(endpoint, attemptDeadline);
       this.isAttempting = false;
+      this.log.recordEnd();
       if (this.isAbandoned) return;
       if (this.resolveAttempt(endpoint, result)) return;
-      if (isPast(deadline, server.getNow())) break;
-      if (this.notRun >= maxNotRun || this.runs >= route.maxAttempts) break;
-      if (!server.budgets.takeRetry(service.name)) break;
+      const denial = this.takeRetry();
+      if (denial !== undefined) {
+        this.log.logGivenUp(denial);
+        break;
+      }
       server.metrics.count(Counter.Retries);
       isRetry = true;
     }
     this.answerFailure();
   }
 
+  /** Takes a further attempt from the budget; tells why there is none. */
+  private takeRetry(): RetryDenial | undefined {
+    const {route, service, deadline, server} = this.context;
+    if (isPast(deadline, server.getNow())) return RetryDenial.Deadline;
+    if (this.notRun >= maxNotRun || this.runs >= route.maxAttempts) {
+      return RetryDenial.Attempts;
+    }
+    if (!server.budgets.takeRetry(service.name)) return RetryDenial.Budget;
+    return undefined;
+  }
+
   /** Tells how far the request has come. */
   describeProgress(): RequestProgress {
     return {endpoint: [...this.tried].at(-1) ?? '', lastEventId: ''};
@@ -204,7 +227,7 @@
     if (end === UpstreamEnd.NotSent) {
       this.notRun += 1;
       this.reportFailure(endpoint, FailureCertainty.Certain);
-      this.reportFailedAttempt(endpoint, result.detail);
+      this.log.logFailed(endpoint.entry.id, result.detail);
       return false;
     }
     if (end === UpstreamEnd.Complete && answer!.isNotRun) {
@@ -214,21 +237,25 @@
       if (endpointId !== undefined && endpointId !== id) {
         server.endpoints.removeReplaced(id);
       }
-      this.reportFailedAttempt(endpoint, `status ${answer!.status}`);
+      this.log.logFailed(endpoint.entry.id, `status ${answer!.status}`);
       return false;
     }
     this.runs += 1;
     if (result.buffer.isForwarding) return this.closeAnswer(endpoint, result);
     if (end === UpstreamEnd.Broken) {
       this.reportFailure(endpoint, FailureCertainty.Suspected);
-      if (!this.canRepeat()) return this.failUnknown(endpoint, result.detail);
-      this.reportFailedAttempt(endpoint, result.detail);
+      if (!this.canRepeat()) {
+        const isSafe = route.kind === RouteKind.Safe;
+        this.log.logGivenUp(isSafe ? RetryDenial.Attempts : RetryDenial.Route);
+        return this.failUnknown(endpoint, result.detail);
+      }
+      this.log.logFailed(endpoint.entry.id, result.detail);
       return false;
     }
     const isFailure = answer!.status >= 500;
     if (isFailure && this.canRepeat()) {
       this.lastFailure = result;
-      this.reportFailedAttempt(endpoint, `status ${answer!.status}`);
+      this.log.logFailed(endpoint.entry.id, `status ${answer!.status}`);
       return false;
     }
     if (!canForward(answer!, route.kind)) {
@@ -254,7 +281,7 @@
       recordAnswered(this.context, endpoint.entry.id, result.answer!.status);
     } else {
       // The broken connection tells the caller that the answer is incomplete.
-      this.reportFailedAttempt(endpoint, result.detail);
+      this.log.logFailed(endpoint.entry.id, result.detail);
       closeEarly(this.context, result.detail);
     }
     return true;
@@ -268,16 +295,8 @@
     recordFailure(endpoint.breaker, certainty, now, Math.random);
   }
 
-  private reportFailedAttempt(endpoint: EndpointState, reason: string): void {
-    this.context.server.writeEvent(GatewayEvent.RequestAttemptFailed, {
-      request: this.context.request.attemptId,
-      endpoint: endpoint.entry.id,
-      reason,
-    });
-  }
-
   private failUnknown(endpoint: EndpointState, detail: string): boolean {
-    this.reportFailedAttempt(endpoint, detail);
+    this.log.logFailed(endpoint.entry.id, detail);
     refuseUnknownOutcome(this.context);
     return true;
   }
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,11 +1,21 @@
-import {computeQueueTimeout} from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import {
+  computeQueueTimeout,
+  findMoveDenial,
+  findRetryDenial,
+  recordMove,
+  RetryDenial,
+  type AttemptLimits,
+  type Attempts,
+} from '@zinniaspindle/decisions';
+import {isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
 import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
+import {AttemptLog} from './attempt_log.js';
+import {checkRefusal} from './check_refusal.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
 import {predictTokens} from './predict_tokens.js';
@@ -54,11 +64,10 @@
   private isBackpressured = false;
   private hasSwapped = false;
   private isAbandoned = false;
-  /** Attempts that may have run the request. */
-  private runs = 0;
-  /** Attempts that are not known to have run the request. */
-  private notRun = 0;
+  private readonly attempts: Attempts = {runs: 0, notRun: 0};
+  private readonly limits: AttemptLimits;
   private lastEventAt: Instant;
+  private readonly log: AttemptLog;
 
   constructor(
     private readonly context: RequestContext,
@@ -66,11 +75,14 @@
   ) {
     this.lastEventId = context.request.lastEventId;
     this.lastEventAt = context.receivedAt;
+    this.log = new AttemptLog(context);
+    const {isResumable: canRepeat, maxAttempts: maxRuns} = context.route;
+    this.limits = {canRepeat, maxRuns, maxNotRun};
   }
 
   /** Tries paths until the stream is complete or no attempt is left. */
   async run(): Promise<void> {
-    const {server, service, deadline} = this.context;
+    const {server, service} = this.context;
     this.startDeadline();
     server.budgets.recordRequest(service.name);
     for (;;) {
@@ -79,14 +91,20 @@
         if (reservation !== undefined) server.paths.release(reservation);
         return;
       }
-      if (reservation === undefined) break;
-      const tries = this.runs + this.notRun;
+      if (reservation === undefined) {
+        this.log.logGivenUp(RetryDenial.Place);
+        break;
+      }
+      const tries = this.attempts.runs + this.attempts.notRun;
       const first = reservation.path.parts[0]!.endpoint.id;
       if (tries > 0) recordRetry(this.context, first, tries);
       const end = await this.runAttempt(reservation);
       if (this.isAbandoned || end === AttemptEnd.Done) return;
-      if (isPast(deadline, server.getNow()) || !this.canRetry()) break;
-      if (!server.budgets.takeRetry(service.name)) break;
+      const denial = this.takeRetry();
+      if (denial !== undefined) {
+        this.log.logGivenUp(denial);
+        break;
+      }
       server.metrics.count(
         this.hasSentEvents ? Counter.Resumed : Counter.Retries,
       );
@@ -102,7 +120,9 @@
 
   /** Ends the stream with an unknown outcome if it may have run, else unrun. */
   answerNow(): void {
-    if (this.finishAttempt && this.answer === undefined) this.runs += 1;
+    if (this.finishAttempt && this.answer === undefined) {
+      this.attempts.runs += 1;
+    }
     this.cancel();
     this.answerFailure();
   }
@@ -132,6 +152,7 @@
   /** Ends the stream at its deadline. */
   private expire(): void {
     this.isAbandoned = true;
+    if (this.waiter !== undefined) this.log.logGivenUp(RetryDenial.Deadline);
     this.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'deadline passed');
     const {refuse} = this.context;
@@ -144,7 +165,15 @@
    * path may recover or its endpoint may end the answer itself.
    */
   handleStall(): void {
-    if (!this.canSwap() || !this.hasOtherPath()) return;
+    const denial = this.findSwapDenial();
+    if (denial !== undefined) {
+      this.log.logStay(denial, this.lastEventAt);
+      return;
+    }
+    if (!this.hasOtherPath()) {
+      this.log.logStay(RetryDenial.Place, this.lastEventAt);
+      return;
+    }
     this.swapPath('path is silent');
   }
 
@@ -183,17 +212,9 @@
     );
   }
 
-  /**
-   * Tells whether the request may be moved off an endpoint that may be running
-   * it. Requests that may run at most once must stay.
-   */
-  private canSwap(): boolean {
-    const {isResumable, maxAttempts} = this.context.route;
-    if (!isResumable) return false;
-    if (this.answer !== undefined) return this.canRepeat();
-    // The attempt that is given up without an answer counts as another one.
-    if (this.runs > 0) return this.runs + 1 < maxAttempts;
-    return this.notRun + 1 < maxNotRun;
+  private findSwapDenial(): RetryDenial | undefined {
+    const isCounted = this.answer !== undefined;
+    return findMoveDenial(this.attempts, this.limits, isCounted);
   }
 
   private hasOtherPath(): boolean {
@@ -203,16 +224,8 @@
     return server.paths.pick(service.name, this.model, tokens) !== undefined;
   }
 
-  /**
-   * Gives an attempt up. The endpoint may have just started one without an
-   * answer: after a known run it counts as another run, so that the route's
-   * attempts are never exceeded.
-   */
   private swapPath(reason: string): void {
-    if (this.answer === undefined) {
-      if (this.runs > 0) this.runs += 1;
-      else this.notRun += 1;
-    }
+    if (this.answer === undefined) recordMove(this.attempts);
     this.cancelAttempt(AttemptEnd.Broken, reason);
   }
 
@@ -222,13 +235,18 @@
   }
 
   private canRepeat(): boolean {
-    const {route} = this.context;
-    return route.isResumable && this.runs < route.maxAttempts;
+    const {canRepeat, maxRuns} = this.limits;
+    return canRepeat && this.attempts.runs < maxRuns;
   }
 
-  private canRetry(): boolean {
-    if (this.runs > 0) return this.canRepeat();
-    return this.notRun < maxNotRun;
+  /** Takes a further attempt from the budget; tells why there is none. */
+  private takeRetry(): RetryDenial | undefined {
+    const {server, service, deadline} = this.context;
+    if (isPast(deadline, server.getNow())) return RetryDenial.Deadline;
+    const denial = findRetryDenial(this.attempts, this.limits);
+    if (denial !== undefined) return denial;
+    if (!server.budgets.takeRetry(service.name)) return RetryDenial.Budget;
+    return undefined;
   }
 
   private runAttempt(reservation: PathReservation): Promise<AttemptEnd> {
@@ -239,6 +257,7 @@
     this.answer = undefined;
     this.failureBody = [];
     this.reservation = reservation;
+    this.log.recordStart(path.key);
     return new Promise(resolve => {
       const timer = setTimeout(() => {
         this.swapQueuedPath(reservation);
@@ -246,8 +265,12 @@
       this.finishAttempt = (end, reason) => {
         clearTimeout(timer);
         this.finishAttempt = undefined;
+        this.log.recordEnd();
         server.paths.release(reservation);
-        if (end !== AttemptEnd.Done) this.reportFailedAttempt(first.id, reason);
+        if (end !== AttemptEnd.Done) {
+          const lastEventId = this.lastEventId ?? '';
+          this.log.logFailed(first.id, reason, {lastEventId});
+        }
         resolve(end);
       };
       this.upstream = openUpstream(
@@ -273,8 +296,10 @@
    * other streams of the path make progress.
    */
   private swapQueuedPath(reservation: PathReservation): void {
-    if (reservation.hasStarted || this.hasSwapped || !this.canSwap()) return;
-    if (this.answer !== undefined) return;
+    if (reservation.hasStarted || this.hasSwapped) return;
+    if (this.answer !== undefined || this.findSwapDenial() !== undefined) {
+      return;
+    }
     this.hasSwapped = true;
     this.swapPath('no first event in time');
   }
@@ -286,7 +311,7 @@
 
   private acceptAnswer(answer: EndpointAnswer): void {
     this.answer = answer;
-    if (!answer.isNotRun) this.runs += 1;
+    if (!answer.isNotRun) this.attempts.runs += 1;
   }
 
   private isStreamAnswer(): boolean {
@@ -329,14 +354,14 @@
 
   private acceptEnd(end: UpstreamEnd, detail: string): void {
     if (end === UpstreamEnd.NotSent) {
-      this.notRun += 1;
+      this.attempts.notRun += 1;
       const first = this.reservation!.path.parts[0]!.endpoint.id;
       void this.context.server.prober.checkRefusal(first, detail, undefined);
       this.finishAttempt?.(AttemptEnd.NotRun, detail);
       return;
     }
     if (end === UpstreamEnd.Broken) {
-      if (this.answer === undefined) this.runs += 1;
+      if (this.answer === undefined) this.attempts.runs += 1;
       const {path} = this.reservation!;
       const {prober, paths} = this.context.server;
       void prober.probePath(path, () => paths.dropStreams(path));
@@ -354,35 +379,9 @@
   }
 
   private acceptNotRunAnswer(answer: EndpointAnswer): void {
-    this.notRun += 1;
-    const {server} = this.context;
-    const {parts} = this.reservation!.path;
-    const first = parts[0]!.endpoint;
-    if (answer.endpointId !== undefined && answer.endpointId !== first.id) {
-      server.endpoints.removeReplaced(first.id);
-      this.finishAttempt?.(
-        AttemptEnd.NotRun,
-        `the address belongs to ${answer.endpointId}`,
-      );
-      return;
-    }
-    const address = answer.failedAddress ?? first.address;
-    const failedEndpoint = server.endpoints.findByAddress(address);
-    const reason = `status ${answer.status} at ${address}`;
-    // An endpoint that asks for a pause has said why it refuses.
-    const isExplained =
-      failedEndpoint === undefined ||
-      server.endpoints.findPauseEnd(failedEndpoint) !== undefined;
-    if (!isExplained) {
-      const part = parts.find(
-        ({endpoint}) => endpoint.id === failedEndpoint.entry.id,
-      );
-      void server.prober.checkRefusal(
-        failedEndpoint.entry.id,
-        reason,
-        part?.layers,
-      );
-    }
+    this.attempts.notRun += 1;
+    const {path} = this.reservation!;
+    const reason = checkRefusal(this.context.server, path, answer);
     this.finishAttempt?.(AttemptEnd.NotRun, reason);
   }
 
@@ -408,26 +407,17 @@
     this.finishAttempt?.(AttemptEnd.Done, 'complete');
   }
 
-  private reportFailedAttempt(endpoint: string, reason: string): void {
-    this.context.server.writeEvent(GatewayEvent.RequestAttemptFailed, {
-      request: this.context.request.attemptId,
-      endpoint,
-      reason,
-      lastEventId: this.lastEventId ?? '',
-    });
-  }
-
   private answerFailure(): void {
     const {server, service} = this.context;
     if (this.hasSentEvents) {
       closeEarly(this.context, 'no further attempt is allowed');
       return;
     }
-    if (this.runs > 0) {
+    if (this.attempts.runs > 0) {
       refuseUnknownOutcome(this.context);
       return;
     }
     const returnAt = server.paths.findReturn(service.name, this.model);
-    refuseUnserved(this.context, returnAt, this.notRun > 0);
+    refuseUnserved(this.context, returnAt, this.attempts.notRun > 0);
   }
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -46,6 +46,8 @@
   RequestAbandoned = 7506,
   RequestCutOff = 7507,
   AnswerUnwritten = 7508,
+  RequestGivenUp = 7510,
+  RequestStays = 7511,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
@@ -125,4 +127,8 @@
     'request {request} cut off by the exit after {ms} ms; it was received {afterStopMs} ms after the stop began',
   [GatewayEvent.AnswerUnwritten]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its complete answer was written out',
+  [GatewayEvent.RequestGivenUp]:
+    'request {request} gets no further attempt: {denial}; its last one, at {path}, ended {sinceMs} ms ago',
+  [GatewayEvent.RequestStays]:
+    'request {request} stays at {path}, {silentMs} ms after its last progress: {denial}',
 };
