fix(gateway): a stream leaves its path only for a place that it has

Callers saw streams broken off while their endpoint was at work: `path is silent` and, some milliseconds later, `no further attempt is allowed`, or 503 for streams still queued at their endpoint.

Cause: a move cancelled the attempt, and only then asked the retry budget and waited up to 1.7 s for a place. Where many streams left one path at once, the budget or the places of the others were gone, and those streams had nothing left. A stream queued at its endpoint could also be sent to the same path again.

Change: a move takes a retry of the budget and a place on another path in one step, and ends the attempt after that; without both nothing is taken and the attempt goes on. The stream waits for the place in the queue, before new requests, until its own path delivers an event; an empty budget is asked again at the next check of the path. Streams that wait so neither count as refused nor hold up the requests that their path takes.

--- a/packages/decisions/src/retries/index.ts
+++ b/packages/decisions/src/retries/index.ts
@@ -1,5 +1,6 @@
 /** Retry budgets and circuit breakers of endpoints. */
 export * from './attempts.js';
 export * from './breaker.js';
+export * from './move.js';
 export * from './retry_budget.js';
 export * from './retry_denial.js';
--- a/packages/gateway/__tests__/path_queue.test.ts
+++ b/packages/gateway/__tests__/path_queue.test.ts
@@ -25,10 +25,16 @@
     returnAt: undefined as number | undefined,
   };
   const paths = {
-    pick: (_service: string, _model: ServiceModel, tokens: number) =>
-      tokens + (isLarge(tokens) ? 0 : reservedTokens) <= state.freeTokens
-        ? path
-        : undefined,
+    pick: (
+      _service: string,
+      _model: ServiceModel,
+      tokens: number,
+      left?: StagePath,
+    ) => {
+      if (left === path) return undefined;
+      const needed = tokens + (isLarge(tokens) ? 0 : reservedTokens);
+      return needed <= state.freeTokens ? path : undefined;
+    },
     findReturn: () => state.returnAt,
   } as Partial<PathTable> as PathTable;
   const queue = new PathQueue(paths, () => state.now);
@@ -38,10 +44,11 @@
     tokens: number,
     waitMilliseconds: number,
     isResumed = false,
+    left?: StagePath,
   ) => {
     const receivedAt = state.now;
     const waiter = {
-      ...{isResumed, priority: 1, receivedAt, tokens},
+      ...{isResumed, priority: 1, receivedAt, tokens, left},
       waitUntil: receivedAt + waitMilliseconds,
       model: {} as ServiceModel,
       resolve: (found: StagePath | undefined) => {
@@ -178,3 +185,25 @@
   assert.equal(outcomes.get('queued')!.isPlaced, false);
   assert.equal(outcomes.get('cut'), undefined);
 });
+
+// A path fell silent under full load; it then takes new requests again.
+test('streams that leave a path do not hold up the requests that it takes', () => {
+  const {add, outcomes, runUntil} = makeQueue(2000);
+  for (let i = 0; i < 100; i += 1) add(`mover${i}`, 900, 1700, true, path);
+  add('new', 900, 400);
+  runUntil(20, 0);
+  assert.equal(outcomes.get('new')!.isPlaced, true);
+  assert.equal(outcomes.get('mover0'), undefined);
+});
+
+test('streams that find no place elsewhere do not count as refused', () => {
+  const {add, outcomes, runUntil, state} = makeQueue(0);
+  for (let i = 0; i < 50; i += 1) add(`mover${i}`, 900, 100, true, path);
+  runUntil(400, 0);
+  assert.equal(outcomes.get('mover0')!.isPlaced, false);
+  add('new', 900, 400);
+  assert.equal(outcomes.get('new'), undefined);
+  state.freeTokens += 1000;
+  runUntil(420, 0);
+  assert.equal(outcomes.get('new')!.isPlaced, true);
+});
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -286,3 +286,12 @@
   endpoints.removeEntry('b2', clock.now);
   assert.equal(paths.findReturn('letters', model), undefined);
 });
+
+test('a stream is not moved to the path that it leaves', () => {
+  const {paths} = makePaths();
+  const path = paths.pick('letters', model, 10)!;
+  for (let i = 0; i < 20; i += 1) {
+    const other = paths.pick('letters', model, 10, path)!;
+    assert.notEqual(other.key, path.key);
+  }
+});
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -160,14 +160,19 @@
     return starts.sort((a, b) => a.until - b.until);
   }
 
-  /** Picks a path for a request; undefined when none can take it. */
+  /**
+   * Picks a path for a request, other than the one that it leaves; undefined
+   * when none can take it.
+   */
   pick(
     service: string,
     model: ServiceModel,
     tokens: number,
+    left?: StagePath,
   ): StagePath | undefined {
+    const usable = this.listUsable(service, model);
     return pickPath(
-      this.listUsable(service, model),
+      usable.filter(({key}) => key !== left?.key),
       tokens,
       id => this.loads.computeLoad(id),
       this.dataCentre,
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -17,6 +17,8 @@
 export interface PathWaiter extends Waiter {
   readonly model: ServiceModel;
   readonly tokens: number;
+  /** The path of the attempt that it keeps until it has a place elsewhere. */
+  readonly left?: StagePath | undefined;
   /**
    * Called once: with a path, on which the request must reserve its place before
    * it returns, or without one if none came free in time.
@@ -72,9 +74,16 @@
    */
   private runQueue(service: string, queue: WaitQueue<PathWaiter>): void {
     let failures = 0;
+    let movers = 0;
     for (const waiter of [...queue.waiters]) {
+      // A path that streams leave may have room for the others.
+      const isMover = waiter.left !== undefined;
+      if (isMover && movers >= maxFailures) continue;
+      // One that was placed may have ended the wait of another.
+      if (!queue.waiters.includes(waiter)) continue;
       if (this.takePlace(service, queue, waiter)) continue;
-      failures += 1;
+      if (isMover) movers += 1;
+      else failures += 1;
       if (failures >= maxFailures) return;
     }
   }
@@ -84,7 +93,8 @@
     queue: WaitQueue<PathWaiter>,
     waiter: PathWaiter,
   ): boolean {
-    const path = this.paths.pick(service, waiter.model, waiter.tokens);
+    const {model, tokens, left} = waiter;
+    const path = this.paths.pick(service, model, tokens, left);
     if (path === undefined) return false;
     removeWaiter(queue, waiter);
     recordPlaced(queue, this.getNow());
@@ -112,7 +122,7 @@
 
   private refuse(queue: WaitQueue<PathWaiter>, waiter: PathWaiter): void {
     removeWaiter(queue, waiter);
-    recordRefused(queue, this.getNow());
+    if (waiter.left === undefined) recordRefused(queue, this.getNow());
     waiter.resolve(undefined);
   }
 
--- a/packages/gateway/src/requests/retry_budgets.ts
+++ b/packages/gateway/src/requests/retry_budgets.ts
@@ -2,10 +2,13 @@
   canRetry,
   createRetryBudget,
   recordFirstAttempt,
+  takeMove,
   takeRetry,
   type RetryBudget,
   type RetryBudgetOptions,
+  type RetryDenial,
 } from '@zinniaspindle/decisions';
+import type {Result} from 'true-myth';
 import type {GatewaySettings} from '../ports/index.js';
 
 /**
@@ -41,6 +44,15 @@
     return true;
   }
 
+  /** Takes one retry together with a place, or neither. */
+  takeMove<Place>(
+    service: string,
+    reservePlace: () => Place | undefined,
+  ): Result<Place, RetryDenial> {
+    const budget = this.getBudget(service, this.deriveOptions());
+    return takeMove(budget, reservePlace);
+  }
+
   private getBudget(service: string, options: RetryBudgetOptions): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
--- /dev/null
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -0,0 +1,108 @@
+import type {RetryDenial} from '@zinniaspindle/decisions';
+import type {Deadline} from '@zinniaspindle/shared';
+import {Result} from 'true-myth';
+import type {PathReservation, PathStream} from '../fleet/path_table.js';
+import type {ServiceModel} from '../ports/index.js';
+import type {PathWaiter} from './path_queue.js';
+import {predictTokens} from './predict_tokens.js';
+import type {RequestContext} from './request_context.js';
+
+/** How a stream queues for a place. */
+export interface PlaceWait {
+  /** Whether its caller has had part of the answer. */
+  readonly isResumed: boolean;
+  readonly waitUntil: Deadline;
+}
+
+/** The places on paths that one stream waits for. */
+export class StreamPlaces {
+  /** Its place in the queue while it has no attempt. */
+  private waiter: PathWaiter | undefined;
+  /** Its place in the queue while it has one that it wants to leave. */
+  private mover: PathWaiter | undefined;
+  private readonly tokens: number;
+
+  constructor(
+    private readonly context: RequestContext,
+    private readonly model: ServiceModel,
+    private readonly stream: PathStream,
+  ) {
+    this.tokens = predictTokens(context.request, model);
+  }
+
+  /** Waits for a place; undefined if none came free in time. */
+  wait(wait: PlaceWait): Promise<PathReservation | undefined> {
+    const {server, service, route, receivedAt} = this.context;
+    const {tokens, model} = this;
+    return new Promise(resolve => {
+      this.waiter = {
+        ...{...wait, priority: route.priority, receivedAt, model, tokens},
+        resolve: path => {
+          this.waiter = undefined;
+          resolve(path && server.paths.reserve(path, tokens, this.stream));
+        },
+      };
+      server.queue.add(service.name, this.waiter);
+    });
+  }
+
+  /** Tells whether the stream waits without an attempt. */
+  isWaiting(): boolean {
+    return this.waiter !== undefined;
+  }
+
+  /** Ends the wait without a place. */
+  cancelWait(): void {
+    const {waiter} = this;
+    if (waiter === undefined) return;
+    const {server, service} = this.context;
+    server.queue.cancel(service.name, waiter);
+    waiter.resolve(undefined);
+  }
+
+  /**
+   * Waits for a place on another path while the attempt on this one goes on.
+   * `handleResult` gets a place, paid for from the retry budget, or what denied
+   * it; `findDenial` tells whether the stream may still leave.
+   */
+  startMove(
+    left: PathReservation,
+    wait: PlaceWait,
+    findDenial: () => RetryDenial | undefined,
+    handleResult: (result: Result<PathReservation, RetryDenial>) => void,
+  ): void {
+    if (this.mover !== undefined) return;
+    const {server, service, route, receivedAt} = this.context;
+    const {tokens, model} = this;
+    this.mover = {
+      ...{...wait, priority: route.priority, receivedAt, model, tokens},
+      left: left.path,
+      resolve: path => {
+        this.mover = undefined;
+        // The answer may have begun since the wait did.
+        const denial = findDenial();
+        if (denial !== undefined) return handleResult(Result.err(denial));
+        const result = server.budgets.takeMove(
+          service.name,
+          () => path && server.paths.reserve(path, tokens, this.stream),
+        );
+        handleResult(result);
+      },
+    };
+    server.queue.add(service.name, this.mover);
+  }
+
+  /** Tells whether the stream waits for a place on another path. */
+  isMoving(): boolean {
+    return this.mover !== undefined;
+  }
+
+  /** Ends the wait for another path. */
+  cancelMove(): void {
+    const {mover} = this;
+    if (mover === undefined) return;
+    this.mover = undefined;
+    const {server, service} = this.context;
+    server.queue.cancel(service.name, mover);
+  }
+}
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -7,7 +7,7 @@
   type AttemptLimits,
   type Attempts,
 } from '@zinniaspindle/decisions';
-import {isPast, type Instant} from '@zinniaspindle/shared';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
@@ -18,8 +18,6 @@
 import {checkRefusal} from './check_refusal.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
-import {predictTokens} from './predict_tokens.js';
-import type {PathWaiter} from './path_queue.js';
 import {
   closeEarly,
   recordAnswered,
@@ -30,6 +28,7 @@
   writeHead,
 } from './send_answer.js';
 import type {RequestContext} from './request_context.js';
+import {StreamPlaces, type PlaceWait} from './stream_places.js';
 import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** Attempts of one request that end without the request having run. */
@@ -48,12 +47,20 @@
   Broken = 'broken',
 }
 
+/** Why a stream leaves a path. */
+enum MoveReason {
+  Silent = 'path is silent',
+  /** It is still queued at its endpoint. */
+  Queued = 'no first event in time',
+}
+
 /** Handles a streaming request over paths of a model's endpoints. */
 export class StreamRequestHandler implements PathStream {
   private upstream: Upstream | undefined;
   private reservation: PathReservation | undefined;
-  /** Its place in the queue while it waits for a path. */
-  private waiter: PathWaiter | undefined;
+  /** Its place on the path that it moves to. */
+  private next: PathReservation | undefined;
+  private readonly places: StreamPlaces;
   private splitter = new EventSplitter();
   private answer: EndpointAnswer | undefined;
   private failureBody: Buffer[] = [];
@@ -76,6 +83,7 @@
     this.lastEventId = context.request.lastEventId;
     this.lastEventAt = context.receivedAt;
     this.log = new AttemptLog(context);
+    this.places = new StreamPlaces(context, model, this);
     const {isResumable: canRepeat, maxAttempts: maxRuns} = context.route;
     this.limits = {canRepeat, maxRuns, maxNotRun};
   }
@@ -85,33 +93,37 @@
     const {server, service} = this.context;
     this.startDeadline();
     server.budgets.recordRequest(service.name);
-    for (;;) {
-      const reservation = await this.waitForPlace();
-      if (this.isAbandoned) {
-        if (reservation !== undefined) server.paths.release(reservation);
-        return;
-      }
-      if (reservation === undefined) {
-        this.log.logGivenUp(RetryDenial.Place);
-        break;
-      }
+    let reservation = await this.waitForPlace();
+    while (reservation !== undefined && !this.isAbandoned) {
       const tries = this.attempts.runs + this.attempts.notRun;
       const first = reservation.path.parts[0]!.endpoint.id;
       if (tries > 0) recordRetry(this.context, first, tries);
       const end = await this.runAttempt(reservation);
-      if (this.isAbandoned || end === AttemptEnd.Done) return;
-      const denial = this.takeRetry();
-      if (denial !== undefined) {
-        this.log.logGivenUp(denial);
-        break;
-      }
-      server.metrics.count(
-        this.hasSentEvents ? Counter.Resumed : Counter.Retries,
-      );
+      if (end === AttemptEnd.Done) return;
+      reservation = await this.findNext();
+    }
+    if (this.isAbandoned) {
+      if (reservation !== undefined) server.paths.release(reservation);
+      return;
     }
     this.answerFailure();
   }
 
+  /** Finds the place of a further attempt; undefined if there is none. */
+  private async findNext(): Promise<PathReservation | undefined> {
+    const {next} = this;
+    this.next = undefined;
+    if (this.isAbandoned) return next;
+    const denial = next === undefined ? this.takeRetry() : undefined;
+    if (denial !== undefined) {
+      this.log.logGivenUp(denial);
+      return undefined;
+    }
+    const counter = this.hasSentEvents ? Counter.Resumed : Counter.Retries;
+    this.context.server.metrics.count(counter);
+    return next ?? this.waitForPlace();
+  }
+
   /** Tells how far the stream has come. */
   describeProgress(): RequestProgress {
     const endpoint = this.reservation?.path.key ?? '';
@@ -130,18 +142,10 @@
   /** Cancels the stream, whose caller has disconnected. */
   cancel(): void {
     this.isAbandoned = true;
-    this.cancelWait();
+    this.places.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'caller disconnected');
   }
 
-  private cancelWait(): void {
-    const {waiter} = this;
-    if (waiter === undefined) return;
-    const {server, service} = this.context;
-    server.queue.cancel(service.name, waiter);
-    waiter.resolve(undefined);
-  }
-
   private startDeadline(): void {
     const {server, response, deadline} = this.context;
     const remaining = Math.max(1, deadline - server.getNow());
@@ -152,8 +156,8 @@
   /** Ends the stream at its deadline. */
   private expire(): void {
     this.isAbandoned = true;
-    if (this.waiter !== undefined) this.log.logGivenUp(RetryDenial.Deadline);
-    this.cancelWait();
+    if (this.places.isWaiting()) this.log.logGivenUp(RetryDenial.Deadline);
+    this.places.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'deadline passed');
     const {refuse} = this.context;
     if (this.hasSentEvents) closeEarly(this.context, 'the deadline passed');
@@ -161,45 +165,54 @@
   }
 
   /**
-   * Moves a stream off a silent path. Without another path it stays, since the
-   * path may recover or its endpoint may end the answer itself.
+   * Moves a stream off a silent path once there is another place for it. Until
+   * then it stays, since the path may recover or its endpoint may end the answer
+   * itself.
    */
   handleStall(): void {
-    const denial = this.findSwapDenial();
+    this.startMove(MoveReason.Silent);
+  }
+
+  private startMove(reason: MoveReason): void {
+    if (this.finishAttempt === undefined) return;
+    const findDenial = () =>
+      findMoveDenial(this.attempts, this.limits, this.answer !== undefined);
+    const denial = findDenial();
     if (denial !== undefined) {
       this.log.logStay(denial, this.lastEventAt);
       return;
     }
-    if (!this.hasOtherPath()) {
-      this.log.logStay(RetryDenial.Place, this.lastEventAt);
-      return;
-    }
-    this.swapPath('path is silent');
+    const wait = this.makeWait(this.context.deadline);
+    this.places.startMove(this.reservation!, wait, findDenial, result => {
+      if (result.isOk) this.swapAttempt(result.value, reason);
+      else this.log.logStay(result.error, this.lastEventAt);
+    });
+    if (!this.places.isMoving()) return;
+    this.log.logStay(RetryDenial.Place, this.lastEventAt);
+  }
+
+  private swapAttempt(next: PathReservation, reason: MoveReason): void {
+    this.next = next;
+    if (reason === MoveReason.Queued) this.hasSwapped = true;
+    if (this.answer === undefined) recordMove(this.attempts);
+    this.cancelAttempt(AttemptEnd.Broken, reason);
   }
 
   /**
    * Waits for a place on a path. A new request waits as long as it can still be
    * answered in time, a started stream until its caller would abandon it.
    */
-  private waitForPlace(): Promise<PathReservation | undefined> {
-    const {server, service, route, receivedAt} = this.context;
-    const {paths, queue} = server;
-    const tokens = predictTokens(this.context.request, this.model);
-    return new Promise(resolve => {
-      this.waiter = {
-        isResumed: this.hasSentEvents,
-        priority: route.priority,
-        receivedAt,
-        waitUntil: this.lastEventAt + this.computeTimeout(),
-        model: this.model,
-        tokens,
-        resolve: path => {
-          this.waiter = undefined;
-          resolve(path && paths.reserve(path, tokens, this));
-        },
-      };
-      queue.add(service.name, this.waiter);
-    });
+  private async waitForPlace(): Promise<PathReservation | undefined> {
+    const waitUntil = this.lastEventAt + this.computeTimeout();
+    const reservation = await this.places.wait(this.makeWait(waitUntil));
+    if (reservation === undefined && !this.isAbandoned) {
+      this.log.logGivenUp(RetryDenial.Place);
+    }
+    return reservation;
+  }
+
+  private makeWait(waitUntil: Deadline): PlaceWait {
+    return {isResumed: this.hasSentEvents, waitUntil};
   }
 
   private computeTimeout(): number {
@@ -212,23 +225,6 @@
     );
   }
 
-  private findSwapDenial(): RetryDenial | undefined {
-    const isCounted = this.answer !== undefined;
-    return findMoveDenial(this.attempts, this.limits, isCounted);
-  }
-
-  private hasOtherPath(): boolean {
-    const {server, service} = this.context;
-    const tokens = predictTokens(this.context.request, this.model);
-    // Stalled paths are not picked for a while, so this is another path.
-    return server.paths.pick(service.name, this.model, tokens) !== undefined;
-  }
-
-  private swapPath(reason: string): void {
-    if (this.answer === undefined) recordMove(this.attempts);
-    this.cancelAttempt(AttemptEnd.Broken, reason);
-  }
-
   /** Tells whether the stream is paused because the caller reads too slowly. */
   isPaused(): boolean {
     return this.isBackpressured;
@@ -259,12 +255,13 @@
     this.reservation = reservation;
     this.log.recordStart(path.key);
     return new Promise(resolve => {
-      const timer = setTimeout(() => {
+      const timer = setInterval(() => {
         this.swapQueuedPath(reservation);
       }, firstEventMilliseconds);
       this.finishAttempt = (end, reason) => {
-        clearTimeout(timer);
+        clearInterval(timer);
         this.finishAttempt = undefined;
+        this.places.cancelMove();
         this.log.recordEnd();
         server.paths.release(reservation);
         if (end !== AttemptEnd.Done) {
@@ -291,17 +288,12 @@
   }
 
   /**
-   * Ends the attempt of a request that is still queued at its endpoint, once, so
-   * that a path is picked again. The stall check does not cover this case while
-   * other streams of the path make progress.
+   * Moves a request that is still queued at its endpoint, once. The stall check
+   * does not cover this case while other streams of the path make progress.
    */
   private swapQueuedPath(reservation: PathReservation): void {
     if (reservation.hasStarted || this.hasSwapped) return;
-    if (this.answer !== undefined || this.findSwapDenial() !== undefined) {
-      return;
-    }
-    this.hasSwapped = true;
-    this.swapPath('no first event in time');
+    if (this.answer === undefined) this.startMove(MoveReason.Queued);
   }
 
   private cancelAttempt(end: AttemptEnd, reason: string): void {
@@ -350,6 +342,7 @@
     const latency = this.hasSentEvents ? Latency.EventGap : Latency.FirstEvent;
     server.metrics.record(latency, now - this.lastEventAt);
     this.lastEventAt = now;
+    this.places.cancelMove();
   }
 
   private acceptEnd(end: UpstreamEnd, detail: string): void {
