fix(gateway): a slow safe request leaves its endpoint only for another one

Callers got 502 (outcome unknown) 300 ms after they asked, on a route with a target latency of 150 ms and a time-out of 6 s, from an endpoint that would have answered after 600 ms.

Cause: the attempt was cancelled at twice the target latency, and only then was another endpoint picked and the retry budget asked.

Change: as for streams, the retry and the other endpoint are taken in one step, and the attempt is ended after that. Without both it goes on until the deadline, and is checked again every 100 ms. An endpoint whose breaker is open is no reason to end an attempt that may still be answered.

--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -6,7 +6,7 @@
   recordSuccess,
   RetryDenial,
 } from '@zinniaspindle/decisions';
-import {isPast, type Deadline} from '@zinniaspindle/shared';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
@@ -34,6 +34,8 @@
  * latency.
  */
 const retryableTimeoutTargets = 2;
+/** Interval at which a slow attempt is checked for another endpoint. */
+const moveCheckMilliseconds = 100;
 const retryAfterMilliseconds = 400;
 /**
  * Added to the load of a failing endpoint, so that it ranks behind all others.
@@ -62,6 +64,8 @@
   /** Attempts that certainly did not run the request. */
   private notRun = 0;
   private readonly log: AttemptLog;
+  /** The endpoint that it moves to. */
+  private next: EndpointState | undefined;
   private readonly tried = new Set<string>();
   /** A failed answer of an endpoint, forwarded when no attempt succeeds. */
   private lastFailure: AttemptResult | undefined;
@@ -76,7 +80,7 @@
     server.budgets.recordRequest(service.name);
     let isRetry = false;
     for (;;) {
-      const endpoint = this.pickEndpoint();
+      const endpoint = this.next ?? this.pickEndpoint(true);
       if (endpoint === undefined) {
         this.log.logGivenUp(RetryDenial.Place);
         break;
@@ -84,6 +88,7 @@
       if (isRetry) {
         recordRetry(this.context, endpoint.entry.id, this.runs + this.notRun);
       }
+      this.next = undefined;
       const attemptDeadline = this.computeAttemptDeadline();
       this.isAttempting = true;
       this.log.recordStart(endpoint.entry.id);
@@ -92,7 +97,7 @@
       this.log.recordEnd();
       if (this.isAbandoned) return;
       if (this.resolveAttempt(endpoint, result)) return;
-      const denial = this.takeRetry();
+      const denial = this.next === undefined ? this.takeRetry() : undefined;
       if (denial !== undefined) {
         this.log.logGivenUp(denial);
         break;
@@ -134,9 +139,9 @@
 
   /**
    * Picks the endpoint with the fewest requests; a failing one only as a last
-   * resort.
+   * resort, and not in place of one that may still answer.
    */
-  private pickEndpoint(): EndpointState | undefined {
+  private pickEndpoint(canFail: boolean): EndpointState | undefined {
     const {server, service} = this.context;
     const now = server.getNow();
     let best: EndpointState | undefined;
@@ -146,6 +151,7 @@
       if (server.endpoints.isDraining(state)) continue;
       if (server.endpoints.findPauseEnd(state) !== undefined) continue;
       const isFailing = !canSend(state.breaker, now);
+      if (isFailing && !canFail) continue;
       const rank =
         state.running + Math.random() + (isFailing ? failingPenalty : 0);
       if (rank >= lowestRank) continue;
@@ -170,12 +176,30 @@
     return Math.min(deadline, server.getNow() + timeout);
   }
 
+  /**
+   * Takes another endpoint and a retry for a slow attempt, if there are both;
+   * otherwise the attempt goes on.
+   */
+  private takeMove(sentAt: Instant): boolean {
+    const {server, service} = this.context;
+    const taken = server.budgets.takeMove(service.name, () =>
+      this.pickEndpoint(false),
+    );
+    if (taken.isErr) {
+      this.log.logStay(taken.error, sentAt);
+      return false;
+    }
+    this.next = taken.value;
+    return true;
+  }
+
   /** Sends the request to an endpoint and waits for the end of the attempt. */
   private sendTo(
     endpoint: EndpointState,
     attemptDeadline: Deadline,
   ): Promise<AttemptResult> {
     const {server, deadline} = this.context;
+    const sentAt = server.getNow();
     this.tried.add(endpoint.entry.id);
     endpoint.running += 1;
     return new Promise(resolve => {
@@ -192,10 +216,17 @@
         return setTimeout(expire, Math.max(1, wait));
       };
       const expire = () => {
-        // An answer that the caller already receives cannot be retried.
-        if (buffer.isForwarding && !isPast(deadline, server.getNow())) {
-          timer = startTimer(deadline);
-          return;
+        const now = server.getNow();
+        if (!isPast(deadline, now)) {
+          // An answer that the caller already receives cannot be retried.
+          const canMove = !buffer.isForwarding && this.takeMove(sentAt);
+          if (!canMove) {
+            const checkAt = now + moveCheckMilliseconds;
+            timer = startTimer(
+              buffer.isForwarding ? deadline : Math.min(deadline, checkAt),
+            );
+            return;
+          }
         }
         upstream.cancel();
         closeAttempt(UpstreamEnd.Broken, 'no answer in time');
