--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -4,14 +4,16 @@
   recordFailure,
   recordSend,
   recordSuccess,
+  RetryDenial,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
 import {AnswerBuffer} from './answer_buffer.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
+import {AttemptLog} from './attempt_log.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
 import {
@@ -32,6 +34,8 @@
  * latency.
  */
 const retryableTimeoutTargets = 2;
+/** Interval at which a slow attempt is checked for another endpoint. */
+const moveCheckMilliseconds = 100;
 const retryAfterMilliseconds = 400;
 /**
  * Added to the load of a failing endpoint, so that it ranks behind all others.
@@ -59,38 +63,62 @@
   private runs = 0;
   /** Attempts that certainly did not run the request. */
   private notRun = 0;
+  private readonly log: AttemptLog;
+  /** The endpoint that it moves to. */
+  private next: EndpointState | undefined;
   private readonly tried = new Set<string>();
   /** A failed answer of an endpoint, forwarded when no attempt succeeds. */
   private lastFailure: AttemptResult | undefined;
 
-  constructor(private readonly context: RequestContext) {}
+  constructor(private readonly context: RequestContext) {
+    this.log = new AttemptLog(context);
+  }
 
   /** Tries endpoints until one answers or no further attempt is allowed. */
   async run(): Promise<void> {
-    const {route, service, deadline, server} = this.context;
+    const {service, server} = this.context;
     server.budgets.recordRequest(service.name);
     let isRetry = false;
     for (;;) {
-      const endpoint = this.pickEndpoint();
-      if (endpoint === undefined) break;
+      const endpoint = this.next ?? this.pickEndpoint(true);
+      if (endpoint === undefined) {
+        this.log.logGivenUp(RetryDenial.Place);
+        break;
+      }
       if (isRetry) {
         recordRetry(this.context, endpoint.entry.id, this.runs + this.notRun);
       }
+      this.next = undefined;
       const attemptDeadline = this.computeAttemptDeadline();
       this.isAttempting = true;
+      this.log.recordStart(endpoint.entry.id);
       const result = await this.sendTo(endpoint, attemptDeadline);
       this.isAttempting = false;
+      this.log.recordEnd();
       if (this.isAbandoned) return;
       if (this.resolveAttempt(endpoint, result)) return;
-      if (isPast(deadline, server.getNow())) break;
-      if (this.notRun >= maxNotRun || this.runs >= route.maxAttempts) break;
-      if (!server.budgets.takeRetry(service.name)) break;
+      const denial = this.next === undefined ? this.takeRetry() : undefined;
+      if (denial !== undefined) {
+        this.log.logGivenUp(denial);
+        break;
+      }
       server.metrics.count(Counter.Retries);
       isRetry = true;
     }
     this.answerFailure();
   }
 
+  /** Takes a further attempt from the budget; tells why there is none. */
+  private takeRetry(): RetryDenial | undefined {
+    const {route, service, deadline, server} = this.context;
+    if (isPast(deadline, server.getNow())) return RetryDenial.Deadline;
+    if (this.notRun >= maxNotRun || this.runs >= route.maxAttempts) {
+      return RetryDenial.Attempts;
+    }
+    if (!server.budgets.takeRetry(service.name)) return RetryDenial.Budget;
+    return undefined;
+  }
+
   /** Tells how far the request has come. */
   describeProgress(): RequestProgress {
     return {endpoint: [...this.tried].at(-1) ?? '', lastEventId: ''};
@@ -111,9 +139,9 @@
 
   /**
    * Picks the endpoint with the fewest requests; a failing one only as a last
-   * resort.
+   * resort, and not in place of one that may still answer.
    */
-  private pickEndpoint(): EndpointState | undefined {
+  private pickEndpoint(canFail: boolean): EndpointState | undefined {
     const {server, service} = this.context;
     const now = server.getNow();
     let best: EndpointState | undefined;
@@ -123,6 +151,7 @@
       if (server.endpoints.isDraining(state)) continue;
       if (server.endpoints.findPauseEnd(state) !== undefined) continue;
       const isFailing = !canSend(state.breaker, now);
+      if (isFailing && !canFail) continue;
       const rank =
         state.running + Math.random() + (isFailing ? failingPenalty : 0);
       if (rank >= lowestRank) continue;
@@ -147,12 +176,30 @@
     return Math.min(deadline, server.getNow() + timeout);
   }
 
+  /**
+   * Takes another endpoint and a retry for a slow attempt, if there are both;
+   * otherwise the attempt goes on.
+   */
+  private takeMove(sentAt: Instant): boolean {
+    const {server, service} = this.context;
+    const taken = server.budgets.takeMove(service.name, () =>
+      this.pickEndpoint(false),
+    );
+    if (taken.isErr) {
+      this.log.logStay(taken.error, sentAt);
+      return false;
+    }
+    this.next = taken.value;
+    return true;
+  }
+
   /** Sends the request to an endpoint and waits for the end of the attempt. */
   private sendTo(
     endpoint: EndpointState,
     attemptDeadline: Deadline,
   ): Promise<AttemptResult> {
     const {server, deadline} = this.context;
+    const sentAt = server.getNow();
     this.tried.add(endpoint.entry.id);
     endpoint.running += 1;
     return new Promise(resolve => {
@@ -169,10 +216,17 @@
         return setTimeout(expire, Math.max(1, wait));
       };
       const expire = () => {
-        // An answer that the caller already receives cannot be retried.
-        if (buffer.isForwarding && !isPast(deadline, server.getNow())) {
-          timer = startTimer(deadline);
-          return;
+        const now = server.getNow();
+        if (!isPast(deadline, now)) {
+          // An answer that the caller already receives cannot be retried.
+          const canMove = !buffer.isForwarding && this.takeMove(sentAt);
+          if (!canMove) {
+            const checkAt = now + moveCheckMilliseconds;
+            timer = startTimer(
+              buffer.isForwarding ? deadline : Math.min(deadline, checkAt),
+            );
+            return;
+          }
         }
         upstream.cancel();
         closeAttempt(UpstreamEnd.Broken, 'no answer in time');
@@ -204,7 +258,7 @@
     if (end === UpstreamEnd.NotSent) {
       this.notRun += 1;
       this.reportFailure(endpoint, FailureCertainty.Certain);
-      this.reportFailedAttempt(endpoint, result.detail);
+      this.log.logFailed(endpoint.entry.id, result.detail);
       return false;
     }
     if (end === UpstreamEnd.Complete && answer!.isNotRun) {
@@ -214,21 +268,25 @@
       if (endpointId !== undefined && endpointId !== id) {
         server.endpoints.removeReplaced(id);
       }
-      this.reportFailedAttempt(endpoint, `status ${answer!.status}`);
+      this.log.logFailed(endpoint.entry.id, `status ${answer!.status}`);
       return false;
     }
     this.runs += 1;
     if (result.buffer.isForwarding) return this.closeAnswer(endpoint, result);
     if (end === UpstreamEnd.Broken) {
       this.reportFailure(endpoint, FailureCertainty.Suspected);
-      if (!this.canRepeat()) return this.failUnknown(endpoint, result.detail);
-      this.reportFailedAttempt(endpoint, result.detail);
+      if (!this.canRepeat()) {
+        const isSafe = route.kind === RouteKind.Safe;
+        this.log.logGivenUp(isSafe ? RetryDenial.Attempts : RetryDenial.Route);
+        return this.failUnknown(endpoint, result.detail);
+      }
+      this.log.logFailed(endpoint.entry.id, result.detail);
       return false;
     }
     const isFailure = answer!.status >= 500;
     if (isFailure && this.canRepeat()) {
       this.lastFailure = result;
-      this.reportFailedAttempt(endpoint, `status ${answer!.status}`);
+      this.log.logFailed(endpoint.entry.id, `status ${answer!.status}`);
       return false;
     }
     if (!canForward(answer!, route.kind)) {
@@ -254,7 +312,7 @@
       recordAnswered(this.context, endpoint.entry.id, result.answer!.status);
     } else {
       // The broken connection tells the caller that the answer is incomplete.
-      this.reportFailedAttempt(endpoint, result.detail);
+      this.log.logFailed(endpoint.entry.id, result.detail);
       closeEarly(this.context, result.detail);
     }
     return true;
@@ -268,16 +326,8 @@
     recordFailure(endpoint.breaker, certainty, now, Math.random);
   }
 
-  private reportFailedAttempt(endpoint: EndpointState, reason: string): void {
-    this.context.server.writeEvent(GatewayEvent.RequestAttemptFailed, {
-      request: this.context.request.attemptId,
-      endpoint: endpoint.entry.id,
-      reason,
-    });
-  }
-
   private failUnknown(endpoint: EndpointState, detail: string): boolean {
-    this.reportFailedAttempt(endpoint, detail);
+    this.log.logFailed(endpoint.entry.id, detail);
     refuseUnknownOutcome(this.context);
     return true;
   }
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,15 +1,23 @@
-import {computeQueueTimeout} from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import {
+  computeQueueTimeout,
+  findMoveDenial,
+  findRetryDenial,
+  recordMove,
+  RetryDenial,
+  type AttemptLimits,
+  type Attempts,
+} from '@zinniaspindle/decisions';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
 import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
+import {AttemptLog} from './attempt_log.js';
+import {checkRefusal} from './check_refusal.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
-import {predictTokens} from './predict_tokens.js';
-import type {PathWaiter} from './path_queue.js';
 import {
   closeEarly,
   recordAnswered,
@@ -20,6 +28,7 @@
   writeHead,
 } from './send_answer.js';
 import type {RequestContext} from './request_context.js';
+import {StreamPlaces, type PlaceWait} from './stream_places.js';
 import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** Attempts of one request that end without the request having run. */
@@ -38,12 +47,20 @@
   Broken = 'broken',
 }
 
+/** Why a stream leaves a path. */
+enum MoveReason {
+  Silent = 'path is silent',
+  /** It is still queued at its endpoint. */
+  Queued = 'no first event in time',
+}
+
 /** Handles a streaming request over paths of a model's endpoints. */
 export class StreamRequestHandler implements PathStream {
   private upstream: Upstream | undefined;
   private reservation: PathReservation | undefined;
-  /** Its place in the queue while it waits for a path. */
-  private waiter: PathWaiter | undefined;
+  /** Its place on the path that it moves to. */
+  private next: PathReservation | undefined;
+  private readonly places: StreamPlaces;
   private splitter = new EventSplitter();
   private answer: EndpointAnswer | undefined;
   private failureBody: Buffer[] = [];
@@ -54,11 +71,10 @@
   private isBackpressured = false;
   private hasSwapped = false;
   private isAbandoned = false;
-  /** Attempts that may have run the request. */
-  private runs = 0;
-  /** Attempts that are not known to have run the request. */
-  private notRun = 0;
+  private readonly attempts: Attempts = {runs: 0, notRun: 0};
+  private readonly limits: AttemptLimits;
   private lastEventAt: Instant;
+  private readonly log: AttemptLog;
 
   constructor(
     private readonly context: RequestContext,
@@ -66,34 +82,48 @@
   ) {
     this.lastEventId = context.request.lastEventId;
     this.lastEventAt = context.receivedAt;
+    this.log = new AttemptLog(context);
+    this.places = new StreamPlaces(context, model, this);
+    const {isResumable: canRepeat, maxAttempts: maxRuns} = context.route;
+    this.limits = {canRepeat, maxRuns, maxNotRun};
   }
 
   /** Tries paths until the stream is complete or no attempt is left. */
   async run(): Promise<void> {
-    const {server, service, deadline} = this.context;
+    const {server, service} = this.context;
     this.startDeadline();
     server.budgets.recordRequest(service.name);
-    for (;;) {
-      const reservation = await this.waitForPlace();
-      if (this.isAbandoned) {
-        if (reservation !== undefined) server.paths.release(reservation);
-        return;
-      }
-      if (reservation === undefined) break;
-      const tries = this.runs + this.notRun;
+    let reservation = await this.waitForPlace();
+    while (reservation !== undefined && !this.isAbandoned) {
+      const tries = this.attempts.runs + this.attempts.notRun;
       const first = reservation.path.parts[0]!.endpoint.id;
       if (tries > 0) recordRetry(this.context, first, tries);
       const end = await this.runAttempt(reservation);
-      if (this.isAbandoned || end === AttemptEnd.Done) return;
-      if (isPast(deadline, server.getNow()) || !this.canRetry()) break;
-      if (!server.budgets.takeRetry(service.name)) break;
-      server.metrics.count(
-        this.hasSentEvents ? Counter.Resumed : Counter.Retries,
-      );
+      if (end === AttemptEnd.Done) return;
+      reservation = await this.findNext();
+    }
+    if (this.isAbandoned) {
+      if (reservation !== undefined) server.paths.release(reservation);
+      return;
     }
     this.answerFailure();
   }
 
+  /** Finds the place of a further attempt; undefined if there is none. */
+  private async findNext(): Promise<PathReservation | undefined> {
+    const {next} = this;
+    this.next = undefined;
+    if (this.isAbandoned) return next;
+    const denial = next === undefined ? this.takeRetry() : undefined;
+    if (denial !== undefined) {
+      this.log.logGivenUp(denial);
+      return undefined;
+    }
+    const counter = this.hasSentEvents ? Counter.Resumed : Counter.Retries;
+    this.context.server.metrics.count(counter);
+    return next ?? this.waitForPlace();
+  }
+
   /** Tells how far the stream has come. */
   describeProgress(): RequestProgress {
     const endpoint = this.reservation?.path.key ?? '';
@@ -102,7 +132,9 @@
 
   /** Ends the stream with an unknown outcome if it may have run, else unrun. */
   answerNow(): void {
-    if (this.finishAttempt && this.answer === undefined) this.runs += 1;
+    if (this.finishAttempt && this.answer === undefined) {
+      this.attempts.runs += 1;
+    }
     this.cancel();
     this.answerFailure();
   }
@@ -110,18 +142,10 @@
   /** Cancels the stream, whose caller has disconnected. */
   cancel(): void {
     this.isAbandoned = true;
-    this.cancelWait();
+    this.places.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'caller disconnected');
   }
 
-  private cancelWait(): void {
-    const {waiter} = this;
-    if (waiter === undefined) return;
-    const {server, service} = this.context;
-    server.queue.cancel(service.name, waiter);
-    waiter.resolve(undefined);
-  }
-
   private startDeadline(): void {
     const {server, response, deadline} = this.context;
     const remaining = Math.max(1, deadline - server.getNow());
@@ -132,7 +156,8 @@
   /** Ends the stream at its deadline. */
   private expire(): void {
     this.isAbandoned = true;
-    this.cancelWait();
+    if (this.places.isWaiting()) this.log.logGivenUp(RetryDenial.Deadline);
+    this.places.cancelWait();
     this.cancelAttempt(AttemptEnd.Broken, 'deadline passed');
     const {refuse} = this.context;
     if (this.hasSentEvents) closeEarly(this.context, 'the deadline passed');
@@ -140,37 +165,54 @@
   }
 
   /**
-   * Moves a stream off a silent path. Without another path it stays, since the
-   * path may recover or its endpoint may end the answer itself.
+   * Moves a stream off a silent path once there is another place for it. Until
+   * then it stays, since the path may recover or its endpoint may end the answer
+   * itself.
    */
   handleStall(): void {
-    if (!this.canSwap() || !this.hasOtherPath()) return;
-    this.swapPath('path is silent');
+    this.startMove(MoveReason.Silent);
+  }
+
+  private startMove(reason: MoveReason): void {
+    if (this.finishAttempt === undefined) return;
+    const findDenial = () =>
+      findMoveDenial(this.attempts, this.limits, this.answer !== undefined);
+    const denial = findDenial();
+    if (denial !== undefined) {
+      this.log.logStay(denial, this.lastEventAt);
+      return;
+    }
+    const wait = this.makeWait(this.context.deadline);
+    this.places.startMove(this.reservation!, wait, findDenial, result => {
+      if (result.isOk) this.swapAttempt(result.value, reason);
+      else this.log.logStay(result.error, this.lastEventAt);
+    });
+    if (!this.places.isMoving()) return;
+    this.log.logStay(RetryDenial.Place, this.lastEventAt);
+  }
+
+  private swapAttempt(next: PathReservation, reason: MoveReason): void {
+    this.next = next;
+    if (reason === MoveReason.Queued) this.hasSwapped = true;
+    if (this.answer === undefined) recordMove(this.attempts);
+    this.cancelAttempt(AttemptEnd.Broken, reason);
   }
 
   /**
    * Waits for a place on a path. A new request waits as long as it can still be
    * answered in time, a started stream until its caller would abandon it.
    */
-  private waitForPlace(): Promise<PathReservation | undefined> {
-    const {server, service, route, receivedAt} = this.context;
-    const {paths, queue} = server;
-    const tokens = predictTokens(this.context.request, this.model);
-    return new Promise(resolve => {
-      this.waiter = {
-        isResumed: this.hasSentEvents,
-        priority: route.priority,
-        receivedAt,
-        waitUntil: this.lastEventAt + this.computeTimeout(),
-        model: this.model,
-        tokens,
-        resolve: path => {
-          this.waiter = undefined;
-          resolve(path && paths.reserve(path, tokens, this));
-        },
-      };
-      queue.add(service.name, this.waiter);
-    });
+  private async waitForPlace(): Promise<PathReservation | undefined> {
+    const waitUntil = this.lastEventAt + this.computeTimeout();
+    const reservation = await this.places.wait(this.makeWait(waitUntil));
+    if (reservation === undefined && !this.isAbandoned) {
+      this.log.logGivenUp(RetryDenial.Place);
+    }
+    return reservation;
+  }
+
+  private makeWait(waitUntil: Deadline): PlaceWait {
+    return {isResumed: this.hasSentEvents, waitUntil};
   }
 
   private computeTimeout(): number {
@@ -183,52 +225,24 @@
     );
   }
 
-  /**
-   * Tells whether the request may be moved off an endpoint that may be running
-   * it. Requests that may run at most once must stay.
-   */
-  private canSwap(): boolean {
-    const {isResumable, maxAttempts} = this.context.route;
-    if (!isResumable) return false;
-    if (this.answer !== undefined) return this.canRepeat();
-    // The attempt that is given up without an answer counts as another one.
-    if (this.runs > 0) return this.runs + 1 < maxAttempts;
-    return this.notRun + 1 < maxNotRun;
-  }
-
-  private hasOtherPath(): boolean {
-    const {server, service} = this.context;
-    const tokens = predictTokens(this.context.request, this.model);
-    // Stalled paths are not picked for a while, so this is another path.
-    return server.paths.pick(service.name, this.model, tokens) !== undefined;
-  }
-
-  /**
-   * Gives an attempt up. The endpoint may have just started one without an
-   * answer: after a known run it counts as another run, so that the route's
-   * attempts are never exceeded.
-   */
-  private swapPath(reason: string): void {
-    if (this.answer === undefined) {
-      if (this.runs > 0) this.runs += 1;
-      else this.notRun += 1;
-    }
-    this.cancelAttempt(AttemptEnd.Broken, reason);
-  }
-
   /** Tells whether the stream is paused because the caller reads too slowly. */
   isPaused(): boolean {
     return this.isBackpressured;
   }
 
   private canRepeat(): boolean {
-    const {route} = this.context;
-    return route.isResumable && this.runs < route.maxAttempts;
+    const {canRepeat, maxRuns} = this.limits;
+    return canRepeat && this.attempts.runs < maxRuns;
   }
 
-  private canRetry(): boolean {
-    if (this.runs > 0) return this.canRepeat();
-    return this.notRun < maxNotRun;
+  /** Takes a further attempt from the budget; tells why there is none. */
+  private takeRetry(): RetryDenial | undefined {
+    const {server, service, deadline} = this.context;
+    if (isPast(deadline, server.getNow())) return RetryDenial.Deadline;
+    const denial = findRetryDenial(this.attempts, this.limits);
+    if (denial !== undefined) return denial;
+    if (!server.budgets.takeRetry(service.name)) return RetryDenial.Budget;
+    return undefined;
   }
 
   private runAttempt(reservation: PathReservation): Promise<AttemptEnd> {
@@ -239,15 +253,21 @@
     this.answer = undefined;
     this.failureBody = [];
     this.reservation = reservation;
+    this.log.recordStart(path.key);
     return new Promise(resolve => {
-      const timer = setTimeout(() => {
+      const timer = setInterval(() => {
         this.swapQueuedPath(reservation);
       }, firstEventMilliseconds);
       this.finishAttempt = (end, reason) => {
-        clearTimeout(timer);
+        clearInterval(timer);
         this.finishAttempt = undefined;
+        this.places.cancelMove();
+        this.log.recordEnd();
         server.paths.release(reservation);
-        if (end !== AttemptEnd.Done) this.reportFailedAttempt(first.id, reason);
+        if (end !== AttemptEnd.Done) {
+          const lastEventId = this.lastEventId ?? '';
+          this.log.logFailed(first.id, reason, {lastEventId});
+        }
         resolve(end);
       };
       this.upstream = openUpstream(
@@ -268,15 +288,12 @@
   }
 
   /**
-   * Ends the attempt of a request that is still queued at its endpoint, once, so
-   * that a path is picked again. The stall check does not cover this case while
-   * other streams of the path make progress.
+   * Moves a request that is still queued at its endpoint, once. The stall check
+   * does not cover this case while other streams of the path make progress.
    */
   private swapQueuedPath(reservation: PathReservation): void {
-    if (reservation.hasStarted || this.hasSwapped || !this.canSwap()) return;
-    if (this.answer !== undefined) return;
-    this.hasSwapped = true;
-    this.swapPath('no first event in time');
+    if (reservation.hasStarted || this.hasSwapped) return;
+    if (this.answer === undefined) this.startMove(MoveReason.Queued);
   }
 
   private cancelAttempt(end: AttemptEnd, reason: string): void {
@@ -286,7 +303,7 @@
 
   private acceptAnswer(answer: EndpointAnswer): void {
     this.answer = answer;
-    if (!answer.isNotRun) this.runs += 1;
+    if (!answer.isNotRun) this.attempts.runs += 1;
   }
 
   private isStreamAnswer(): boolean {
@@ -325,18 +342,19 @@
     const latency = this.hasSentEvents ? Latency.EventGap : Latency.FirstEvent;
     server.metrics.record(latency, now - this.lastEventAt);
     this.lastEventAt = now;
+    this.places.cancelMove();
   }
 
   private acceptEnd(end: UpstreamEnd, detail: string): void {
     if (end === UpstreamEnd.NotSent) {
-      this.notRun += 1;
+      this.attempts.notRun += 1;
       const first = this.reservation!.path.parts[0]!.endpoint.id;
       void this.context.server.prober.checkRefusal(first, detail, undefined);
       this.finishAttempt?.(AttemptEnd.NotRun, detail);
       return;
     }
     if (end === UpstreamEnd.Broken) {
-      if (this.answer === undefined) this.runs += 1;
+      if (this.answer === undefined) this.attempts.runs += 1;
       const {path} = this.reservation!;
       const {prober, paths} = this.context.server;
       void prober.probePath(path, () => paths.dropStreams(path));
@@ -354,35 +372,9 @@
   }
 
   private acceptNotRunAnswer(answer: EndpointAnswer): void {
-    this.notRun += 1;
-    const {server} = this.context;
-    const {parts} = this.reservation!.path;
-    const first = parts[0]!.endpoint;
-    if (answer.endpointId !== undefined && answer.endpointId !== first.id) {
-      server.endpoints.removeReplaced(first.id);
-      this.finishAttempt?.(
-        AttemptEnd.NotRun,
-        `the address belongs to ${answer.endpointId}`,
-      );
-      return;
-    }
-    const address = answer.failedAddress ?? first.address;
-    const failedEndpoint = server.endpoints.findByAddress(address);
-    const reason = `status ${answer.status} at ${address}`;
-    // An endpoint that asks for a pause has said why it refuses.
-    const isExplained =
-      failedEndpoint === undefined ||
-      server.endpoints.findPauseEnd(failedEndpoint) !== undefined;
-    if (!isExplained) {
-      const part = parts.find(
-        ({endpoint}) => endpoint.id === failedEndpoint.entry.id,
-      );
-      void server.prober.checkRefusal(
-        failedEndpoint.entry.id,
-        reason,
-        part?.layers,
-      );
-    }
+    this.attempts.notRun += 1;
+    const {path} = this.reservation!;
+    const reason = checkRefusal(this.context.server, path, answer);
     this.finishAttempt?.(AttemptEnd.NotRun, reason);
   }
 
@@ -408,26 +400,17 @@
     this.finishAttempt?.(AttemptEnd.Done, 'complete');
   }
 
-  private reportFailedAttempt(endpoint: string, reason: string): void {
-    this.context.server.writeEvent(GatewayEvent.RequestAttemptFailed, {
-      request: this.context.request.attemptId,
-      endpoint,
-      reason,
-      lastEventId: this.lastEventId ?? '',
-    });
-  }
-
   private answerFailure(): void {
     const {server, service} = this.context;
     if (this.hasSentEvents) {
       closeEarly(this.context, 'no further attempt is allowed');
       return;
     }
-    if (this.runs > 0) {
+    if (this.attempts.runs > 0) {
       refuseUnknownOutcome(this.context);
       return;
     }
     const returnAt = server.paths.findReturn(service.name, this.model);
-    refuseUnserved(this.context, returnAt, this.notRun > 0);
+    refuseUnserved(this.context, returnAt, this.attempts.notRun > 0);
   }
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -51,6 +51,8 @@
   RequestCutOff = 7507,
   AnswerUnwritten = 7508,
   RequestTakenInStop = 7509,
+  RequestGivenUp = 7510,
+  RequestStays = 7511,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
@@ -140,4 +142,8 @@
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its complete answer was written out',
   [GatewayEvent.RequestTakenInStop]:
     'request {request} taken {stopMs} ms after the stop began: {reason}',
+  [GatewayEvent.RequestGivenUp]:
+    'request {request} gets no further attempt: {denial}; its last one, at {path}, ended {sinceMs} ms ago',
+  [GatewayEvent.RequestStays]:
+    'request {request} stays at {path}, {silentMs} ms after its last progress: {denial}',
 };
