fix(cli): an entry VM whose output is never read exits

Lines that nobody reads kept the process alive after its stop: it was still there 40 s after SIGTERM. It now waits 2 s for its output and then exits.

--- a/packages/cli/src/commands/run_command.ts
+++ b/packages/cli/src/commands/run_command.ts
@@ -2,8 +2,12 @@
 import type {Settings} from '@zinniaspindle/router';
 import type {Command} from 'commander';
 import {CliError, CliErrorCode} from '../errors.js';
+import {waitForOutput} from '../output.js';
 import {readTextFile} from '../read_json.js';
 
+/** Time for the log to be written out after a stop. */
+const closeOutputMilliseconds = 2000;
+
 interface RunOptions {
   readonly settings: string;
 }
@@ -16,6 +20,9 @@
     .requiredOption('--settings <file>', 'settings file in INI form')
     .action(async (options: RunOptions) => {
       await runEntryVm(loadSettings(options.settings));
+      // Lines that nobody reads would keep the process alive.
+      const deadline = Date.now() + closeOutputMilliseconds;
+      if (!(await waitForOutput(deadline))) process.exit();
     });
 }
 
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -1,3 +1,7 @@
+import process from 'node:process';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {isPast, type Deadline} from '@zinniaspindle/shared';
+
 /** How a command prints its result. */
 export enum OutputFormat {
   Json = 'json',
@@ -5,6 +9,7 @@
 }
 
 const indent = 2;
+const outputPollMilliseconds = 10;
 
 /** Prints a value as JSON. */
 export function printJson(value: unknown): void {
@@ -29,6 +34,19 @@
   }
 }
 
+/**
+ * Waits until what was printed is written out, or until a deadline; returns
+ * whether it is.
+ */
+export async function waitForOutput(deadline: Deadline): Promise<boolean> {
+  const {stdout, stderr} = process;
+  while (stdout.writableLength + stderr.writableLength > 0) {
+    if (isPast(deadline, Date.now())) return false;
+    await waitMilliseconds(outputPollMilliseconds);
+  }
+  return true;
+}
+
 function formatRow(row: object): string {
   const parts = Object.entries(row).map(
     ([name, field]) => `${name}=${formatField(field)}`,
