fix(gateway): a pause of the process is no silence of a path

A stream was moved, and ran a second time, because the process had stood still for 1.2 s: the next check took the pause for silence of its path, if it came before the events that waited at the connection.

Cause: the silence of a path is counted from its last event; the detector of pauses runs in another task, which may come after the check.

Gaps still add up, so that a path is left at a process that is always late.

--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -73,6 +73,9 @@
  */
 const cacheMilliseconds = 500;
 
+/** A later check cannot tell the silence of a path from that of the process. */
+const maxCheckGapMilliseconds = defaultStallOptions.multiStreamMilliseconds;
+
 /** What a VM's share of the fleet's work depends on. */
 export interface FleetPlace {
   /** Number of live VMs. */
@@ -88,6 +91,8 @@
   private readonly cache = new Map<string, CachedPaths>();
   private readonly watched = new Map<string, WatchedPath>();
   private readonly crossingBudget: CrossingBudget;
+  /** When the stalled paths were last listed. */
+  private checkedAt: Instant;
 
   constructor(
     private readonly endpoints: EndpointTable,
@@ -98,6 +103,7 @@
     private readonly getFleet: () => FleetPlace = () => soleVm,
   ) {
     this.crossingBudget = createCrossingBudget(getNow());
+    this.checkedAt = getNow();
   }
 
   /** Lists the paths of a service's model in all data centres. */
@@ -238,9 +244,15 @@
     for (const {watch} of this.watched.values()) watch.progressAt = now;
   }
 
-  /** Lists the stalled paths, whose endpoints should be probed. */
+  /**
+   * Lists the stalled paths, whose endpoints should be probed. Called at short
+   * intervals; the rest of a longer one does not count as their silence.
+   */
   listStalled(): StagePath[] {
     const now = this.getNow();
+    const late = now - this.checkedAt - maxCheckGapMilliseconds;
+    this.checkedAt = now;
+    if (late > 0) this.addPause(late);
     const stalled: StagePath[] = [];
     for (const [key, {watch, path, streams}] of this.watched) {
       if (streams.size === 0) {
@@ -271,7 +283,7 @@
     for (const {path, streams} of [...this.watched.values()]) {
       if (streams.size === 0) continue;
       const usesEndpoint = path.parts.some(({endpoint}) => endpoint.id === id);
-      if (usesEndpoint) this.dropStreams(path);
+      if (usesEndpoint) this.closePath(path);
     }
   }
 
@@ -281,12 +293,24 @@
       if (streams.size === 0) continue;
       const part = path.parts.find(({endpoint}) => endpoint.id === id);
       if (part === undefined || hasAllLayers(range, part.layers)) continue;
-      this.dropStreams(path);
+      this.closePath(path);
     }
   }
 
-  /** Moves all streams away from a path and avoids it for a while. */
+  /** Moves all streams away from a silent path and avoids it for a while. */
   dropStreams(path: StagePath): void {
+    const isLate = this.getNow() - this.checkedAt > maxCheckGapMilliseconds;
+    if (!isLate) this.closePath(path);
+  }
+
+  private addPause(milliseconds: number): void {
+    const now = this.getNow();
+    for (const {watch} of this.watched.values()) {
+      watch.progressAt = Math.min(now, watch.progressAt + milliseconds);
+    }
+  }
+
+  private closePath(path: StagePath): void {
     const now = this.getNow();
     const {watch, streams} = this.getWatched(path);
     this.writeEvent(GatewayEvent.PathStalled, {
