fix(gateway): refuse at the exit a request whose body is still read

A caller that was still sending its request when the process exited saw its connection close without a word. Cause: only requests that had been passed on knew how to answer at the exit. Evidence: the new test got no byte. Such a request has not run, so it is refused with 503 and when to come back, and is not run if the rest of it arrives after that; the test passes.

--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -5,8 +5,14 @@
   AnswerSize,
   computeStopRetryDelay,
   findTakeGrounds,
+  type StopPlan,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  type Address,
+  type Deadline,
+  type Instant,
+} from '@zinniaspindle/shared';
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
@@ -165,12 +171,17 @@
     const {limits} = found.configuration;
     const sizeFailure = checkSizes(message, limits);
     if (sizeFailure !== undefined) return refuse(sizeFailure);
+    open.answerNow = () => {
+      const plan = this.context.findStopPlan();
+      if (plan === undefined) return;
+      refuse(this.describeStop(plan, this.context.getNow()));
+    };
     const body = await readBody(
       message,
       limits.maxBodyBytes,
       limits.idleTimeoutMilliseconds,
     );
-    if (body === undefined) return;
+    if (body === undefined || response.writableEnded) return;
     if (body.isErr) return refuse(describeBodyFailure(body.error));
     const {route, service, account} = found;
     const timeout = Math.min(
@@ -266,12 +277,17 @@
       });
       return undefined;
     }
+    return this.describeStop(plan, now);
+  }
+
+  private describeStop(plan: StopPlan, now: Instant): LocalAnswer {
+    const hasReadyPeer = this.context.computeRefusingShare() < 1;
     return {
       status: 503,
       reason: FailureReason.Stopping,
       retryAfterMilliseconds: computeStopRetryDelay(
         plan,
-        refusingShare < 1,
+        hasReadyPeer,
         now,
         Math.random,
       ),
