--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -41,7 +41,7 @@
   readonly answer: AnswerSize;
   /**
    * Finds the milliseconds within which a share of the answers of its kind are
-   * written out, all of them for 1; undefined if too few were measured.
+   * written out; undefined if too few were measured.
    */
   readonly findDuration: (share: number) => number | undefined;
   /** Share of the other VMs that a refused caller would be refused by as well. */
@@ -145,8 +145,8 @@
  * While callers could not know of the stop, a request is also taken when the risk
  * of a cut is smaller than that of a second refusal: in a rolling restart that
  * reaches many VMs at once, a caller that is sent away is likely to meet another VM
- * that stops. One that is cut as likely as not is refused in any case, and so is
- * one with a large answer that may take longer than all before it.
+ * that stops. One that is cut as likely as not is refused in any case. A large
+ * answer takes as long as its caller reads, which no earlier caller tells.
  */
 export function findTakeGrounds(
   plan: StopPlan,
@@ -160,15 +160,14 @@
     const reason = TakeReason.DeadlineBeforeExit;
     return {reason, durationMilliseconds: undefined};
   }
+  if (answer === AnswerSize.Large) return undefined;
   const isKnown = now >= takeUntil;
   if (isKnown && answer !== AnswerSize.Small) return undefined;
-  const isLarge = answer === AnswerSize.Large;
-  const share = isLarge ? 1 : certainShare;
-  const longest = (findDuration(share) ?? Infinity) * certainHeadroom;
+  const longest = (findDuration(certainShare) ?? Infinity) * certainHeadroom;
   if (now + longest <= exitAt) {
     return {reason: TakeReason.LongFits, durationMilliseconds: longest};
   }
-  return isKnown || isLarge ? undefined : findRiskGrounds(plan, work, now);
+  return isKnown ? undefined : findRiskGrounds(plan, work, now);
 }
 
 function findRiskGrounds(
