--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -5,8 +5,14 @@
   AnswerSize,
   computeStopRetryDelay,
   findTakeGrounds,
+  type StopPlan,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  type Address,
+  type Deadline,
+  type Instant,
+} from '@zinniaspindle/shared';
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
@@ -99,16 +105,16 @@
     return this.openRequests.list().map(({attemptId}) => attemptId);
   }
 
-  /**
-   * Refuses the requests that arrive from now on; closes the listener, and each
-   * connection when it has no open request.
-   */
-  async closeIdle(): Promise<void> {
+  /** Refuses the requests that arrive from now on, and closes the listener. */
+  async closeListener(): Promise<void> {
     this.isClosing = true;
     await waitMilliseconds(readMilliseconds);
     // The HTTP server would also destroy connections whose answer is not written.
     net.Server.prototype.close.call(this.server);
-    // A connection accepted last is read in the next turn.
+  }
+
+  /** Ends each connection that has no open request, after it was read once more. */
+  async closeIdle(): Promise<void> {
     await waitMilliseconds(1);
     this.openRequests.closeIdle();
   }
@@ -170,12 +176,17 @@
     const {limits} = found.configuration;
     const sizeFailure = checkSizes(message, limits);
     if (sizeFailure !== undefined) return refuse(sizeFailure);
+    open.answerNow = () => {
+      const plan = this.context.findStopPlan();
+      if (plan === undefined) return;
+      refuse(this.describeStop(plan, this.context.getNow()));
+    };
     const body = await readBody(
       message,
       limits.maxBodyBytes,
       limits.idleTimeoutMilliseconds,
     );
-    if (body === undefined) return;
+    if (body === undefined || response.writableEnded) return;
     if (body.isErr) return refuse(describeBodyFailure(body.error));
     const {route, service, account} = found;
     const timeout = Math.min(
@@ -271,12 +282,17 @@
       });
       return undefined;
     }
+    return this.describeStop(plan, now);
+  }
+
+  private describeStop(plan: StopPlan, now: Instant): LocalAnswer {
+    const hasReadyPeer = this.context.computeRefusingShare() < 1;
     return {
       status: 503,
       reason: FailureReason.Stopping,
       retryAfterMilliseconds: computeStopRetryDelay(
         plan,
-        refusingShare < 1,
+        hasReadyPeer,
         now,
         Math.random,
       ),
