feat(decisions): one decision on the bytes that a VM takes from outside

Change: intake/ names each kind of bytes with its limit and source, derives from the memory of a VM what it holds of each source, and decides whether an item may grow. Half of a source's bytes goes to whoever comes first, the other half is split between its places. Nothing uses it yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -92,3 +92,4 @@
 export * from './placement/index.js';
 export * from './following/index.js';
 export * from './stages/index.js';
+export * from './intake/index.js';
