fix(gateway): a refusal and a missing seal are decided at the head

Cause: the body of a refusal was waited for before the refusal counted, and that of a success without a seal was read though nothing of it may be used. An endpoint that sends such a body without end made a refusal that says "not run" into "may have run", and held a stream until its deadline.

Change: Upstream closes the connection at the head of an answer that says "not run", and of a success without a seal, as it did for a wrong id; the latter is a failed attempt, which a safe request or a resumable stream makes elsewhere.

--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -7,6 +7,7 @@
   ExchangeCodec,
   RawHeaders,
 } from '../ports/index.js';
+import {isSuccess} from './answer_status.js';
 
 /**
  * Endpoints accept within 2 ms; a lost packet is retransmitted after a second.
@@ -152,6 +153,18 @@
       this.close(UpstreamEnd.Broken, `answer has id "${answer.attemptId}"`);
       return;
     }
+    if (answer.isNotRun) {
+      // Complete without its body, which changes nothing.
+      this.listener.handleAnswer(answer);
+      this.close(UpstreamEnd.Complete, 'not run');
+      return;
+    }
+    if (isSuccess(answer.status) && !answer.hasSeal) {
+      this.listener.handleAnswer(answer);
+      const detail = `answer with status ${answer.status} has no seal`;
+      this.close(UpstreamEnd.Broken, detail);
+      return;
+    }
     message.on('data', (chunk: Buffer) => {
       if (!this.hasEnded) this.listener.handleChunk(chunk);
     });
