fix(gateway): the attempt after a missing seal is made elsewhere

Cause: a success without a seal left the endpoint in the choice of the next attempt of the same stream, whose probes it answers.

Change: such an endpoint gets no streams for 300 ms.

--- a/packages/gateway/__tests__/overruns.test.ts
+++ b/packages/gateway/__tests__/overruns.test.ts
@@ -74,3 +74,9 @@
   assert.equal(written.length, 3);
   assert.match(metrics.render(), new RegExp(`${Counter.Overruns} 30\n`));
 });
+
+test('an endpoint whose success has no seal is left out by the next attempt', () => {
+  const {prober, table, clock} = makeProber();
+  prober.recordUnsealed('e1', 'answer with status 200 has no seal');
+  assert.ok(table.find('e1')!.suspectUntil > clock.now);
+});
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -61,6 +61,8 @@
 const minPartitioned = 8;
 /** Time without new requests after a refusal, until the endpoint's report arrives. */
 const refusalSuspicionMilliseconds = 300;
+/** Time without new requests after a success without a seal, so that the next attempt is made elsewhere. */
+const unsealedSuspicionMilliseconds = 300;
 /** Time without new requests after refusals by an endpoint with capacity. */
 const failingSuspicionMilliseconds = 2500;
 /** Interval of the lines on an endpoint that sends more than is taken. */
@@ -200,6 +202,14 @@
     this.listeners.sendSuspicion(id, state.bornAt, cause);
   }
 
+  /** Records that an endpoint answered a success that may not be used. */
+  recordUnsealed(id: string, detail: string): void {
+    const state = this.table.find(id);
+    if (state === undefined) return;
+    const until = this.getNow() + unsealedSuspicionMilliseconds;
+    this.table.recordSuspicion(state, until, detail);
+  }
+
   /** Counts an answer that exceeded a bound, with a line a second at most. */
   private countOverrun(id: string, reason: string, source: string): void {
     this.metrics.count(Counter.Overruns);
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -41,6 +41,7 @@
         const source = `request ${attemptId}`;
         server.prober.recordOverrun(id, excess, source);
       },
+      handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
       handleEnd: (end, detail) => listener.handleEnd(end, detail),
     },
   );
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -62,6 +62,8 @@
   handleChunk(chunk: Buffer): IntakeExcess | undefined;
   /** Called before the end of a request whose answer exceeds a bound. */
   handleExcess?(excess: IntakeExcess): void;
+  /** Called before the end of a request whose success has no seal. */
+  handleUnsealed?(detail: string): void;
   handleEnd(end: UpstreamEnd, detail: string): void;
 }
 
@@ -184,6 +186,7 @@
     if (isSuccess(answer.status) && !answer.hasSeal) {
       this.listener.handleAnswer(answer);
       const detail = `answer with status ${answer.status} has no seal`;
+      this.listener.handleUnsealed?.(detail);
       this.close(UpstreamEnd.Broken, detail);
       return;
     }
