fix(gateway): frames of peers are bounded before the greeting and not copied again

Cause: a frame under way was copied whole for each chunk, and any connection could announce 8 MB or send messages before its greeting.

The bound of all peers together is decided in decisions/intake but not yet asked.

--- a/packages/framing/src/frames.ts
+++ b/packages/framing/src/frames.ts
@@ -3,6 +3,7 @@
 import {Result} from 'true-myth';
 import {makePeerError, PeerErrorCode} from './errors.js';
 import type {PeerError} from './errors.js';
+import {PendingBytes} from './pending_bytes.js';
 
 /** Size of the big-endian length prefix of each frame. */
 const lengthBytes = 4;
@@ -35,28 +36,45 @@
 
 /** Decodes the frames of a byte stream. */
 export class FrameReader {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = new PendingBytes();
+
+  private frameCount = 0;
+
+  /** Gives the most bytes that a frame may have, by its number from 0. */
+  constructor(
+    private readonly getMaxBytes: (frame: number) => number = getMaxFrameBytes,
+  ) {}
 
   /** Accepts a chunk and returns the messages that it completes. */
   accept(chunk: Buffer): Result<unknown[], PeerError> {
-    this.pending =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    this.pending.append(chunk);
     const messages: unknown[] = [];
+    let bytes = this.pending.toBuffer();
     for (;;) {
-      if (this.pending.length < lengthBytes) break;
-      const length = this.pending.readUInt32BE(0);
-      if (length > maxFrameBytes) return Result.err(makeTooLongError(length));
+      if (bytes.length < lengthBytes) break;
+      const length = bytes.readUInt32BE(0);
+      const limit = this.getMaxBytes(this.frameCount);
+      if (length > limit) return Result.err(makeTooLongError(length, limit));
       const end = lengthBytes + length;
-      if (this.pending.length < end) break;
-      const message = decodeFrame(this.pending.subarray(lengthBytes, end));
+      if (bytes.length < end) break;
+      const message = decodeFrame(bytes.subarray(lengthBytes, end));
       if (message.isErr) return Result.err(message.error);
       messages.push(message.value);
-      this.pending = this.pending.subarray(end);
+      this.frameCount += 1;
+      bytes = bytes.subarray(end);
     }
+    if (messages.length === 0) return Result.ok(messages);
+    // Messages may refer to the bytes that they came in, which stay as they are.
+    this.pending.drop();
+    if (bytes.length > 0) this.pending.append(bytes);
     return Result.ok(messages);
   }
 }
 
+function getMaxFrameBytes(): number {
+  return maxFrameBytes;
+}
+
 function decodeFrame(body: Buffer): Result<unknown, PeerError> {
   try {
     return Result.ok(decodeBody(body));
@@ -66,7 +84,7 @@
   }
 }
 
-function makeTooLongError(length: number): PeerError {
-  const detail = `frame of ${length} bytes, limit is ${maxFrameBytes}`;
+function makeTooLongError(length: number, limit: number): PeerError {
+  const detail = `frame of ${length} bytes, limit is ${limit}`;
   return makePeerError(PeerErrorCode.TooLong, detail);
 }
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -1,5 +1,10 @@
 import net from 'node:net';
-import {createDelayWindow, type DelayWindow} from '@zinniaspindle/decisions';
+import {
+  createDelayWindow,
+  IntakeKind,
+  kindLimits,
+  type DelayWindow,
+} from '@zinniaspindle/decisions';
 import {FrameReader} from '@zinniaspindle/framing';
 import {
   describeError,
@@ -173,8 +178,11 @@
 
   private accept(socket: net.Socket): void {
     this.inbound.add(socket);
-    const reader = new FrameReader();
     let peer: Peer | undefined;
+    const reader = new FrameReader(frame => {
+      const kind = frame > 0 ? IntakeKind.PeerFrame : IntakeKind.PeerGreeting;
+      return kindLimits[kind].maxItem;
+    });
     const remote = `${socket.remoteAddress}:${socket.remotePort}`;
     const refuse = (detail: string) => {
       this.writeEvent(GatewayEvent.PeerRefused, {remote, detail});
@@ -196,6 +204,9 @@
         } catch (error) {
           return refuse(describeError(error));
         }
+        if (peer === undefined) {
+          return refuse('its first message is no greeting');
+        }
       }
     });
   }
