--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -1,13 +1,21 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
   computeMinProbeInterval,
+  describeExcess,
   FailureCause,
+  IntakeScope,
   isFailing,
   recordRefusal,
+  type IntakeExcess,
   type StagePath,
 } from '@zinniaspindle/decisions';
-import type {Instant, LayerRange} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
 import type {Result} from 'true-myth';
+import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   EndpointErrorCode,
@@ -53,13 +61,23 @@
 const minPartitioned = 8;
 /** Time without new requests after a refusal, until the endpoint's report arrives. */
 const refusalSuspicionMilliseconds = 300;
+/** Time without new requests after a success without a seal, so that the next attempt is made elsewhere. */
+const unsealedSuspicionMilliseconds = 300;
 /** Time without new requests after refusals by an endpoint with capacity. */
 const failingSuspicionMilliseconds = 2500;
+/** Interval of the lines on an endpoint that sends more than is taken. */
+const overrunLineMilliseconds = 1000;
 /** Memory fill from which on refusals for lack of memory are justified. */
 const fullMemoryFill = 0.85;
 /** Reports show the memory of 200 ms ago (site files); includes a margin. */
 const reportLagMilliseconds = 260;
 
+/** How often an endpoint sent more than is taken from it. */
+interface Overruns {
+  count: number;
+  nextLineAt: Instant;
+}
+
 /** Probes endpoints whose requests stall, fail or are refused. */
 export class EndpointProber {
   /** Endpoints with a probe in progress. */
@@ -68,6 +86,7 @@
   private readonly checkingRefusal = new Set<string>();
   /** When each failing endpoint is probed next. */
   private readonly nextProbeAt = new Map<string, Instant>();
+  private readonly overruns = new Map<string, Overruns>();
 
   constructor(
     private readonly table: EndpointTable,
@@ -78,6 +97,7 @@
     private readonly isVoter: () => boolean,
     private readonly countVms: () => number,
     private readonly getNow: () => Instant,
+    private readonly writeEvent: WriteEvent = () => undefined,
   ) {}
 
   /**
@@ -163,6 +183,50 @@
     this.listeners.sendSuspicion(id, state.bornAt, cause);
   }
 
+  /**
+   * Records that an answer of an endpoint exceeded a bound. One that exceeded
+   * the bound of the answer itself counts as a failure; that of the VM is
+   * reached by the answers of others as well.
+   */
+  recordOverrun(id: string, excess: IntakeExcess, source: string): void {
+    const state = this.table.find(id);
+    if (state === undefined) return;
+    this.countOverrun(id, describeExcess(excess), source);
+    if (excess.scope !== IntakeScope.Item) return;
+    const now = this.getNow();
+    recordRefusal(state.health, now);
+    const until = now + failingSuspicionMilliseconds;
+    this.table.recordSuspicion(state, until, describeExcess(excess));
+    if (!isFailing(state.health, now)) return;
+    const cause = FailureCause.Refusing;
+    this.listeners.sendSuspicion(id, state.bornAt, cause);
+  }
+
+  /** Records that an endpoint answered a success that may not be used. */
+  recordUnsealed(id: string, detail: string): void {
+    const state = this.table.find(id);
+    if (state === undefined) return;
+    const until = this.getNow() + unsealedSuspicionMilliseconds;
+    this.table.recordSuspicion(state, until, detail);
+  }
+
+  /** Counts an answer that exceeded a bound, with a line a second at most. */
+  private countOverrun(id: string, reason: string, source: string): void {
+    this.metrics.count(Counter.Overruns);
+    for (const known of this.overruns.keys()) {
+      if (this.table.find(known) === undefined) this.overruns.delete(known);
+    }
+    const now = this.getNow();
+    const overruns = this.overruns.get(id) ?? {count: 0, nextLineAt: now};
+    this.overruns.set(id, overruns);
+    overruns.count += 1;
+    if (overruns.nextLineAt > now) return;
+    overruns.nextLineAt = now + overrunLineMilliseconds;
+    const {count} = overruns;
+    const fields = {endpoint: id, reason, source, count};
+    this.writeEvent(GatewayEvent.EndpointOverran, fields);
+  }
+
   /**
    * Tells whether an endpoint could have accepted the request that it refused.
    * Reports lag, so that an endpoint that has just filled up still reports
@@ -220,7 +284,12 @@
       this.table.acceptNotice(asked, stated, source);
     });
     if (this.table.find(id) !== state) return undefined;
-    if (report.isErr) return report;
+    if (report.isErr) {
+      const {code, message} = report.error;
+      const isExcess = code === EndpointErrorCode.Excessive;
+      if (isExcess) this.countOverrun(id, message, source);
+      return report;
+    }
     const {bornAt, orderCount, held} = report.value;
     const facts = {id, bornAt, orderCount, held};
     // The report may be that of an incarnation which was not known.
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -6,12 +6,12 @@
   RetryDenial,
   type AttemptLimits,
   type Attempts,
+  type IntakeExcess,
 } from '@zinniaspindle/decisions';
 import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
-import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
 import {AttemptLog} from './attempt_log.js';
@@ -28,6 +28,7 @@
   writeHead,
 } from './send_answer.js';
 import type {RequestContext} from './request_context.js';
+import {StreamBody, type CompleteEvents} from './stream_body.js';
 import {StreamPlaces, type PlaceWait} from './stream_places.js';
 import {UpstreamEnd, type Upstream} from './upstream.js';
 
@@ -61,9 +62,8 @@
   /** Its place on the path that it moves to. */
   private next: PathReservation | undefined;
   private readonly places: StreamPlaces;
-  private splitter = new EventSplitter();
   private answer: EndpointAnswer | undefined;
-  private failureBody: Buffer[] = [];
+  private body: StreamBody;
   private finishAttempt:
     ((end: AttemptEnd, reason: string) => void) | undefined;
   private lastEventId: string | undefined;
@@ -80,6 +80,7 @@
     private readonly context: RequestContext,
     private readonly model: ServiceModel,
   ) {
+    this.body = new StreamBody(context.server.intake);
     this.lastEventId = context.request.lastEventId;
     this.lastEventAt = context.receivedAt;
     this.log = new AttemptLog(context);
@@ -249,9 +250,8 @@
     const {server} = this.context;
     const {path} = reservation;
     const first = path.parts[0]!.endpoint;
-    this.splitter = new EventSplitter();
+    this.body = new StreamBody(server.intake);
     this.answer = undefined;
-    this.failureBody = [];
     this.reservation = reservation;
     this.log.recordStart(path.key);
     return new Promise(resolve => {
@@ -264,6 +264,7 @@
         this.places.cancelMove();
         this.log.recordEnd();
         server.paths.release(reservation);
+        this.body.drop();
         if (end !== AttemptEnd.Done) {
           const lastEventId = this.lastEventId ?? '';
           this.log.logFailed(first.id, reason, {lastEventId});
@@ -311,13 +312,14 @@
     return answer !== undefined && answer.status === 200 && answer.hasSeal;
   }
 
-  private acceptChunk(chunk: Buffer): void {
-    if (!this.isStreamAnswer()) {
-      this.failureBody.push(chunk);
-      return;
-    }
-    const events = this.splitter.accept(chunk);
-    if (events === undefined) return;
+  /** Gives the bound that the answer exceeds, if any. */
+  private acceptChunk(chunk: Buffer): IntakeExcess | undefined {
+    const events = this.body.accept(chunk, this.isStreamAnswer());
+    if (events !== undefined) this.streamEvents(events);
+    return this.body.excess;
+  }
+
+  private streamEvents(events: CompleteEvents): void {
     const {server, response} = this.context;
     server.paths.recordProgress(this.reservation!);
     this.recordEvent();
@@ -364,7 +366,7 @@
     const {answer} = this;
     if (answer!.isNotRun) return this.acceptNotRunAnswer(answer!);
     if (!this.isStreamAnswer()) return this.acceptFailureAnswer(answer!);
-    if (this.splitter.hasPartialEvent() || !this.hasSentEvents) {
+    if (this.body.hasPartialEvent() || !this.hasSentEvents) {
       this.finishAttempt?.(AttemptEnd.Broken, 'stream ended within an event');
       return;
     }
@@ -387,7 +389,7 @@
       return;
     }
     const first = this.reservation!.path.parts[0]!.endpoint.id;
-    sendAnswer(this.context, first, answer, Buffer.concat(this.failureBody));
+    sendAnswer(this.context, first, answer, this.body.toFailureBody());
     this.finishAttempt?.(AttemptEnd.Done, reason);
   }
 
