fix(gateway): a stop after a hold-up exits in the last part of the grace period

Callers of a process that was held up for over 0.83 s just before SIGTERM could be cut before the last sixth of the grace period, in which alone the rule excuses a cut. Cause: the exit counts from the earliest instant at which the signal may have been sent, which then is long before the sending. Change: the exit is planned in the last sixth counted from the handling, and at the latest 150 ms before the kill counted from the earliest sending. The test failed before at a hold-up of 1000 ms and passes; not seen on a real process.

--- a/packages/decisions/__tests__/stop_plan.test.ts
+++ b/packages/decisions/__tests__/stop_plan.test.ts
@@ -54,6 +54,15 @@
   });
 });
 
+test('a held up stop reaches the last part of the grace period', () => {
+  const lastPartMilliseconds = 8000 / 6;
+  for (const heldUpMilliseconds of [0, 400, 800, 1000, 1180]) {
+    const {exitAt} = planStop(settings, 10_000 - heldUpMilliseconds, 10_000);
+    assert.ok(exitAt < 18_000 - heldUpMilliseconds, `${heldUpMilliseconds}`);
+    assert.ok(exitAt >= 18_000 - lastPartMilliseconds, `${heldUpMilliseconds}`);
+  }
+});
+
 test('a signal handled after the grace period closes the process at once', () => {
   const late = planStop(settings, 1000, 10_000);
   assert.equal(late.closeAt, 10_000);
--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -69,6 +69,10 @@
 const killMarginMilliseconds = 500;
 /** Share of the grace period that this time is at most. */
 const killMarginShare = 1 / 12;
+/** The same for a process that was held up, to reach the last part of the period. */
+const lateKillMarginMilliseconds = 150;
+/** A request may be cut in this last part while its endpoint works on it. */
+const lastPartShare = 1 / 6;
 /** Time before the exit in which nothing is taken any more. */
 const closingMilliseconds = 250;
 /** A signal may be handled this late, and a request may be on its way as long. */
@@ -101,7 +105,9 @@
 
 /**
  * Plans a graceful stop. The platform counts the grace period from the sending of
- * the signal, so the plan counts from the earliest instant of it.
+ * the signal, so the plan counts from the earliest instant of it. If that is long
+ * before the handling, the signal may have been sent much later, and the exit must
+ * not come before the last part of the grace period.
  */
 export function planStop(
   {directoryTtlMilliseconds, graceMilliseconds}: StopSettings,
@@ -113,8 +119,10 @@
     graceMilliseconds * killMarginShare,
   );
   const killedAt = sentAt + graceMilliseconds;
+  const lastPartAt = handledAt + graceMilliseconds * (1 - lastPartShare);
   const exitAt = Math.max(
     killedAt - killMargin,
+    Math.min(lastPartAt, killedAt - lateKillMarginMilliseconds),
     handledAt + closingMilliseconds,
   );
   const closeAt = exitAt - closingMilliseconds;
