fix(gateway): a route has small answers only once twenty are known

A review showed a caller whose answer of 24 MB was cut by the exit: it was taken 4 s after SIGTERM because the one answer of its route so far was small and other routes spoke for its duration. Cause: one answer made a route small, and durations fell back to those of all plain routes. A route counts as large now until twenty of its answers are known, so that its own durations decide. What remains: a large answer after twenty small ones of its route.

--- a/packages/gateway/src/requests/answers_by_route.ts
+++ b/packages/gateway/src/requests/answers_by_route.ts
@@ -28,10 +28,15 @@
     recordMilliseconds(answers.durations, milliseconds);
   }
 
-  /** Tells whether a route has large answers; an unknown one counts as such. */
+  /**
+   * Tells whether a route has large answers; one of which few are known counts as
+   * such.
+   */
   isLarge(route: string): boolean {
     const answers = this.routes.get(route);
-    return answers === undefined || answers.largestBytes > maxSmallBytes;
+    if (answers === undefined) return true;
+    if (findShare(answers.durations, 1) === undefined) return true;
+    return answers.largestBytes > maxSmallBytes;
   }
 
   /**
