fix(gateway): the margins of a late exit follow the grace period

Cause: a margin of 150 ms before the kill that did not follow the grace period, and none after the begin of the last sixth. The test of one grace period is replaced by one of four, which includes it.

--- a/packages/decisions/__tests__/stop_plan.test.ts
+++ b/packages/decisions/__tests__/stop_plan.test.ts
@@ -55,11 +55,15 @@
 });
 
 test('a held up stop reaches the last part of the grace period', () => {
-  const lastPartMilliseconds = 8000 / 6;
-  for (const heldUpMilliseconds of [0, 400, 800, 1000, 1180]) {
-    const {exitAt} = planStop(settings, 10_000 - heldUpMilliseconds, 10_000);
-    assert.ok(exitAt < 18_000 - heldUpMilliseconds, `${heldUpMilliseconds}`);
-    assert.ok(exitAt >= 18_000 - lastPartMilliseconds, `${heldUpMilliseconds}`);
+  const lastPartShare = 1 / 6;
+  for (const graceMilliseconds of [2000, 4000, 8000, 30_000]) {
+    for (const heldUpShare of [0, 0.05, 0.1, 0.125]) {
+      const held = graceMilliseconds * heldUpShare;
+      const plan = planStop({...settings, graceMilliseconds}, -held, 0);
+      const text = `${graceMilliseconds} ${held}`;
+      assert.ok(plan.exitAt < graceMilliseconds - held, text);
+      assert.ok(plan.exitAt >= graceMilliseconds * (1 - lastPartShare), text);
+    }
   }
 });
 
--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -69,10 +69,12 @@
 const killMarginMilliseconds = 500;
 /** Share of the grace period that this time is at most. */
 const killMarginShare = 1 / 12;
-/** The same for a process that was held up, to reach the last part of the period. */
-const lateKillMarginMilliseconds = 150;
+/** Share of this time that is left to a process that was held up. */
+const lateKillMarginShare = 1 / 3;
 /** A request may be cut in this last part while its endpoint works on it. */
 const lastPartShare = 1 / 6;
+/** Time after the begin of the last part at which the exit is planned. */
+const lastPartMarginMilliseconds = 100;
 /** Time before the exit in which nothing is taken any more. */
 const closingMilliseconds = 250;
 /** A signal may be handled this late, and a request may be on its way as long. */
@@ -119,10 +121,13 @@
     graceMilliseconds * killMarginShare,
   );
   const killedAt = sentAt + graceMilliseconds;
-  const lastPartAt = handledAt + graceMilliseconds * (1 - lastPartShare);
+  const lastPartAt =
+    handledAt +
+    graceMilliseconds * (1 - lastPartShare) +
+    lastPartMarginMilliseconds;
   const exitAt = Math.max(
     killedAt - killMargin,
-    Math.min(lastPartAt, killedAt - lateKillMarginMilliseconds),
+    Math.min(lastPartAt, killedAt - killMargin * lateKillMarginShare),
     handledAt + closingMilliseconds,
   );
   const closeAt = exitAt - closingMilliseconds;
