fix(gateway): a HEAD request whose answer has no length is answered

Callers got 504 at the deadline: the end of the connection was awaited for an answer that never has a body. The head is the whole answer now.

--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -127,7 +127,7 @@
       clearTimeout(this.connectTimer);
     });
     socket.on('end', () => {
-      if (this.message !== undefined && !hasLength(this.message)) {
+      if (this.message !== undefined && !this.hasLength(this.message)) {
         this.checkReset(socket);
       }
     });
@@ -196,12 +196,12 @@
     });
     message.on('error', error => this.close(UpstreamEnd.Broken, error.message));
     message.on('end', () => {
-      if (!hasLength(message)) return; // The end of the connection decides.
+      if (!this.hasLength(message)) return; // The end of the connection decides.
       if (message.complete) this.close(UpstreamEnd.Complete, 'complete');
       else this.close(UpstreamEnd.Broken, 'answer was cut off');
     });
     message.on('close', () => {
-      if (!hasLength(message) && message.complete) return;
+      if (!this.hasLength(message) && message.complete) return;
       this.close(UpstreamEnd.Broken, 'answer was cut off');
     });
     this.listener.handleAnswer(answer);
@@ -225,13 +225,14 @@
     this.cancel();
     this.listener.handleEnd(end, detail);
   }
-}
 
-/** Tells whether the headers of an answer determine where its body ends. */
-function hasLength({headers, statusCode}: http.IncomingMessage): boolean {
-  if (statusCode === 204 || statusCode === 304) return true;
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
+  /** Tells whether the head of an answer determines where its body ends. */
+  private hasLength({headers, statusCode}: http.IncomingMessage): boolean {
+    if (this.options.method === 'HEAD') return true;
+    if (statusCode === 204 || statusCode === 304) return true;
+    return (
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined
+    );
+  }
 }
