fix(gateway): a request whose caller has left takes no retry

Callers of slow safe requests got 502 after others had left: a cancelled attempt kept its timer, which took a retry of the budget and an endpoint for nobody. Cancelling closes the attempt now. The test failed before: 502 after 60 requests whose callers had left. Two tests of moves to an endpoint that then refuses fail and are listed: a move gives its attempt up for a place that only this VM has granted.

--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -56,6 +56,8 @@
  */
 export class PlainRequestHandler {
   private upstream: Upstream | undefined;
+  private closeAttempt:
+    ((end: UpstreamEnd, detail: string) => void) | undefined;
   private isAbandoned = false;
   /** Whether an endpoint has the request and has not ended it. */
   private isAttempting = false;
@@ -135,6 +137,7 @@
   cancel(): void {
     this.isAbandoned = true;
     this.upstream?.cancel();
+    this.closeAttempt?.(UpstreamEnd.Broken, 'caller disconnected');
   }
 
   /**
@@ -207,6 +210,7 @@
       const buffer = new AnswerBuffer(this.context);
       const closeAttempt = (end: UpstreamEnd, detail: string) => {
         clearTimeout(timer);
+        this.closeAttempt = undefined;
         endpoint.running -= 1;
         if (end === UpstreamEnd.Broken) buffer.drop();
         resolve({end, detail, answer, buffer});
@@ -233,6 +237,7 @@
         closeAttempt(UpstreamEnd.Broken, 'no answer in time');
       };
       let timer = startTimer(attemptDeadline);
+      this.closeAttempt = closeAttempt;
       const upstream = openUpstream(
         this.context,
         endpoint.entry,
