fix(gateway): the bodies of all requests stay within their share of the VM

Cause: a body was bounded alone by the operator's limit, so many at once took as much memory as their callers liked; IntakeKind.CallerBody was asked by nobody.

Change: readBody counts each body in Intake until its request is no longer open. One that exceeds the share is refused unrun with 503 and Retry-After; the rest of it is dropped as it comes, within the operator's limits, so that the answer reaches a caller that sends first and the connection goes on. Checks of sizes moved to check_sizes.ts, unchanged.

--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -5,6 +5,7 @@
   AnswerSize,
   computeStopRetryDelay,
   findTakeGrounds,
+  IntakeSource,
   type StopPlan,
 } from '@zinniaspindle/decisions';
 import {
@@ -16,12 +17,12 @@
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
-  type CallerLimits,
   type CallerRequest,
   type Configuration,
   type Route,
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
+import {checkSizes, describeBodyFailure} from './check_sizes.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {
   ClosedBy,
@@ -181,12 +182,14 @@
       if (plan === undefined) return;
       refuse(this.describeStop(plan, this.context.getNow()));
     };
-    const body = await readBody(
-      message,
-      limits.maxBodyBytes,
-      limits.idleTimeoutMilliseconds,
-    );
-    if (body === undefined || response.writableEnded) return;
+    const held = this.context.intake.open(IntakeSource.Callers);
+    open.releaseBody = () => held.release();
+    const body = await readBody(message, {
+      maxBytes: limits.maxBodyBytes,
+      idleMilliseconds: limits.idleTimeoutMilliseconds,
+      held,
+    });
+    if (body === undefined || response.writableEnded) return held.release();
     if (body.isErr) return refuse(describeBodyFailure(body.error));
     const {route, service, account} = found;
     const timeout = Math.min(
@@ -387,27 +390,6 @@
   });
 }
 
-function checkSizes(
-  message: http.IncomingMessage,
-  limits: CallerLimits,
-): LocalAnswer | undefined {
-  let headerBytes = 0;
-  for (const text of message.rawHeaders) headerBytes += text.length + 2;
-  if (headerBytes > limits.maxHeaderBytes) {
-    return {status: 431, reason: FailureReason.HeadersTooLarge};
-  }
-  const length = Number(message.headers['content-length'] ?? 0);
-  if (length > limits.maxBodyBytes) {
-    return {status: 413, reason: FailureReason.BodyTooLarge};
-  }
-  return undefined;
-}
-
-function describeBodyFailure(reason: FailureReason): LocalAnswer {
-  const status = reason === FailureReason.BodyTooLarge ? 413 : 408;
-  return {status, reason};
-}
-
 function answerParserError(error: Error, socket: Socket): void {
   const code = (error as NodeJS.ErrnoException).code ?? '';
   if (!socket.writable || code === 'ECONNRESET') {
--- /dev/null
+++ b/packages/gateway/src/requests/check_sizes.ts
@@ -0,0 +1,34 @@
+import type http from 'node:http';
+import type {CallerLimits} from '../ports/index.js';
+import {FailureReason, type LocalAnswer} from './failure.js';
+import type {BodyFailure} from './read_body.js';
+
+/** When callers whose bodies have no room are to come back. */
+const bodyRetryMilliseconds = 500;
+
+/** Checks the sizes that the head of a request states. */
+export function checkSizes(
+  message: http.IncomingMessage,
+  limits: CallerLimits,
+): LocalAnswer | undefined {
+  let headerBytes = 0;
+  for (const text of message.rawHeaders) headerBytes += text.length + 2;
+  if (headerBytes > limits.maxHeaderBytes) {
+    return {status: 431, reason: FailureReason.HeadersTooLarge};
+  }
+  const length = Number(message.headers['content-length'] ?? 0);
+  if (length > limits.maxBodyBytes) {
+    return {status: 413, reason: FailureReason.BodyTooLarge};
+  }
+  return undefined;
+}
+
+/** Gives the answer to a request whose body was not taken; it has not run. */
+export function describeBodyFailure(reason: BodyFailure): LocalAnswer {
+  if (reason === FailureReason.BodiesTooMany) {
+    const retryAfterMilliseconds = bodyRetryMilliseconds;
+    return {status: 503, reason, retryAfterMilliseconds};
+  }
+  const status = reason === FailureReason.BodyTooLarge ? 413 : 408;
+  return {status, reason};
+}
--- a/packages/gateway/src/requests/failure.ts
+++ b/packages/gateway/src/requests/failure.ts
@@ -4,6 +4,7 @@
   NoRoute = 'no route has this host and path',
   BadKey = 'the key is not known',
   BodyTooLarge = 'the body is larger than allowed',
+  BodiesTooMany = 'the bodies of all requests take the memory meant for them',
   HeadersTooLarge = 'the headers are larger than allowed',
   BodyTimeout = 'the body did not come in time',
   NoEndpoint = 'no endpoint can take the request now',
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -36,6 +36,8 @@
   describeProgress: () => RequestProgress;
   /** Gives the final answer that is true now; the caller has got nothing yet. */
   answerNow: () => void;
+  /** Gives back the bytes of the body, once the request is no longer open. */
+  releaseBody: () => void;
   /** Called when the answer is written out, with its size. */
   handleWritten: (bytes: number) => void;
   /** Called when the connection closed before the answer was written out. */
@@ -85,6 +87,7 @@
       isBrokenOff: false,
       describeProgress: () => ({endpoint: '', lastEventId: ''}),
       answerNow: () => undefined,
+      releaseBody: () => undefined,
       handleWritten: () => undefined,
       handleCut: () => undefined,
     };
@@ -170,7 +173,10 @@
   private remove(socket: Socket, request: OpenRequest): boolean {
     const requests = this.connections.get(socket)?.requests ?? [];
     const at = requests.indexOf(request);
-    if (at !== -1) requests.splice(at, 1);
+    if (at !== -1) {
+      requests.splice(at, 1);
+      request.releaseBody();
+    }
     if (this.isClosing) this.closeIfIdle(socket);
     return at !== -1;
   }
--- a/packages/gateway/src/requests/read_body.ts
+++ b/packages/gateway/src/requests/read_body.ts
@@ -1,43 +1,88 @@
 import type http from 'node:http';
+import {IntakeKind} from '@zinniaspindle/decisions';
+import {PendingBytes} from '@zinniaspindle/framing';
 import {Result} from 'true-myth';
+import type {HeldBytes} from '../intake/intake.js';
 import {FailureReason} from './failure.js';
 
 /** Why reading a body failed. */
 export type BodyFailure =
-  FailureReason.BodyTooLarge | FailureReason.BodyTimeout;
+  | FailureReason.BodyTooLarge
+  | FailureReason.BodiesTooMany
+  | FailureReason.BodyTimeout;
+
+/** What bounds the reading of a body. */
+export interface BodyBounds {
+  readonly maxBytes: number;
+  readonly idleMilliseconds: number;
+  /** Counts the body as long as it is kept; whoever drops it releases this. */
+  readonly held: HeldBytes;
+}
 
 /** Reads a whole body; undefined when the caller disconnects meanwhile. */
 export function readBody(
   request: http.IncomingMessage,
-  maxBytes: number,
-  idleMilliseconds: number,
+  {maxBytes, idleMilliseconds, held}: BodyBounds,
 ): Promise<Result<Buffer, BodyFailure> | undefined> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    const timer = setTimeout(() => {
-      resolve(Result.err(FailureReason.BodyTimeout));
-    }, idleMilliseconds);
-    request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
+    const pending = new PendingBytes();
+    const stopReading = (result: Result<Buffer, BodyFailure> | undefined) => {
+      clearTimeout(timer);
+      request.off('data', accept);
+      request.off('end', acceptEnd);
+      request.off('close', handleClose);
+      resolve(result);
+    };
+    const fail = (reason: BodyFailure) => {
+      pending.drop();
+      held.release();
+      stopReading(Result.err(reason));
+    };
+    const accept = (chunk: Buffer) => {
       timer.refresh();
-      if (bytes <= maxBytes) {
-        chunks.push(chunk);
-        return;
+      const bytes = pending.length + chunk.length;
+      if (bytes > maxBytes) {
+        request.pause();
+        return fail(FailureReason.BodyTooLarge);
       }
-      clearTimeout(timer);
+      if (held.set(IntakeKind.CallerBody, bytes) !== undefined) {
+        fail(FailureReason.BodiesTooMany);
+        return dropRest(request, maxBytes - bytes, idleMilliseconds);
+      }
+      pending.append(chunk);
+    };
+    const acceptEnd = () => stopReading(Result.ok(pending.take()));
+    const handleClose = () => {
+      held.release();
+      stopReading(undefined);
+    };
+    const timer = setTimeout(() => {
       request.pause();
-      resolve(Result.err(FailureReason.BodyTooLarge));
-    });
-    request.on('end', () => {
-      clearTimeout(timer);
-      resolve(
-        Result.ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)),
-      );
-    });
-    request.on('close', () => {
-      clearTimeout(timer);
-      resolve(undefined);
-    });
+      fail(FailureReason.BodyTimeout);
+    }, idleMilliseconds);
+    request.on('data', accept);
+    request.on('end', acceptEnd);
+    request.on('close', handleClose);
+  });
+}
+
+/**
+ * Drops what still comes of a refused body, so that the answer reaches a caller
+ * that sends first. A body beyond its bounds loses its connection.
+ */
+function dropRest(
+  request: http.IncomingMessage,
+  maxBytes: number,
+  idleMilliseconds: number,
+): void {
+  let bytes = 0;
+  const closeConnection = () => request.socket.destroy();
+  const timer = setTimeout(closeConnection, idleMilliseconds);
+  request.on('data', (chunk: Buffer) => {
+    timer.refresh();
+    bytes += chunk.length;
+    if (bytes > maxBytes) closeConnection();
   });
+  request.on('end', () => clearTimeout(timer));
+  request.on('close', () => clearTimeout(timer));
 }
