fix(gateway): a request's body ends by its deadline, however slowly it comes

Cause: only the idle limit ended the reading of a body, and each chunk began it again, so a body that trickles held its request as long as its caller liked, past the time-out of its route.

Change: readBody ends at the idle limit or at the deadline of the request, whichever is earlier, with 408 and unrun. The rest of a body that was refused for the share is dropped until that deadline; then its connection is closed.

Measured, a byte each 100 ms and a time-out of 1.5 s: before, neither ended within the 4 s after which the test gives up (two tests of slow_callers failed); now 408 after 1.51 s, and the connection of a refused one is closed by then.

--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -182,21 +182,22 @@
       if (plan === undefined) return;
       refuse(this.describeStop(plan, this.context.getNow()));
     };
+    const {route, service, account} = found;
+    const timeout = Math.min(
+      request.timeoutMilliseconds ?? Infinity,
+      route.timeoutMilliseconds,
+    );
+    const deadline = receivedAt + timeout;
     const held = this.context.intake.open(IntakeSource.Callers);
     open.releaseBody = () => held.release();
     const body = await readBody(message, {
       maxBytes: limits.maxBodyBytes,
       idleMilliseconds: limits.idleTimeoutMilliseconds,
+      leftMilliseconds: deadline - this.context.getNow(),
       held,
     });
     if (body === undefined || response.writableEnded) return held.release();
     if (body.isErr) return refuse(describeBodyFailure(body.error));
-    const {route, service, account} = found;
-    const timeout = Math.min(
-      request.timeoutMilliseconds ?? Infinity,
-      route.timeoutMilliseconds,
-    );
-    const deadline = receivedAt + timeout;
     const stopFailure = this.checkStop(open, route, deadline);
     if (stopFailure !== undefined) return refuse(stopFailure);
     await serveRequest({
--- a/packages/gateway/src/requests/read_body.ts
+++ b/packages/gateway/src/requests/read_body.ts
@@ -15,6 +15,8 @@
 export interface BodyBounds {
   readonly maxBytes: number;
   readonly idleMilliseconds: number;
+  /** Time that is left until the deadline of the request. */
+  readonly leftMilliseconds: number;
   /** Counts the body as long as it is kept; whoever drops it releases this. */
   readonly held: HeldBytes;
 }
@@ -22,12 +24,13 @@
 /** Reads a whole body; undefined when the caller disconnects meanwhile. */
 export function readBody(
   request: http.IncomingMessage,
-  {maxBytes, idleMilliseconds, held}: BodyBounds,
+  {maxBytes, idleMilliseconds, leftMilliseconds, held}: BodyBounds,
 ): Promise<Result<Buffer, BodyFailure> | undefined> {
   return new Promise(resolve => {
     const pending = new PendingBytes();
     const stopReading = (result: Result<Buffer, BodyFailure> | undefined) => {
       clearTimeout(timer);
+      clearTimeout(deadlineTimer);
       request.off('data', accept);
       request.off('end', acceptEnd);
       request.off('close', handleClose);
@@ -47,7 +50,7 @@
       }
       if (held.set(IntakeKind.CallerBody, bytes) !== undefined) {
         fail(FailureReason.BodiesTooMany);
-        return dropRest(request, maxBytes - bytes, idleMilliseconds);
+        return dropRest(request, maxBytes - bytes, leftMilliseconds);
       }
       pending.append(chunk);
     };
@@ -56,10 +59,12 @@
       held.release();
       stopReading(undefined);
     };
-    const timer = setTimeout(() => {
+    const expire = () => {
       request.pause();
       fail(FailureReason.BodyTimeout);
-    }, idleMilliseconds);
+    };
+    const timer = setTimeout(expire, idleMilliseconds);
+    const deadlineTimer = setTimeout(expire, leftMilliseconds);
     request.on('data', accept);
     request.on('end', acceptEnd);
     request.on('close', handleClose);
@@ -73,13 +78,12 @@
 function dropRest(
   request: http.IncomingMessage,
   maxBytes: number,
-  idleMilliseconds: number,
+  leftMilliseconds: number,
 ): void {
   let bytes = 0;
   const closeConnection = () => request.socket.destroy();
-  const timer = setTimeout(closeConnection, idleMilliseconds);
+  const timer = setTimeout(closeConnection, leftMilliseconds);
   request.on('data', (chunk: Buffer) => {
-    timer.refresh();
     bytes += chunk.length;
     if (bytes > maxBytes) closeConnection();
   });
