fix(gateway): a caller that leaves within its body ends its request at once

Cause: the end of a connection within a body is an error of the parser, after which the connection waits for the answers that are under way. The request whose body was incomplete could never get one, and kept its body until a limit of its reading.

Change: a connection whose only request has an incomplete body and no answer yet is ended like one without requests, with 400. Behind earlier answers it waits as before, until the body's own limits.

--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -120,12 +120,17 @@
 
   /**
    * Ends a connection, of which no further request can be read, after the
-   * answers that it waits for; returns false if there are none.
+   * answers that it waits for; returns false if there are none, as for a request
+   * whose body is not complete.
    */
   closeConnection(socket: Socket): boolean {
     const connection = this.connections.get(socket);
     const last = connection?.requests.at(-1);
     if (connection === undefined || last === undefined) return false;
+    // The rest of a body can't be read any more, so its request never runs.
+    const {headersSent, req} = last.response;
+    const isOnly = connection.requests.length === 1;
+    if (isOnly && !req.complete && !headersSent) return false;
     if (!connection.isEnding) last.response.on('close', () => socket.end());
     connection.isEnding = true;
     return true;
