fix(gateway): a caller that asks before its body is refused without sending it

Cause: the library told each caller with Expect: 100-continue to send its body before the route, the key and the sizes were checked.

Change: the head is checked first; 100 is sent when the body is read.

--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -67,11 +67,11 @@
         connectionsCheckingInterval: 1000,
         noDelay: true,
       },
-      (request, response) => {
-        const open = this.openRequests.add(response, this.context.getNow());
-        if (open !== undefined) void this.handle(request, open);
-      },
+      (request, response) => this.accept(request, response),
     );
+    this.server.on('checkContinue', (request, response) => {
+      this.accept(request, response, () => response.writeContinue());
+    });
     this.server.on('connection', (socket: Socket) => {
       this.openRequests.addConnection(socket);
     });
@@ -159,9 +159,19 @@
     this.server.closeAllConnections();
   }
 
+  private accept(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    askBody = () => {},
+  ): void {
+    const open = this.openRequests.add(response, this.context.getNow());
+    if (open !== undefined) void this.handle(message, open, askBody);
+  }
+
   private async handle(
     message: http.IncomingMessage,
     open: OpenRequest,
+    askBody: () => void,
   ): Promise<void> {
     const {response, receivedAt} = open;
     this.context.metrics.count(Counter.Requests);
@@ -190,6 +200,7 @@
     const deadline = receivedAt + timeout;
     const held = this.context.intake.open(IntakeSource.Callers);
     open.releaseBody = () => held.release();
+    askBody();
     const body = await readBody(message, {
       maxBytes: limits.maxBodyBytes,
       idleMilliseconds: limits.idleTimeoutMilliseconds,
