--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -5,6 +5,7 @@
   AnswerSize,
   computeStopRetryDelay,
   findTakeGrounds,
+  IntakeSource,
   type StopPlan,
 } from '@zinniaspindle/decisions';
 import {
@@ -16,12 +17,12 @@
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
-  type CallerLimits,
   type CallerRequest,
   type Configuration,
   type Route,
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
+import {checkSizes, describeBodyFailure} from './check_sizes.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {
   ClosedBy,
@@ -66,11 +67,11 @@
         connectionsCheckingInterval: 1000,
         noDelay: true,
       },
-      (request, response) => {
-        const open = this.openRequests.add(response, this.context.getNow());
-        if (open !== undefined) void this.handle(request, open);
-      },
+      (request, response) => this.accept(request, response),
     );
+    this.server.on('checkContinue', (request, response) => {
+      this.accept(request, response, () => response.writeContinue());
+    });
     this.server.on('connection', (socket: Socket) => {
       this.openRequests.addConnection(socket);
     });
@@ -158,9 +159,19 @@
     this.server.closeAllConnections();
   }
 
+  private accept(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    askBody = () => {},
+  ): void {
+    const open = this.openRequests.add(response, this.context.getNow());
+    if (open !== undefined) void this.handle(message, open, askBody);
+  }
+
   private async handle(
     message: http.IncomingMessage,
     open: OpenRequest,
+    askBody: () => void,
   ): Promise<void> {
     const {response, receivedAt} = open;
     this.context.metrics.count(Counter.Requests);
@@ -181,19 +192,23 @@
       if (plan === undefined) return;
       refuse(this.describeStop(plan, this.context.getNow()));
     };
-    const body = await readBody(
-      message,
-      limits.maxBodyBytes,
-      limits.idleTimeoutMilliseconds,
-    );
-    if (body === undefined || response.writableEnded) return;
-    if (body.isErr) return refuse(describeBodyFailure(body.error));
     const {route, service, account} = found;
     const timeout = Math.min(
       request.timeoutMilliseconds ?? Infinity,
       route.timeoutMilliseconds,
     );
     const deadline = receivedAt + timeout;
+    const held = this.context.intake.open(IntakeSource.Callers);
+    open.releaseBody = () => held.release();
+    askBody();
+    const body = await readBody(message, {
+      maxBytes: limits.maxBodyBytes,
+      idleMilliseconds: limits.idleTimeoutMilliseconds,
+      leftMilliseconds: deadline - this.context.getNow(),
+      held,
+    });
+    if (body === undefined || response.writableEnded) return held.release();
+    if (body.isErr) return refuse(describeBodyFailure(body.error));
     const stopFailure = this.checkStop(open, route, deadline);
     if (stopFailure !== undefined) return refuse(stopFailure);
     await serveRequest({
@@ -387,27 +402,6 @@
   });
 }
 
-function checkSizes(
-  message: http.IncomingMessage,
-  limits: CallerLimits,
-): LocalAnswer | undefined {
-  let headerBytes = 0;
-  for (const text of message.rawHeaders) headerBytes += text.length + 2;
-  if (headerBytes > limits.maxHeaderBytes) {
-    return {status: 431, reason: FailureReason.HeadersTooLarge};
-  }
-  const length = Number(message.headers['content-length'] ?? 0);
-  if (length > limits.maxBodyBytes) {
-    return {status: 413, reason: FailureReason.BodyTooLarge};
-  }
-  return undefined;
-}
-
-function describeBodyFailure(reason: FailureReason): LocalAnswer {
-  const status = reason === FailureReason.BodyTooLarge ? 413 : 408;
-  return {status, reason};
-}
-
 function answerParserError(error: Error, socket: Socket): void {
   const code = (error as NodeJS.ErrnoException).code ?? '';
   if (!socket.writable || code === 'ECONNRESET') {
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -36,6 +36,8 @@
   describeProgress: () => RequestProgress;
   /** Gives the final answer that is true now; the caller has got nothing yet. */
   answerNow: () => void;
+  /** Gives back the bytes of the body, once the request is no longer open. */
+  releaseBody: () => void;
   /** Called when the answer is written out, with its size. */
   handleWritten: (bytes: number) => void;
   /** Called when the connection closed before the answer was written out. */
@@ -85,6 +87,7 @@
       isBrokenOff: false,
       describeProgress: () => ({endpoint: '', lastEventId: ''}),
       answerNow: () => undefined,
+      releaseBody: () => undefined,
       handleWritten: () => undefined,
       handleCut: () => undefined,
     };
@@ -117,12 +120,17 @@
 
   /**
    * Ends a connection, of which no further request can be read, after the
-   * answers that it waits for; returns false if there are none.
+   * answers that it waits for; returns false if there are none, as for a request
+   * whose body is not complete.
    */
   closeConnection(socket: Socket): boolean {
     const connection = this.connections.get(socket);
     const last = connection?.requests.at(-1);
     if (connection === undefined || last === undefined) return false;
+    // The rest of a body can't be read any more, so its request never runs.
+    const {headersSent, req} = last.response;
+    const isOnly = connection.requests.length === 1;
+    if (isOnly && !req.complete && !headersSent) return false;
     if (!connection.isEnding) last.response.on('close', () => socket.end());
     connection.isEnding = true;
     return true;
@@ -170,7 +178,10 @@
   private remove(socket: Socket, request: OpenRequest): boolean {
     const requests = this.connections.get(socket)?.requests ?? [];
     const at = requests.indexOf(request);
-    if (at !== -1) requests.splice(at, 1);
+    if (at !== -1) {
+      requests.splice(at, 1);
+      request.releaseBody();
+    }
     if (this.isClosing) this.closeIfIdle(socket);
     return at !== -1;
   }
