--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -199,8 +199,8 @@
 }
 
 /**
- * Tells whether a stopping VM may close its connections before it exits: callers no longer learn of it from the
- * directory, and nothing is in flight.
+ * Tells whether a stopping VM may close its connections before it exits: callers
+ * no longer learn of it from the directory, and nothing is in flight.
  */
 export function canClose(
   {lingerUntil, closeAt}: StopPlan,
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -61,7 +61,10 @@
 const minPartitioned = 8;
 /** Time without new requests after a refusal, until the endpoint's report arrives. */
 const refusalSuspicionMilliseconds = 300;
-/** Time without new requests after a success without a seal, so that the next attempt is made elsewhere. */
+/**
+ * Time without new requests after a success without a seal, so that the next
+ * attempt is made elsewhere.
+ */
 const unsealedSuspicionMilliseconds = 300;
 /** Time without new requests after refusals by an endpoint with capacity. */
 const failingSuspicionMilliseconds = 2500;
