perf(gateway): picking a path copies no list unless a stream leaves one

Each pick filtered the usable paths by the path that is left, also for requests that leave none, on the path of every stream. The same paths are picked. path_table, path_queue, held_attempts (its listed test fails as listed) and stream_moves run.

--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -178,7 +178,7 @@
   ): StagePath | undefined {
     const usable = this.listUsable(service, model);
     return pickPath(
-      usable.filter(({key}) => key !== left?.key),
+      left === undefined ? usable : usable.filter(({key}) => key !== left.key),
       tokens,
       id => this.loads.computeLoad(id),
       this.dataCentre,
