--- a/packages/gateway/__tests__/line_writer.test.ts
+++ b/packages/gateway/__tests__/line_writer.test.ts
@@ -76,6 +76,13 @@
   }
 }
 
+/** Lets what the process has queued run for some turns. */
+async function waitTurns(): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 test('each of several hundred requests cut at one exit is named', async t => {
   const {log, reader} = makeLog(t);
   const ids = logCutOff(log, manyRequests);
@@ -115,3 +122,35 @@
   assert.ok(reader.text.length < maxHeldBytes, `${reader.text.length}`);
   assert.match(reader.text, /"droppedLines":\d+/);
 });
+
+test('closing a log waits for a reader that reads again', async () => {
+  const reader = new Reader();
+  const log = new EventLog('vm-1', reader.output);
+  reader.stop();
+  const ids = logCutOff(log, 3);
+  let isClosed = false;
+  const closed = log.close(Infinity).then(() => (isClosed = true));
+  await waitTurns();
+  assert.equal(isClosed, false);
+  reader.resume();
+  await closed;
+  assert.ok(ids.every(id => reader.hasRequest(id)));
+});
+
+test('closing a log that is not read ends at its deadline', async () => {
+  const reader = new Reader();
+  const log = new EventLog('vm-1', reader.output);
+  reader.stop();
+  logCutOff(log, 3);
+  const deadline = performance.now() + 50;
+  await log.close(deadline);
+  assert.ok(performance.now() >= deadline);
+});
+
+test('closing a log whose reader is gone does not wait', async () => {
+  const reader = new Reader();
+  const log = new EventLog('vm-1', reader.output);
+  reader.output.destroy();
+  logCutOff(log, 3);
+  await log.close(Infinity);
+});
--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -1,7 +1,9 @@
+import {performance} from 'node:perf_hooks';
 import {
   describeError,
   GatewayEvent,
   renderEvent,
+  type Deadline,
   type LogEvent,
   type EventFieldValue,
 } from '@zinniaspindle/shared';
@@ -55,9 +57,9 @@
     this.write(GatewayEvent.TaskFailed, {task, detail});
   };
 
-  /** Flushes buffered lines. */
-  close(): void {
-    this.writer.writeAll();
+  /** Waits until buffered lines are written out, or until a deadline. */
+  close(deadline: Deadline): Promise<void> {
+    return this.writer.close(deadline, () => performance.now());
   }
 
   private takeLineQuota(event: GatewayEvent): boolean {
--- a/packages/gateway/src/log/line_writer.ts
+++ b/packages/gateway/src/log/line_writer.ts
@@ -1,9 +1,12 @@
 import type {Writable} from 'node:stream';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 
 /** Lines are buffered for this time, so that one write carries several. */
 const flushMilliseconds = 200;
 /** Further lines are dropped and counted while the reader is slow. */
 const maxBufferedBytes = 64 * 1024;
+const closePollMilliseconds = 5;
 
 /**
  * Writes lines in batches and drops lines rather than block on a slow reader.
@@ -14,6 +17,8 @@
   private isBlocked = false;
   private timer: NodeJS.Timeout | undefined;
   private dropped = 0;
+  /** Lines that the output has taken and not written out yet. */
+  private inOutput = 0;
 
   constructor(private readonly output: Writable) {
     output.on('error', () => undefined); // Lines to a closed output are lost.
@@ -52,9 +57,30 @@
     }
     if (this.dropped > 0) this.lines.push(`{"droppedLines":${this.dropped}}`);
     const text = `${this.lines.join('\n')}\n`;
+    const count = this.lines.length;
     this.lines = [];
     this.bufferedBytes = 0;
     this.dropped = 0;
-    this.isBlocked = !this.output.write(text);
+    this.inOutput += count;
+    this.isBlocked = !this.output.write(text, () => {
+      this.inOutput -= count;
+    });
+  }
+
+  /** Waits until all lines are written out, or until a deadline. */
+  async close(deadline: Deadline, getNow: () => Instant): Promise<void> {
+    for (;;) {
+      this.writeAll();
+      if (this.countUnwritten() === 0 || !this.output.writable) break;
+      if (isPast(deadline, getNow())) break;
+      await waitMilliseconds(closePollMilliseconds);
+    }
+    clearTimeout(this.timer);
+    this.timer = undefined;
+  }
+
+  /** Counts the lines that are buffered, dropped or not written out yet. */
+  private countUnwritten(): number {
+    return this.lines.length + this.dropped + this.inOutput;
   }
 }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -176,7 +176,9 @@
     callers.close();
     mesh.close();
     directory.close();
-    this.log.close();
+    // Half of the time that is left before a kill at the end of the grace period.
+    const killAt = plan.startedAt + graceMilliseconds;
+    await this.log.close((plan.exitAt + killAt) / 2);
   }
 
   private runTick(): void {
