--- a/packages/gateway/src/log/event_log.ts
+++ b/packages/gateway/src/log/event_log.ts
@@ -37,6 +37,7 @@
 const keptEvents: ReadonlySet<GatewayEvent> = new Set([
   GatewayEvent.Stopping,
   GatewayEvent.Stopped,
+  GatewayEvent.RequestsInFlight,
   GatewayEvent.FurtherRequests,
   GatewayEvent.RequestAbandoned,
   GatewayEvent.RequestCutOff,
@@ -94,6 +95,11 @@
     this.write(GatewayEvent.TaskFailed, {task, detail});
   };
 
+  /** Writes buffered lines at once, unless the output is blocked. */
+  writeAll(): void {
+    this.writer.writeAll();
+  }
+
   /** Waits until buffered lines are written out, or until a deadline. */
   close(deadline: Deadline): Promise<void> {
     this.writeGathered();
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -78,6 +78,11 @@
     return this.openRequests.count();
   }
 
+  /** Lists the ids of the requests in flight. */
+  listInFlight(): string[] {
+    return this.openRequests.list().map(({attemptId}) => attemptId);
+  }
+
   /**
    * Answers each request whose caller has got nothing yet, since the process
    * exits: not run, or an unknown outcome.
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -1,10 +1,13 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {canExit, type StopPlan} from '@zinniaspindle/decisions';
-import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
 import type {EventLog} from '../log/event_log.js';
+import {logInFlight} from '../log/log_in_flight.js';
 import type {CallerServer} from '../requests/caller_server.js';
 
 const pollMilliseconds = 50;
+/** Last part of a stop, before which the requests in flight are logged again. */
+const lastPartShare = 1 / 10;
 /** Time for the last answers to be written out. */
 const flushMilliseconds = 50;
 
@@ -24,7 +27,15 @@
     exitMs: Math.round(plan.exitAt - plan.startedAt),
     inFlight: callers.countInFlight(),
   });
+  const {startedAt, exitAt} = plan;
+  const logAgainAt = exitAt - (exitAt - startedAt) * lastPartShare;
+  logInFlight(callers.listInFlight(), exitAt, getNow(), log);
+  let isLoggedAgain = false;
   while (!canExit(plan, callers.countInFlight(), getNow())) {
+    if (!isLoggedAgain && isPast(logAgainAt, getNow())) {
+      logInFlight(callers.listInFlight(), exitAt, getNow(), log);
+      isLoggedAgain = true;
+    }
     await waitMilliseconds(pollMilliseconds);
   }
   // Nothing may run between the last look at the requests in flight and the exit,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -13,6 +13,7 @@
   TaskFailed = 7008,
   ProcessPaused = 7009,
   StopRepeated = 7010,
+  RequestsInFlight = 7014,
   FurtherRequests = 7015,
   StoreLost = 7101,
   StoreRecovered = 7102,
@@ -65,6 +66,8 @@
   [GatewayEvent.ProcessPaused]: 'the process was paused for {pauseMs} ms',
   [GatewayEvent.StopRepeated]:
     'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
+  [GatewayEvent.RequestsInFlight]:
+    '{count} requests in flight {untilExitMs} ms before the latest exit: {requests}',
   [GatewayEvent.FurtherRequests]:
     'event {of} also happened to {count} requests over the limit of lines in a second: {requests}',
   [GatewayEvent.StoreLost]:
