--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -35,6 +35,20 @@
   readonly refusingShare: number;
 }
 
+/** What speaks for a request that a stopping VM takes. */
+export enum TakeReason {
+  DeadlineBeforeExit = 'its deadline is before the exit',
+  LongFits = 'almost all of its kind end before the exit',
+  RiskWeighed = 'a cut is less likely than a second refusal',
+  NoVmReady = 'no other VM is ready',
+}
+
+/** Why a request is taken, and the duration that was compared, if any. */
+export interface TakeGrounds {
+  readonly reason: TakeReason;
+  readonly durationMilliseconds: number | undefined;
+}
+
 /** Some callers cache a directory answer for this many times its lifetime. */
 const lifetimeFactor = 3;
 const lingerMarginMilliseconds = 500;
@@ -57,6 +71,19 @@
 /** Time over which the retries of callers refused together are spread. */
 const retrySpreadMilliseconds = 1000;
 
+/**
+ * Finds the earliest instant at which a signal that is handled now may have been
+ * sent, given the instants at which turns of the event loop began, oldest first.
+ * Each of these turns has read the signals that were pending at its begin. One
+ * turn more is allowed for a signal that another thread received.
+ */
+export function findEarliestSending(
+  turns: readonly Instant[],
+  handledAt: Instant,
+): Instant {
+  return turns.at(-2) ?? turns.at(0) ?? handledAt;
+}
+
 /** Plans a graceful stop that begins now. */
 export function planStop(
   {directoryTtlMilliseconds, graceMilliseconds}: StopSettings,
@@ -76,27 +103,41 @@
   };
 }
 
+/** Decides whether to take a request that arrives during a stop. */
+export function canTake(plan: StopPlan, work: StopWork, now: Instant): boolean {
+  return findTakeGrounds(plan, work, now) !== undefined;
+}
+
 /**
- * Decides whether to take a request that arrives during a stop. It is taken when
- * it ends before the exit for certain. While callers could not know of the stop,
+ * Finds what speaks for taking a request that arrives during a stop; undefined to
+ * refuse it. It is taken when it ends before the exit for certain. While callers could not know of the stop,
  * it is also taken when the risk of a cut is smaller than that of a second
  * refusal: in a rolling restart that reaches many VMs at once, a caller that is
  * sent away is likely to meet another VM that stops. One that is cut as likely as
  * not is refused in any case.
  */
-export function canTake(
+export function findTakeGrounds(
   {takeUntil, exitAt}: StopPlan,
   {deadline, findDuration, refusingShare}: StopWork,
   now: Instant,
-): boolean {
-  if (deadline <= exitAt) return true;
-  const longest = findDuration(certainShare) ?? Infinity;
-  if (now + longest * certainHeadroom <= exitAt) return true;
-  if (now >= takeUntil) return false;
+): TakeGrounds | undefined {
+  if (deadline <= exitAt) {
+    const reason = TakeReason.DeadlineBeforeExit;
+    return {reason, durationMilliseconds: undefined};
+  }
+  const longest = (findDuration(certainShare) ?? Infinity) * certainHeadroom;
+  if (now + longest <= exitAt) {
+    return {reason: TakeReason.LongFits, durationMilliseconds: longest};
+  }
+  if (now >= takeUntil) return undefined;
   const risk = Math.max(acceptedRisk, Math.min(refusingShare, highestRisk));
   const usual = findDuration(1 - risk);
-  if (usual === undefined) return refusingShare === 1;
-  return now + usual <= exitAt;
+  if (usual === undefined) {
+    if (refusingShare < 1) return undefined;
+    return {reason: TakeReason.NoVmReady, durationMilliseconds: undefined};
+  }
+  if (now + usual > exitAt) return undefined;
+  return {reason: TakeReason.RiskWeighed, durationMilliseconds: usual};
 }
 
 /**
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {canTake, computeStopRetryDelay} from '@zinniaspindle/decisions';
+import {computeStopRetryDelay, findTakeGrounds} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
 import {Counter} from '../log/metrics.js';
 import {
@@ -12,7 +12,12 @@
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
-import {ClosedBy, OpenRequests, type OpenRequest} from './open_requests.js';
+import {
+  ClosedBy,
+  countUnwrittenBytes,
+  OpenRequests,
+  type OpenRequest,
+} from './open_requests.js';
 import {PlainRequestHandler} from './plain_request_handler.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
@@ -100,6 +105,8 @@
         path: open.path,
         ms: Math.round(age),
         afterStopMs: Math.round(computeStopAge(context) - age),
+        isEndpointDone: open.response.writableEnded,
+        unwrittenBytes: countUnwrittenBytes(open),
         ...open.describeProgress(),
       });
     }
@@ -146,7 +153,7 @@
       route.timeoutMilliseconds,
     );
     const deadline = receivedAt + timeout;
-    const stopFailure = this.checkStop(route, deadline);
+    const stopFailure = this.checkStop(open, route, deadline);
     if (stopFailure !== undefined) return refuse(stopFailure);
     await serveRequest({
       server: this.context,
@@ -198,7 +205,8 @@
 
   /** Refuses a request that the exit of this VM would cut off. */
   private checkStop(
-    {kind}: Route,
+    open: OpenRequest,
+    {name, kind}: Route,
     deadline: Deadline,
   ): LocalAnswer | undefined {
     const {findStopPlan, computeRefusingShare, metrics, getNow} = this.context;
@@ -209,7 +217,19 @@
     const findDuration = (share: number) => metrics.findShare(latency, share);
     const now = getNow();
     const work = {deadline, findDuration, refusingShare};
-    if (canTake(plan, work, now)) return undefined;
+    const grounds = findTakeGrounds(plan, work, now);
+    if (grounds !== undefined) {
+      this.context.writeEvent(GatewayEvent.RequestTakenInStop, {
+        request: open.attemptId,
+        route: name,
+        reason: grounds.reason,
+        stopMs: Math.round(now - plan.startedAt),
+        deadlineAfterExitMs: Math.round(deadline - plan.exitAt),
+        comparedMs: Math.round(grounds.durationMilliseconds ?? 0),
+        refusingShare,
+      });
+      return undefined;
+    }
     return {
       status: 503,
       reason: FailureReason.Stopping,
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -10,6 +10,15 @@
   readonly lastEventId: string;
 }
 
+/** Counts the bytes of an answer that are not handed to the kernel. */
+export function countUnwrittenBytes({response}: OpenRequest): number {
+  // An answer that waits behind another one keeps its bytes itself.
+  return Math.max(
+    response.writableLength,
+    response.socket?.writableLength ?? 0,
+  );
+}
+
 /** Which side closed a caller's connection. */
 export enum ClosedBy {
   Caller = 'caller',
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -1,6 +1,7 @@
 import {performance} from 'node:perf_hooks';
 import {
   computeFirstReadDelay,
+  findEarliestSending,
   planStop,
   type ReadSchedule,
   type StopPlan,
@@ -30,6 +31,7 @@
   type GatewayParts,
   type GatewayPorts,
 } from './gateway_parts.js';
+import {LoopTurns} from './loop_turns.js';
 import {PauseDetector} from './pause_detector.js';
 import {stopGracefully} from './stop_gracefully.js';
 import {TaskRunner} from './task_runner.js';
@@ -62,6 +64,7 @@
     () => performance.now(),
     Date.now,
   );
+  private readonly turns = new LoopTurns(getMonotonic);
   private phase = PeerPhase.Starting;
   /**
    * Rank of this VM among the live VMs; the VM of rank 0 reads the store first.
@@ -120,6 +123,7 @@
     await directory.open(listen.directory);
     if (listen.metrics !== undefined) await directory.open(listen.metrics);
     await callers.open(listen.callers);
+    this.turns.start();
     const {tasks} = this;
     tasks.start('tick', tickMilliseconds, () => this.runTick());
     tasks.start('stalls', stallCheckMilliseconds, () => this.checkStalls());
@@ -159,7 +163,9 @@
     const directoryTtlMilliseconds =
       directoryTtlSeconds * millisecondsPerSecond;
     const stopSettings = {directoryTtlMilliseconds, graceMilliseconds};
-    const plan = planStop(stopSettings, getMonotonic());
+    const handledAt = getMonotonic();
+    const sentAt = findEarliestSending(this.turns.list(), handledAt);
+    const plan = planStop(stopSettings, handledAt);
     this.stopPlan = plan;
     this.phase = PeerPhase.Leaving;
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
@@ -171,8 +177,9 @@
       undefined,
     );
     void ownership.release();
-    await stopGracefully(plan, callers, getMonotonic, this.log);
+    await stopGracefully(plan, sentAt, callers, getMonotonic, this.log);
     this.tasks.stop();
+    this.turns.stop();
     callers.close();
     mesh.close();
     directory.close();
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -15,6 +15,7 @@
  */
 export async function stopGracefully(
   plan: StopPlan,
+  sentAt: Instant,
   callers: CallerServer,
   getNow: () => Instant,
   log: EventLog,
@@ -23,6 +24,7 @@
     lingerMs: Math.round(plan.lingerUntil - plan.startedAt),
     exitMs: Math.round(plan.exitAt - plan.startedAt),
     inFlight: callers.countInFlight(),
+    sentMs: Math.round(plan.startedAt - sentAt),
   });
   while (!canExit(plan, callers.countInFlight(), getNow())) {
     await waitMilliseconds(pollMilliseconds);
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -46,13 +46,14 @@
   RequestAbandoned = 7506,
   RequestCutOff = 7507,
   AnswerUnwritten = 7508,
+  RequestTakenInStop = 7509,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
 export const gatewayEventTexts: Readonly<Record<GatewayEvent, string>> = {
   [GatewayEvent.Started]: 'gateway {vm} started in data centre {dataCentre}',
   [GatewayEvent.Stopping]:
-    'graceful shutdown: serving callers that know this VM for {lingerMs} ms, exit in {exitMs} ms at the latest, {inFlight} requests in flight',
+    'graceful shutdown: serving callers that know this VM for {lingerMs} ms, exit in {exitMs} ms at the latest, {inFlight} requests in flight; the signal was sent at most {sentMs} ms before',
   [GatewayEvent.Stopped]:
     'gateway stopped; {cutOff} requests in flight were cut off',
   [GatewayEvent.SettingsReloaded]: 'settings reloaded',
@@ -122,7 +123,9 @@
   [GatewayEvent.RequestAbandoned]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its answer was complete',
   [GatewayEvent.RequestCutOff]:
-    'request {request} cut off by the exit after {ms} ms; it was received {afterStopMs} ms after the stop began',
+    'request {request} cut off by the exit after {ms} ms; it was received {afterStopMs} ms after the stop began; endpoint done: {isEndpointDone}, {unwrittenBytes} bytes of its answer not written out',
   [GatewayEvent.AnswerUnwritten]:
     'connection of request {request} closed by the {closedBy} after {ms} ms, before its complete answer was written out',
+  [GatewayEvent.RequestTakenInStop]:
+    'request {request} taken {stopMs} ms after the stop began: {reason}',
 };
