--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -22,13 +22,24 @@
   readonly exitAt: Deadline;
 }
 
+/** What an exit does to the answer of a request. */
+export enum AnswerSize {
+  /** It may be cut while its caller reads it. */
+  Large = 'large',
+  /** It is written out at once, or another final answer is. */
+  Small = 'small',
+  /** It is forwarded as it arrives, and may be cut at any time. */
+  Stream = 'stream',
+}
+
 /** A request that arrives during a stop. */
 export interface StopWork {
   /** The request is answered by then in any case. */
   readonly deadline: Deadline;
+  readonly answer: AnswerSize;
   /**
-   * Finds the milliseconds within which a share of the requests of its kind are
-   * answered; undefined if too few were measured.
+   * Finds the milliseconds within which a share of the answers of its kind are
+   * written out, all of them for 1; undefined if too few were measured.
    */
   readonly findDuration: (share: number) => number | undefined;
   /** Share of the other VMs that a refused caller would be refused by as well. */
@@ -58,7 +69,7 @@
 const killMarginShare = 1 / 12;
 /** A signal may be handled this late, and a request may be on its way as long. */
 const signalDelayMilliseconds = 300;
-/** Share of requests within whose duration one is taken as certain to end. */
+/** Share of requests whose durations are compared with the time left. */
 const certainShare = 0.99;
 /** Factor on that duration, for a request that takes longer still. */
 const certainHeadroom = 1.25;
@@ -110,26 +121,44 @@
 
 /**
  * Finds what speaks for taking a request that arrives during a stop; undefined to
- * refuse it. It is taken when it ends before the exit for certain. While callers could not know of the stop,
- * it is also taken when the risk of a cut is smaller than that of a second
- * refusal: in a rolling restart that reaches many VMs at once, a caller that is
- * sent away is likely to meet another VM that stops. One that is cut as likely as
- * not is refused in any case.
+ * refuse it. It is taken when its deadline is before the exit. No measured duration
+ * makes the end of another one certain, so what the exit can cut is not taken
+ * once callers know of the stop. A small answer reaches its caller whole in any
+ * case and is taken while almost all of its kind end in time.
+ *
+ * While callers could not know of the stop, a request is also taken when the risk
+ * of a cut is smaller than that of a second refusal: in a rolling restart that
+ * reaches many VMs at once, a caller that is sent away is likely to meet another VM
+ * that stops. One that is cut as likely as not is refused in any case, and so is
+ * one with a large answer that may take longer than all before it.
  */
 export function findTakeGrounds(
-  {takeUntil, exitAt}: StopPlan,
-  {deadline, findDuration, refusingShare}: StopWork,
+  plan: StopPlan,
+  work: StopWork,
   now: Instant,
 ): TakeGrounds | undefined {
+  const {deadline, answer, findDuration} = work;
+  const {takeUntil, exitAt} = plan;
   if (deadline <= exitAt) {
     const reason = TakeReason.DeadlineBeforeExit;
     return {reason, durationMilliseconds: undefined};
   }
-  const longest = (findDuration(certainShare) ?? Infinity) * certainHeadroom;
+  const isKnown = now >= takeUntil;
+  if (isKnown && answer !== AnswerSize.Small) return undefined;
+  const isLarge = answer === AnswerSize.Large;
+  const share = isLarge ? 1 : certainShare;
+  const longest = (findDuration(share) ?? Infinity) * certainHeadroom;
   if (now + longest <= exitAt) {
     return {reason: TakeReason.LongFits, durationMilliseconds: longest};
   }
-  if (now >= takeUntil) return undefined;
+  return isKnown || isLarge ? undefined : findRiskGrounds(plan, work, now);
+}
+
+function findRiskGrounds(
+  {exitAt}: StopPlan,
+  {findDuration, refusingShare}: StopWork,
+  now: Instant,
+): TakeGrounds | undefined {
   const risk = Math.max(acceptedRisk, Math.min(refusingShare, highestRisk));
   const usual = findDuration(1 - risk);
   if (usual === undefined) {
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -51,9 +51,9 @@
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
-    'Time from the receipt of a request of a safe or unsafe route to the end of its answer.',
+    'Time from the receipt of a request of a safe or unsafe route until its answer is written out.',
   [Latency.Stream]:
-    'Time from the receipt of a request to the end of its stream.',
+    'Time from the receipt of a request until its stream is written out.',
   [Latency.FirstEvent]:
     'Time from the receipt of a request to the first event of its stream.',
   [Latency.EventGap]: 'Time between two consecutive events of a stream.',
@@ -67,6 +67,36 @@
 const minShareCount = 20;
 const percentiles = [50, 95, 99, 99.9];
 
+/** Builds a histogram of milliseconds. */
+export function buildHistogram(): Histogram {
+  return build({
+    highestTrackableValue: maxMilliseconds,
+    numberOfSignificantValueDigits: 2,
+    bitBucketSize: 32,
+  });
+}
+
+/** Records a value in a histogram; values above a minute count as a minute. */
+export function recordMilliseconds(
+  histogram: Histogram,
+  milliseconds: number,
+): void {
+  const value = Math.min(maxMilliseconds, Math.max(0, milliseconds));
+  histogram.recordValue(Math.round(value));
+}
+
+/**
+ * Finds the value that a share of the values of a histogram, from 0 to 1, stays
+ * within; undefined before enough were recorded.
+ */
+export function findShare(
+  histogram: Histogram,
+  share: number,
+): number | undefined {
+  if (histogram.totalCount < minShareCount) return undefined;
+  return histogram.getValueAtPercentile(share * 100);
+}
+
 /** Counters and latency histograms, rendered in the Prometheus text format. */
 export class Metrics {
   private readonly counters = new Map<Counter, number>();
@@ -81,15 +111,10 @@
   record(latency: Latency, milliseconds: number): void {
     let histogram = this.latencies.get(latency);
     if (histogram === undefined) {
-      histogram = build({
-        highestTrackableValue: maxMilliseconds,
-        numberOfSignificantValueDigits: 2,
-        bitBucketSize: 32,
-      });
+      histogram = buildHistogram();
       this.latencies.set(latency, histogram);
     }
-    const value = Math.min(maxMilliseconds, Math.max(0, milliseconds));
-    histogram.recordValue(Math.round(value));
+    recordMilliseconds(histogram, milliseconds);
   }
 
   /** Finds the median of a latency; undefined before enough were recorded. */
@@ -106,9 +131,7 @@
    */
   findShare(latency: Latency, share: number): number | undefined {
     const histogram = this.latencies.get(latency);
-    if (histogram === undefined) return undefined;
-    if (histogram.totalCount < minShareCount) return undefined;
-    return histogram.getValueAtPercentile(share * 100);
+    return histogram === undefined ? undefined : findShare(histogram, share);
   }
 
   /** Renders all values, one per line. */
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,6 +1,10 @@
 import http from 'node:http';
 import type {Socket} from 'node:net';
-import {computeStopRetryDelay, findTakeGrounds} from '@zinniaspindle/decisions';
+import {
+  AnswerSize,
+  computeStopRetryDelay,
+  findTakeGrounds,
+} from '@zinniaspindle/decisions';
 import {GatewayEvent, type Address, type Deadline} from '@zinniaspindle/shared';
 import {Counter} from '../log/metrics.js';
 import {
@@ -206,17 +210,26 @@
   /** Refuses a request that the exit of this VM would cut off. */
   private checkStop(
     open: OpenRequest,
-    {name, kind}: Route,
+    route: Route,
     deadline: Deadline,
   ): LocalAnswer | undefined {
     const {findStopPlan, computeRefusingShare, metrics, getNow} = this.context;
+    const {answersByRoute} = this.context;
     const plan = findStopPlan();
     if (plan === undefined) return undefined;
+    const {name, kind} = route;
     const latency = getDurationLatency(kind);
     const refusingShare = computeRefusingShare();
-    const findDuration = (share: number) => metrics.findShare(latency, share);
+    const findDuration = (share: number) =>
+      answersByRoute.findShare(name, share) ??
+      metrics.findShare(latency, share);
     const now = getNow();
-    const work = {deadline, findDuration, refusingShare};
+    const work = {
+      deadline,
+      answer: this.findAnswerSize(route),
+      findDuration,
+      refusingShare,
+    };
     const grounds = findTakeGrounds(plan, work, now);
     if (grounds !== undefined) {
       this.context.writeEvent(GatewayEvent.RequestTakenInStop, {
@@ -242,6 +255,12 @@
     };
   }
 
+  private findAnswerSize({name, kind}: Route): AnswerSize {
+    if (kind === RouteKind.Streaming) return AnswerSize.Stream;
+    const isLarge = this.context.answersByRoute.isLarge(name);
+    return isLarge ? AnswerSize.Large : AnswerSize.Small;
+  }
+
   private refuse(
     request: CallerRequest,
     open: OpenRequest,
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -36,6 +36,8 @@
   describeProgress: () => RequestProgress;
   /** Gives the final answer that is true now; the caller has got nothing yet. */
   answerNow: () => void;
+  /** Called when the answer is written out, with its size. */
+  handleWritten: (bytes: number) => void;
   /** Called when the connection closed before the answer was written out. */
   handleCut: (closedBy: ClosedBy) => void;
 }
@@ -71,13 +73,18 @@
       isBrokenOff: false,
       describeProgress: () => ({endpoint: '', lastEventId: ''}),
       answerNow: () => undefined,
+      handleWritten: () => undefined,
       handleCut: () => undefined,
     };
     connection.requests.push(request);
     let isWritten = false;
     // The library reports an answer as finished once it has been ended, so the
     // state of the connection decides whether it is written out.
-    response.on('finish', () => (isWritten = !socket.destroyed));
+    const bytesBefore = socket.bytesWritten;
+    response.on('finish', () => {
+      isWritten = !socket.destroyed;
+      if (isWritten) request.handleWritten(socket.bytesWritten - bytesBefore);
+    });
     response.on('close', () => {
       if (isWritten) this.remove(socket, request);
       else this.removeCut(socket, request);
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -17,6 +17,7 @@
 import type {OpenRequest} from './open_requests.js';
 import type {PathQueue} from './path_queue.js';
 import type {RetryBudgets} from './retry_budgets.js';
+import type {AnswersByRoute} from './answers_by_route.js';
 
 /** Dependencies that all request handlers share. */
 export interface ServerContext {
@@ -27,6 +28,7 @@
   readonly prober: EndpointProber;
   readonly budgets: RetryBudgets;
   readonly metrics: Metrics;
+  readonly answersByRoute: AnswersByRoute;
   readonly writeEvent: (event: GatewayEvent, fields: EventFields) => void;
   readonly getNow: () => Instant;
   /** The graceful stop of this VM that is under way, if any. */
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -110,16 +110,23 @@
   return kind === RouteKind.Streaming ? Latency.Stream : Latency.Plain;
 }
 
-/** Logs a request that was answered and records its latency. */
+/**
+ * Logs a request that was answered and records its latency; how long its kind takes
+ * counts until the answer is written out.
+ */
 export function recordAnswered(
   context: RequestContext,
   endpoint: string,
   status: number,
 ): void {
-  const {server, request, route, receivedAt, account} = context;
+  const {server, request, route, receivedAt, account, open} = context;
   const ms = Math.round(server.getNow() - receivedAt);
   server.metrics.record(Latency.Answer, ms);
-  server.metrics.record(getDurationLatency(route.kind), ms);
+  open.handleWritten = bytes => {
+    const duration = server.getNow() - receivedAt;
+    server.metrics.record(getDurationLatency(route.kind), duration);
+    server.answersByRoute.record(route.name, bytes, duration);
+  };
   server.writeEvent(GatewayEvent.RequestAnswered, {
     request: request.attemptId,
     route: route.name,
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -39,6 +39,7 @@
 import {CallerServer} from '../requests/caller_server.js';
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
+import {AnswersByRoute} from '../requests/answers_by_route.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
 
 /** The adapters to the platform that a gateway needs. */
@@ -277,6 +278,7 @@
     prober,
     budgets: new RetryBudgets(settings.bounds, countVms),
     metrics,
+    answersByRoute: new AnswersByRoute(),
     writeEvent: log.write,
     getNow,
     findStopPlan,
