--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -95,21 +95,28 @@
   return turns.at(-2) ?? turns.at(0) ?? handledAt;
 }
 
-/** Plans a graceful stop that begins now. */
+/**
+ * Plans a graceful stop. The platform counts the grace period from the sending of
+ * the signal, so the plan counts from the earliest instant of it.
+ */
 export function planStop(
   {directoryTtlMilliseconds, graceMilliseconds}: StopSettings,
-  now: Instant,
+  sentAt: Instant,
+  handledAt: Instant,
 ): StopPlan {
   const killMargin = Math.min(
     killMarginMilliseconds,
     graceMilliseconds * killMarginShare,
   );
-  const exitAt = now + graceMilliseconds - killMargin;
-  const cachedUntil = now + directoryTtlMilliseconds * lifetimeFactor;
+  const killedAt = sentAt + graceMilliseconds;
+  const exitAt = Math.max(killedAt - killMargin, handledAt);
+  const lifetimes = directoryTtlMilliseconds * lifetimeFactor;
+  const knownAt = sentAt + lifetimes - signalDelayMilliseconds;
+  const cachedUntil = handledAt + lifetimes + lingerMarginMilliseconds;
   return {
-    startedAt: now,
-    takeUntil: Math.min(cachedUntil - signalDelayMilliseconds, exitAt),
-    lingerUntil: Math.min(cachedUntil + lingerMarginMilliseconds, exitAt),
+    startedAt: handledAt,
+    takeUntil: Math.min(knownAt, exitAt),
+    lingerUntil: Math.min(cachedUntil, exitAt),
     exitAt,
   };
 }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -165,7 +165,7 @@
     const stopSettings = {directoryTtlMilliseconds, graceMilliseconds};
     const handledAt = getMonotonic();
     const sentAt = findEarliestSending(this.turns.list(), handledAt);
-    const plan = planStop(stopSettings, handledAt);
+    const plan = planStop(stopSettings, sentAt, handledAt);
     this.stopPlan = plan;
     this.phase = PeerPhase.Leaving;
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
