--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -18,6 +18,8 @@
   readonly takeUntil: Deadline;
   /** Until then callers may hold a directory answer that names this VM. */
   readonly lingerUntil: Deadline;
+  /** From then on nothing is taken, and idle connections are closed. */
+  readonly closeAt: Instant;
   /** The process exits then, whatever is in flight. */
   readonly exitAt: Deadline;
 }
@@ -67,6 +69,8 @@
 const killMarginMilliseconds = 500;
 /** Share of the grace period that this time is at most. */
 const killMarginShare = 1 / 12;
+/** Time before the exit in which nothing is taken any more. */
+const closingMilliseconds = 250;
 /** A signal may be handled this late, and a request may be on its way as long. */
 const signalDelayMilliseconds = 300;
 /** Share of requests whose durations are compared with the time left. */
@@ -109,14 +113,19 @@
     graceMilliseconds * killMarginShare,
   );
   const killedAt = sentAt + graceMilliseconds;
-  const exitAt = Math.max(killedAt - killMargin, handledAt);
+  const exitAt = Math.max(
+    killedAt - killMargin,
+    handledAt + closingMilliseconds,
+  );
+  const closeAt = exitAt - closingMilliseconds;
   const lifetimes = directoryTtlMilliseconds * lifetimeFactor;
   const knownAt = sentAt + lifetimes - signalDelayMilliseconds;
   const cachedUntil = handledAt + lifetimes + lingerMarginMilliseconds;
   return {
     startedAt: handledAt,
-    takeUntil: Math.min(knownAt, exitAt),
-    lingerUntil: Math.min(cachedUntil, exitAt),
+    takeUntil: Math.min(knownAt, closeAt),
+    lingerUntil: Math.min(cachedUntil, closeAt),
+    closeAt,
     exitAt,
   };
 }
@@ -145,7 +154,8 @@
   now: Instant,
 ): TakeGrounds | undefined {
   const {deadline, answer, findDuration} = work;
-  const {takeUntil, exitAt} = plan;
+  const {takeUntil, closeAt, exitAt} = plan;
+  if (now >= closeAt) return undefined;
   if (deadline <= exitAt) {
     const reason = TakeReason.DeadlineBeforeExit;
     return {reason, durationMilliseconds: undefined};
@@ -177,15 +187,15 @@
 }
 
 /**
- * Tells whether a stopping VM may exit: callers no longer learn of it from the
+ * Tells whether a stopping VM may close its connections before it exits: callers no longer learn of it from the
  * directory, and nothing is in flight.
  */
-export function canExit(
-  {lingerUntil, exitAt}: StopPlan,
+export function canClose(
+  {lingerUntil, closeAt}: StopPlan,
   inFlight: number,
   now: Instant,
 ): boolean {
-  if (now >= exitAt) return true;
+  if (now >= closeAt) return true;
   return now >= lingerUntil && inFlight === 0;
 }
 
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,5 +1,6 @@
 import http from 'node:http';
-import type {Socket} from 'node:net';
+import net, {type Socket} from 'node:net';
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
   AnswerSize,
   computeStopRetryDelay,
@@ -34,6 +35,8 @@
  */
 const maxHeaderBytes = 64 * 1024;
 const startupRetryMilliseconds = 500;
+/** Time to read the requests that have arrived when connections are closed. */
+const readMilliseconds = 50;
 /** Status lines for requests that cannot be parsed, by parser error code. */
 const parserStatuses: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -47,6 +50,7 @@
   private readonly server: http.Server;
   private routes: RouteIndex | undefined;
   private readonly openRequests = new OpenRequests();
+  private isClosing = false;
 
   constructor(private readonly context: ServerContext) {
     this.server = http.createServer(
@@ -61,6 +65,9 @@
         if (open !== undefined) void this.handle(request, open);
       },
     );
+    this.server.on('connection', (socket: Socket) => {
+      this.openRequests.addConnection(socket);
+    });
     this.server.on('clientError', (error, socket) => {
       // Bytes written now would become part of the answer that is under way.
       if (this.openRequests.closeConnection(socket as Socket)) return;
@@ -87,6 +94,20 @@
     return this.openRequests.count();
   }
 
+  /**
+   * Refuses the requests that arrive from now on; closes the listener, and each
+   * connection when it has no open request.
+   */
+  async closeIdle(): Promise<void> {
+    this.isClosing = true;
+    await waitMilliseconds(readMilliseconds);
+    // The HTTP server would also destroy connections whose answer is not written.
+    net.Server.prototype.close.call(this.server);
+    // A connection accepted last is read in the next turn.
+    await waitMilliseconds(1);
+    this.openRequests.closeIdle();
+  }
+
   /**
    * Answers each request whose caller has got nothing yet, since the process
    * exits: not run, or an unknown outcome.
@@ -230,7 +251,9 @@
       findDuration,
       refusingShare,
     };
-    const grounds = findTakeGrounds(plan, work, now);
+    const grounds = this.isClosing
+      ? undefined
+      : findTakeGrounds(plan, work, now);
     if (grounds !== undefined) {
       this.context.writeEvent(GatewayEvent.RequestTakenInStop, {
         request: open.attemptId,
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -52,6 +52,18 @@
 /** Requests from the receipt of their headers until their answer is written out. */
 export class OpenRequests {
   private readonly connections = new Map<Socket, CallerConnection>();
+  private isClosing = false;
+
+  /** Adds a connection, which has no request yet. */
+  addConnection(socket: Socket): void {
+    this.getConnection(socket);
+  }
+
+  /** Ends each connection as soon as it has no open request. */
+  closeIdle(): void {
+    this.isClosing = true;
+    for (const socket of this.connections.keys()) this.closeIfIdle(socket);
+  }
 
   /**
    * Adds a request; it is removed when its answer or its connection ends.
@@ -141,6 +153,14 @@
     return connection;
   }
 
+  /** What was sent is received before the end, unlike with `destroy`. */
+  private closeIfIdle(socket: Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection === undefined || connection.requests.length > 0) return;
+    connection.isEnding = true;
+    socket.end();
+  }
+
   private removeCut(socket: Socket, request: OpenRequest): void {
     if (!this.remove(socket, request)) return;
     const isCaller = socket.readableEnded || socket.errored !== null;
@@ -151,6 +171,7 @@
     const requests = this.connections.get(socket)?.requests ?? [];
     const at = requests.indexOf(request);
     if (at !== -1) requests.splice(at, 1);
+    if (this.isClosing) this.closeIfIdle(socket);
     return at !== -1;
   }
 }
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -1,17 +1,18 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
-import {canExit, type StopPlan} from '@zinniaspindle/decisions';
-import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {canClose, type StopPlan} from '@zinniaspindle/decisions';
+import {GatewayEvent, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {EventLog} from '../log/event_log.js';
 import type {CallerServer} from '../requests/caller_server.js';
 
-const pollMilliseconds = 50;
+const pollMilliseconds = 20;
 /** Time for the last answers to be written out. */
-const flushMilliseconds = 50;
+const flushMilliseconds = 100;
 
 /**
  * Keeps serving until callers have dropped this VM from their cached directory
  * answers and the requests in flight are answered, at the latest until the grace
- * period ends.
+ * period ends. Then the connections are closed, so that nothing is taken or left
+ * unread between the last look at the requests in flight and the exit.
  */
 export async function stopGracefully(
   plan: StopPlan,
@@ -26,15 +27,23 @@
     inFlight: callers.countInFlight(),
     sentMs: Math.round(plan.startedAt - sentAt),
   });
-  while (!canExit(plan, callers.countInFlight(), getNow())) {
+  while (!canClose(plan, callers.countInFlight(), getNow())) {
     await waitMilliseconds(pollMilliseconds);
   }
-  // Nothing may run between the last look at the requests in flight and the exit,
-  // unless the time for new requests is over.
-  if (callers.countInFlight() > 0) {
-    callers.answerRest();
-    await waitMilliseconds(flushMilliseconds);
-  }
+  log.write(GatewayEvent.Closing, {
+    sinceMs: Math.round(getNow() - plan.startedAt),
+    inFlight: callers.countInFlight(),
+  });
+  await callers.closeIdle();
+  const waitForAnswers = async (until: Deadline) => {
+    while (callers.countInFlight() > 0 && getNow() < until) {
+      await waitMilliseconds(pollMilliseconds);
+    }
+  };
+  await waitForAnswers(plan.exitAt - flushMilliseconds);
+  callers.answerRest();
+  // A process that was held up until now still needs the time to write.
+  await waitForAnswers(Math.max(plan.exitAt, getNow() + flushMilliseconds));
   callers.logCutOff();
   log.write(GatewayEvent.Stopped, {cutOff: callers.countInFlight()});
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -13,6 +13,7 @@
   TaskFailed = 7008,
   ProcessPaused = 7009,
   StopRepeated = 7010,
+  Closing = 7011,
   StoreLost = 7101,
   StoreRecovered = 7102,
   RecordRefused = 7103,
@@ -65,6 +66,8 @@
   [GatewayEvent.ProcessPaused]: 'the process was paused for {pauseMs} ms',
   [GatewayEvent.StopRepeated]:
     'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
+  [GatewayEvent.Closing]:
+    'closing the listener and idle connections {sinceMs} ms after the stop began, {inFlight} requests in flight',
   [GatewayEvent.StoreLost]:
     'cannot read {topic} from the store; {newest}: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
