--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -18,7 +18,7 @@
   readonly takeUntil: Deadline;
   /** Until then callers may hold a directory answer that names this VM. */
   readonly lingerUntil: Deadline;
-  /** From then on nothing is taken, and idle connections are closed. */
+  /** From then on nothing is taken, and the listener is closed. */
   readonly closeAt: Instant;
   /** The process exits then, whatever is in flight. */
   readonly exitAt: Deadline;
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -100,16 +100,16 @@
     return this.openRequests.count();
   }
 
-  /**
-   * Refuses the requests that arrive from now on; closes the listener, and each
-   * connection when it has no open request.
-   */
-  async closeIdle(): Promise<void> {
+  /** Refuses the requests that arrive from now on, and closes the listener. */
+  async closeListener(): Promise<void> {
     this.isClosing = true;
     await waitMilliseconds(readMilliseconds);
     // The HTTP server would also destroy connections whose answer is not written.
     net.Server.prototype.close.call(this.server);
-    // A connection accepted last is read in the next turn.
+  }
+
+  /** Ends each connection that has no open request, after it was read once more. */
+  async closeIdle(): Promise<void> {
     await waitMilliseconds(1);
     this.openRequests.closeIdle();
   }
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -34,7 +34,7 @@
     sinceMs: Math.round(getNow() - plan.startedAt),
     inFlight: callers.countInFlight(),
   });
-  await callers.closeIdle();
+  await callers.closeListener();
   const waitForAnswers = async (until: Deadline) => {
     while (callers.countInFlight() > 0 && getNow() < until) {
       await waitMilliseconds(pollMilliseconds);
@@ -44,6 +44,7 @@
   callers.answerRest();
   // A process that was held up until now still needs the time to write.
   await waitForAnswers(Math.max(plan.exitAt, getNow() + flushMilliseconds));
+  await callers.closeIdle();
   callers.logCutOff();
   log.write(GatewayEvent.Stopped, {cutOff: callers.countInFlight()});
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -67,7 +67,7 @@
   [GatewayEvent.StopRepeated]:
     'stop requested again {sinceMs} ms after the first request; the stop goes on with {inFlight} requests in flight',
   [GatewayEvent.Closing]:
-    'closing the listener and idle connections {sinceMs} ms after the stop began, {inFlight} requests in flight',
+    'taking no more requests and closing the listener {sinceMs} ms after the stop began, {inFlight} requests in flight',
   [GatewayEvent.StoreLost]:
     'cannot read {topic} from the store; {newest}: {detail}',
   [GatewayEvent.StoreRecovered]: 'reading {topic} from the store works again',
