--- a/packages/framing/src/index.ts
+++ b/packages/framing/src/index.ts
@@ -3,3 +3,4 @@
  */
 export * from './errors.js';
 export * from './frames.js';
+export * from './pending_bytes.js';
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -70,11 +70,12 @@
     return undefined;
   }
 
-  /** Lists the endpoints of a service, including draining ones. */
-  list(service: string): EndpointState[] {
+  /** Lists the endpoints of a service or of all, including draining ones. */
+  list(service?: string): EndpointState[] {
     const found: EndpointState[] = [];
     for (const state of this.states.values()) {
-      if (state.entry.service === service) found.push(state);
+      const isWanted = service === undefined || state.entry.service === service;
+      if (isWanted) found.push(state);
     }
     return found;
   }
--- a/packages/gateway/src/requests/answer_buffer.ts
+++ b/packages/gateway/src/requests/answer_buffer.ts
@@ -1,51 +1,79 @@
+import {IntakeKind, type IntakeExcess} from '@zinniaspindle/decisions';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
+import {BoundedBody} from './bounded_body.js';
 import type {RequestContext} from './request_context.js';
 import {writeHead} from './send_answer.js';
 import type {Upstream} from './upstream.js';
 
-/** Larger answers are forwarded as they arrive and can no longer be retried. */
-const maxBufferedBytes = 256 * 1024;
-
 /**
  * Buffers an answer until it is complete, so that a failed attempt can be
  * retried. Large answers and streams of plain services are forwarded as they
- * arrive, if they have a seal.
+ * arrive, if they have a seal; then they can no longer be retried.
  */
 export class AnswerBuffer {
-  private readonly chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly body: BoundedBody;
   /** Whether the head and the bytes so far have been sent to the caller. */
   isForwarding = false;
+  /** Whether reading is paused until the caller has taken what was written. */
+  private isWaiting = false;
 
-  constructor(private readonly context: RequestContext) {}
+  constructor(private readonly context: RequestContext) {
+    this.body = new BoundedBody(context.server.intake);
+  }
 
-  /** Buffers or forwards a chunk of the body. */
-  accept(answer: EndpointAnswer, chunk: Buffer, upstream: Upstream): void {
+  /**
+   * Buffers or forwards a chunk of the body. Gives the bound that an answer
+   * exceeds which cannot be forwarded.
+   */
+  accept(
+    answer: EndpointAnswer,
+    chunk: Buffer,
+    upstream: Upstream,
+  ): IntakeExcess | undefined {
     if (this.isForwarding) {
       this.write(chunk, upstream);
-      return;
+      return undefined;
+    }
+    if (!answer.hasSeal) return this.add(IntakeKind.ErrorBody, chunk);
+    const isBuffered = this.context.route.kind !== RouteKind.Streaming;
+    const kind = IntakeKind.BufferedAnswer;
+    if (isBuffered && this.add(kind, chunk) === undefined) {
+      return undefined;
     }
-    this.chunks.push(chunk);
-    this.bytes += chunk.length;
-    const {kind} = this.context.route;
-    const bufferLimit = kind === RouteKind.Streaming ? 0 : maxBufferedBytes;
-    if (this.bytes <= bufferLimit || !answer.hasSeal) return;
     this.isForwarding = true;
     writeHead(this.context, answer, undefined);
-    this.write(this.toBody(), upstream);
+    if (this.body.length > 0) this.write(this.toBody(), upstream);
+    this.drop();
+    this.write(chunk, upstream);
+    return undefined;
   }
 
   /** Returns the buffered body. */
   toBody(): Buffer {
-    return this.chunks.length === 1
-      ? this.chunks[0]!
-      : Buffer.concat(this.chunks);
+    return this.body.toBuffer();
+  }
+
+  /** Drops the buffered body. */
+  drop(): void {
+    this.body.drop();
+  }
+
+  private add(kind: IntakeKind, chunk: Buffer): IntakeExcess | undefined {
+    if (this.body.length === 0) {
+      this.context.response.once('close', () => this.drop());
+    }
+    return this.body.add(kind, chunk);
   }
 
   private write(chunk: Buffer, upstream: Upstream): void {
     const {response} = this.context;
     if (response.write(chunk)) return;
+    if (this.isWaiting) return;
+    this.isWaiting = true;
     upstream.stopReading();
-    response.once('drain', () => upstream.resumeReading());
+    response.once('drain', () => {
+      this.isWaiting = false;
+      upstream.resumeReading();
+    });
   }
 }
--- a/packages/gateway/src/requests/event_splitter.ts
+++ b/packages/gateway/src/requests/event_splitter.ts
@@ -1,3 +1,7 @@
+import {IntakeKind, type IntakeExcess} from '@zinniaspindle/decisions';
+import type {Intake} from '../intake/intake.js';
+import {BoundedBody} from './bounded_body.js';
+
 const lineFeed = 0x0a;
 const eventEnd = Buffer.from('\n\n');
 const idPattern = /^id: ?(.*)$/m;
@@ -10,26 +14,52 @@
 
 /** Splits a stream after complete events and buffers a partial one. */
 export class EventSplitter {
-  private partial: Buffer = Buffer.alloc(0);
+  private readonly partial: BoundedBody;
+  /** The bound that the partial event reached, which is lost then. */
+  excess: IntakeExcess | undefined;
+
+  constructor(intake: Intake) {
+    this.partial = new BoundedBody(intake);
+  }
 
   /** Adds a chunk; returns the events that are now complete, if any. */
   accept(chunk: Buffer): CompleteEvents | undefined {
-    const bytes =
-      this.partial.length === 0 ? chunk : Buffer.concat([this.partial, chunk]);
-    const at = bytes.lastIndexOf(eventEnd);
-    if (at === -1) {
-      this.partial = bytes;
+    if (this.excess !== undefined) return undefined;
+    const end = this.findEnd(chunk);
+    if (end === 0) {
+      this.addPartial(chunk);
       return undefined;
     }
-    const end = at + eventEnd.length;
-    this.partial = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
-    return {bytes: complete, lastId: findLastId(complete)};
+    const head = chunk.subarray(0, end);
+    const bytes =
+      this.partial.length === 0
+        ? head
+        : Buffer.concat([this.partial.toBuffer(), head]);
+    this.partial.drop();
+    if (end < chunk.length) this.addPartial(chunk.subarray(end));
+    return {bytes, lastId: findLastId(bytes)};
   }
 
   /** Tells whether part of an event is buffered. */
   hasPartialEvent(): boolean {
-    return this.partial.some(byte => byte !== lineFeed);
+    return this.partial.toBuffer().some(byte => byte !== lineFeed);
+  }
+
+  /** Drops the partial event. */
+  drop(): void {
+    this.partial.drop();
+  }
+
+  private addPartial(chunk: Buffer): void {
+    this.excess = this.partial.add(IntakeKind.PartialEvent, chunk);
+  }
+
+  /** Finds where the last complete event ends in a chunk; 0 for none. */
+  private findEnd(chunk: Buffer): number {
+    const at = chunk.lastIndexOf(eventEnd);
+    if (at !== -1) return at + eventEnd.length;
+    const last = this.partial.toBuffer().at(-1);
+    return last === lineFeed && chunk[0] === lineFeed ? 1 : 0;
   }
 }
 
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -161,6 +161,7 @@
       const closeAttempt = (end: UpstreamEnd, detail: string) => {
         clearTimeout(timer);
         endpoint.running -= 1;
+        if (end === UpstreamEnd.Broken) buffer.drop();
         resolve({end, detail, answer, buffer});
       };
       const startTimer = (until: Deadline): NodeJS.Timeout => {
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -4,6 +4,7 @@
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {PathTable} from '../fleet/path_table.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
+import type {Intake} from '../intake/intake.js';
 import type {EventFields} from '../log/event_log.js';
 import type {Metrics} from '../log/metrics.js';
 import type {
@@ -27,6 +28,8 @@
   readonly prober: EndpointProber;
   readonly budgets: RetryBudgets;
   readonly metrics: Metrics;
+  /** The bytes from outside that this VM holds. */
+  readonly intake: Intake;
   readonly writeEvent: (event: GatewayEvent, fields: EventFields) => void;
   readonly getNow: () => Instant;
   /** The graceful stop of this VM that is under way, if any. */
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,9 +1,8 @@
-import {computeQueueTimeout} from '@zinniaspindle/decisions';
+import {computeQueueTimeout, type IntakeExcess} from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathStream, PathReservation} from '../fleet/path_table.js';
 import {Counter, Latency} from '../log/metrics.js';
 import type {EndpointAnswer, ServiceModel} from '../ports/index.js';
-import {EventSplitter} from './event_splitter.js';
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
 import type {RequestProgress} from './open_requests.js';
@@ -20,6 +19,7 @@
   writeHead,
 } from './send_answer.js';
 import type {RequestContext} from './request_context.js';
+import {StreamBody, type CompleteEvents} from './stream_body.js';
 import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** Attempts of one request that end without the request having run. */
@@ -44,9 +44,8 @@
   private reservation: PathReservation | undefined;
   /** Its place in the queue while it waits for a path. */
   private waiter: PathWaiter | undefined;
-  private splitter = new EventSplitter();
   private answer: EndpointAnswer | undefined;
-  private failureBody: Buffer[] = [];
+  private body: StreamBody;
   private finishAttempt:
     ((end: AttemptEnd, reason: string) => void) | undefined;
   private lastEventId: string | undefined;
@@ -64,6 +63,7 @@
     private readonly context: RequestContext,
     private readonly model: ServiceModel,
   ) {
+    this.body = new StreamBody(context.server.intake);
     this.lastEventId = context.request.lastEventId;
     this.lastEventAt = context.receivedAt;
   }
@@ -235,9 +235,8 @@
     const {server} = this.context;
     const {path} = reservation;
     const first = path.parts[0]!.endpoint;
-    this.splitter = new EventSplitter();
+    this.body = new StreamBody(server.intake);
     this.answer = undefined;
-    this.failureBody = [];
     this.reservation = reservation;
     return new Promise(resolve => {
       const timer = setTimeout(() => {
@@ -247,6 +246,7 @@
         clearTimeout(timer);
         this.finishAttempt = undefined;
         server.paths.release(reservation);
+        this.body.drop();
         if (end !== AttemptEnd.Done) this.reportFailedAttempt(first.id, reason);
         resolve(end);
       };
@@ -294,13 +294,14 @@
     return answer !== undefined && answer.status === 200 && answer.hasSeal;
   }
 
-  private acceptChunk(chunk: Buffer): void {
-    if (!this.isStreamAnswer()) {
-      this.failureBody.push(chunk);
-      return;
-    }
-    const events = this.splitter.accept(chunk);
-    if (events === undefined) return;
+  /** Gives the bound that the answer exceeds, if any. */
+  private acceptChunk(chunk: Buffer): IntakeExcess | undefined {
+    const events = this.body.accept(chunk, this.isStreamAnswer());
+    if (events !== undefined) this.streamEvents(events);
+    return this.body.excess;
+  }
+
+  private streamEvents(events: CompleteEvents): void {
     const {server, response} = this.context;
     server.paths.recordProgress(this.reservation!);
     this.recordEvent();
@@ -346,7 +347,7 @@
     const {answer} = this;
     if (answer!.isNotRun) return this.acceptNotRunAnswer(answer!);
     if (!this.isStreamAnswer()) return this.acceptFailureAnswer(answer!);
-    if (this.splitter.hasPartialEvent() || !this.hasSentEvents) {
+    if (this.body.hasPartialEvent() || !this.hasSentEvents) {
       this.finishAttempt?.(AttemptEnd.Broken, 'stream ended within an event');
       return;
     }
@@ -395,7 +396,7 @@
       return;
     }
     const first = this.reservation!.path.parts[0]!.endpoint.id;
-    sendAnswer(this.context, first, answer, Buffer.concat(this.failureBody));
+    sendAnswer(this.context, first, answer, this.body.toFailureBody());
     this.finishAttempt?.(AttemptEnd.Done, reason);
   }
 
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -1,6 +1,13 @@
 import http from 'node:http';
 import net from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {
+  checkItem,
+  describeExcess,
+  IntakeKind,
+  kindLimits,
+  type IntakeExcess,
+} from '@zinniaspindle/decisions';
 import {parseAddress, type Deadline} from '@zinniaspindle/shared';
 import type {
   EndpointAnswer,
@@ -19,6 +26,9 @@
  */
 const emptyLine = '\r\n';
 
+/** The parser's error for a head that is larger than allowed. */
+const headOverflowCode = 'HPE_HEADER_OVERFLOW';
+
 /** How a request to an endpoint ended. */
 export enum UpstreamEnd {
   /** The answer is complete. */
@@ -48,7 +58,10 @@
   /** Called with each head, also that of an answer that is not accepted. */
   handleHead?(answer: EndpointAnswer): void;
   handleAnswer(answer: EndpointAnswer): void;
-  handleChunk(chunk: Buffer): void;
+  /** Gives the bound that the chunk exceeds, if any; the request ends then. */
+  handleChunk(chunk: Buffer): IntakeExcess | undefined;
+  /** Called before the end of a request whose answer exceeds a bound. */
+  handleExcess?(excess: IntakeExcess): void;
   handleEnd(end: UpstreamEnd, detail: string): void;
 }
 
@@ -73,6 +86,7 @@
       method: options.method,
       path: options.path,
       headers: options.headers as unknown as http.OutgoingHttpHeaders,
+      maxHeaderSize: kindLimits[IntakeKind.Head].maxItem,
     });
     const remaining = options.deadline - performance.now();
     const wait = Math.max(1, Math.min(connectTimeoutMilliseconds, remaining));
@@ -132,7 +146,15 @@
 
   private handleEvents(): void {
     const {request} = this;
+    let interimHeads = 0;
+    request.on('information', () => {
+      interimHeads += 1;
+      this.checkExcess(checkItem(IntakeKind.InterimHeads, interimHeads));
+    });
     request.on('error', error => {
+      if ((error as NodeJS.ErrnoException).code === headOverflowCode) {
+        this.checkExcess(this.computeHeadExcess());
+      }
       const end = this.isConnected ? UpstreamEnd.Broken : UpstreamEnd.NotSent;
       this.close(end, error.message);
     });
@@ -166,7 +188,8 @@
       return;
     }
     message.on('data', (chunk: Buffer) => {
-      if (!this.hasEnded) this.listener.handleChunk(chunk);
+      if (this.hasEnded) return;
+      this.checkExcess(this.listener.handleChunk(chunk));
     });
     message.on('error', error => this.close(UpstreamEnd.Broken, error.message));
     message.on('end', () => {
@@ -181,6 +204,19 @@
     this.listener.handleAnswer(answer);
   }
 
+  /** Ends the request if its answer exceeds a bound. */
+  private checkExcess(excess: IntakeExcess | undefined): void {
+    if (excess === undefined || this.hasEnded) return;
+    this.listener.handleExcess?.(excess);
+    this.close(UpstreamEnd.Broken, describeExcess(excess));
+  }
+
+  private computeHeadExcess(): IntakeExcess | undefined {
+    const {maxItem} = kindLimits[IntakeKind.Head];
+    const bytesRead = this.request.socket?.bytesRead ?? 0;
+    return checkItem(IntakeKind.Head, Math.max(maxItem + 1, bytesRead));
+  }
+
   private close(end: UpstreamEnd, detail: string): void {
     if (this.hasEnded) return;
     this.cancel();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -1,5 +1,7 @@
 import {
   createStoreAccess,
+  defaultMemoryMegabytes,
+  deriveIntakeLimits,
   deriveReadSchedule,
   type FailureCause,
   type ReadSchedule,
@@ -15,6 +17,7 @@
 import {EraWatch} from '../following/era_watch.js';
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
+import {countPlaces, Intake} from '../intake/intake.js';
 import type {EventLog} from '../log/event_log.js';
 import {Metrics} from '../log/metrics.js';
 import {OrderRunner} from '../orders/order_runner.js';
@@ -269,12 +272,17 @@
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const countVms = () => mesh.listStaying().length + 1;
   const queue = new PathQueue(paths, getNow);
+  const {memoryMegabytes = defaultMemoryMegabytes} = settings;
+  const intake = new Intake(deriveIntakeLimits(memoryMegabytes), () =>
+    countPlaces(endpoints.list()),
+  );
   const callers = new CallerServer({
     codec: ports.exchange,
     endpoints,
     paths,
     queue,
     prober,
+    intake,
     budgets: new RetryBudgets(settings.bounds, countVms),
     metrics,
     writeEvent: log.write,
