--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -1,13 +1,21 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
   computeMinProbeInterval,
+  describeExcess,
   FailureCause,
+  IntakeScope,
   isFailing,
   recordRefusal,
+  type IntakeExcess,
   type StagePath,
 } from '@zinniaspindle/decisions';
-import type {Instant, LayerRange} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
 import type {Result} from 'true-myth';
+import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   EndpointErrorCode,
@@ -55,11 +63,19 @@
 const refusalSuspicionMilliseconds = 300;
 /** Time without new requests after refusals by an endpoint with capacity. */
 const failingSuspicionMilliseconds = 2500;
+/** Interval of the lines on an endpoint that sends more than is taken. */
+const overrunLineMilliseconds = 1000;
 /** Memory fill from which on refusals for lack of memory are justified. */
 const fullMemoryFill = 0.85;
 /** Reports show the memory of 200 ms ago (site files); includes a margin. */
 const reportLagMilliseconds = 260;
 
+/** How often an endpoint sent more than is taken from it. */
+interface Overruns {
+  count: number;
+  nextLineAt: Instant;
+}
+
 /** Probes endpoints whose requests stall, fail or are refused. */
 export class EndpointProber {
   /** Endpoints with a probe in progress. */
@@ -68,6 +84,7 @@
   private readonly checkingRefusal = new Set<string>();
   /** When each failing endpoint is probed next. */
   private readonly nextProbeAt = new Map<string, Instant>();
+  private readonly overruns = new Map<string, Overruns>();
 
   constructor(
     private readonly table: EndpointTable,
@@ -78,6 +95,7 @@
     private readonly isVoter: () => boolean,
     private readonly countVms: () => number,
     private readonly getNow: () => Instant,
+    private readonly writeEvent: WriteEvent = () => undefined,
   ) {}
 
   /**
@@ -163,6 +181,42 @@
     this.listeners.sendSuspicion(id, state.bornAt, cause);
   }
 
+  /**
+   * Records that an answer of an endpoint exceeded a bound. One that exceeded
+   * the bound of the answer itself counts as a failure; that of the VM is
+   * reached by the answers of others as well.
+   */
+  recordOverrun(id: string, excess: IntakeExcess, source: string): void {
+    const state = this.table.find(id);
+    if (state === undefined) return;
+    this.countOverrun(id, describeExcess(excess), source);
+    if (excess.scope !== IntakeScope.Item) return;
+    const now = this.getNow();
+    recordRefusal(state.health, now);
+    const until = now + failingSuspicionMilliseconds;
+    this.table.recordSuspicion(state, until, describeExcess(excess));
+    if (!isFailing(state.health, now)) return;
+    const cause = FailureCause.Refusing;
+    this.listeners.sendSuspicion(id, state.bornAt, cause);
+  }
+
+  /** Counts an answer that exceeded a bound, with a line a second at most. */
+  private countOverrun(id: string, reason: string, source: string): void {
+    this.metrics.count(Counter.Overruns);
+    for (const known of this.overruns.keys()) {
+      if (this.table.find(known) === undefined) this.overruns.delete(known);
+    }
+    const now = this.getNow();
+    const overruns = this.overruns.get(id) ?? {count: 0, nextLineAt: now};
+    this.overruns.set(id, overruns);
+    overruns.count += 1;
+    if (overruns.nextLineAt > now) return;
+    overruns.nextLineAt = now + overrunLineMilliseconds;
+    const {count} = overruns;
+    const fields = {endpoint: id, reason, source, count};
+    this.writeEvent(GatewayEvent.EndpointOverran, fields);
+  }
+
   /**
    * Tells whether an endpoint could have accepted the request that it refused.
    * Reports lag, so that an endpoint that has just filled up still reports
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -17,6 +17,7 @@
   StoreFailures = 'store_failures_total',
   Orders = 'orders_total',
   Probes = 'probes_total',
+  Overruns = 'endpoint_overruns_total',
 }
 
 /** Latency histograms, in milliseconds. */
@@ -48,6 +49,8 @@
   [Counter.StoreFailures]: 'Failed calls to the store.',
   [Counter.Orders]: 'Orders sent to endpoints.',
   [Counter.Probes]: 'Reports requested from endpoints.',
+  [Counter.Overruns]:
+    'Answers of endpoints that exceeded a bound on their bytes and were closed.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -37,6 +37,10 @@
       handleHead,
       handleAnswer: answer => listener.handleAnswer(answer),
       handleChunk: chunk => listener.handleChunk(chunk),
+      handleExcess: excess => {
+        const source = `request ${attemptId}`;
+        server.prober.recordOverrun(id, excess, source);
+      },
       handleEnd: (end, detail) => listener.handleEnd(end, detail),
     },
   );
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -162,6 +162,7 @@
     () => isVoter(getRank()),
     () => getParts().mesh.countLive() + 1,
     getNow,
+    log.write,
   );
   return {metrics, endpoints, loads, paths, prober};
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -30,6 +30,7 @@
   PathStalled = 7208,
   EndpointLeaving = 7209,
   EndpointPausing = 7210,
+  EndpointOverran = 7211,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -97,6 +98,8 @@
     'endpoint {endpoint} states that it leaves and gets no new requests, heard from {source}',
   [GatewayEvent.EndpointPausing]:
     'endpoint {endpoint} gets no requests of this VM for {pauseMs} ms: it asks for {askedMs} ms, heard from {source}',
+  [GatewayEvent.EndpointOverran]:
+    'endpoint {endpoint} exceeded a bound and its connection was closed: {reason}, heard from {source}, {count} times since its first',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
