--- a/packages/decisions/src/intake/intake_kinds.ts
+++ b/packages/decisions/src/intake/intake_kinds.ts
@@ -12,8 +12,6 @@
   BufferedAnswer = 'buffered answer',
   /** An endpoint's report. */
   Report = 'report',
-  /** An endpoint's answer to an order. */
-  OrderAnswer = 'answer to an order',
   /** Records that the store gives in one answer. */
   StorePage = 'page of the store',
   /** Any other answer of the store. */
@@ -30,7 +28,7 @@
 export enum IntakeSource {
   /** Answers to requests. */
   Endpoints = 'endpoints',
-  /** Reports and answers to orders. */
+  /** Reports; the body of an answer to an order is not read. */
   EndpointCalls = 'calls to endpoints',
   Store = 'store',
   Peers = 'peers',
@@ -61,10 +59,6 @@
     256 * kibibyte,
   ),
   [IntakeKind.Report]: makeLimit(IntakeSource.EndpointCalls, 64 * kibibyte),
-  [IntakeKind.OrderAnswer]: makeLimit(
-    IntakeSource.EndpointCalls,
-    16 * kibibyte,
-  ),
   [IntakeKind.StorePage]: makeLimit(IntakeSource.Store, 2 * mebibyte),
   [IntakeKind.StoreAnswer]: makeLimit(IntakeSource.Store, 64 * kibibyte),
   [IntakeKind.PeerGreeting]: makeLimit(IntakeSource.Peers, 64 * kibibyte),
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -274,7 +274,12 @@
       this.table.acceptNotice(asked, stated, source);
     });
     if (this.table.find(id) !== state) return undefined;
-    if (report.isErr) return report;
+    if (report.isErr) {
+      const {code, message} = report.error;
+      const isExcess = code === EndpointErrorCode.Excessive;
+      if (isExcess) this.countOverrun(id, message, source);
+      return report;
+    }
     const {bornAt, orderCount, held} = report.value;
     const facts = {id, bornAt, orderCount, held};
     // The report may be that of an incarnation which was not known.
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** The gateway: an entry VM that forwards opaque requests by route. */
 export * from './ports/index.js';
+export {PendingBytes} from '@zinniaspindle/framing';
 export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
 export {Counter, gatewayMetricTexts, Latency, Metrics} from './log/metrics.js';
 export {Gateway} from './root/gateway.js';
--- a/packages/gateway/src/ports/errors.ts
+++ b/packages/gateway/src/ports/errors.ts
@@ -35,6 +35,8 @@
   /** No answer before the timeout. */
   TimedOut = 'silent',
   Malformed = 'malformed',
+  /** The answer exceeded a bound on its bytes. */
+  Excessive = 'excessive',
 }
 
 /** An error of a direct call to an endpoint. */
