fix(gateway): a resumed stream that ends before its first event is not complete

What callers saw: a stream whose endpoint broke off and whose next endpoint ended its answer, which had neither a length nor chunks, before the first event of it, ended as if it were whole.

Cause: the handler asked whether the stream had sent events, not whether this attempt had. Change: an attempt without an event completes a stream only if it is resumed and its answer states its end, by a length or chunks.

--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -372,7 +372,10 @@
     const {answer} = this;
     if (answer!.isNotRun) return this.acceptNotRunAnswer(answer!);
     if (!this.isStreamAnswer()) return this.acceptFailureAnswer(answer!);
-    if (this.body.hasPartialEvent() || !this.hasSentEvents) {
+    // The end of a connection alone does not state that no event is left.
+    const canBeEmpty = this.hasSentEvents && this.upstream!.isFramed();
+    const hasEnd = this.reservation!.hasStarted || canBeEmpty;
+    if (this.body.hasPartialEvent() || !hasEnd) {
       this.watch.handleBreak(this.reservation!);
       this.finishAttempt?.(AttemptEnd.Broken, 'stream ended within an event');
       return;
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -118,6 +118,11 @@
     this.message?.resume();
   }
 
+  /** Tells whether the answer states where it ends, by a length or chunks. */
+  isFramed(): boolean {
+    return this.message !== undefined && this.hasLength(this.message);
+  }
+
   private openConnection(): net.Socket {
     const address = parseAddress(this.options.address);
     const socket = net.connect({...address, allowHalfOpen: true});
