--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -96,3 +96,21 @@
   if (range === undefined) return false;
   return range.first <= other.first && range.end >= other.end;
 }
+
+/** Reports lag behind the endpoint's state by some hundred milliseconds. */
+const reportLagMilliseconds = 800;
+
+/**
+ * Tells whether facts are older than the known state. Between two orders the
+ * layers of an endpoint only increase, as they are loaded.
+ */
+export function isStale(
+  state: EndpointState,
+  facts: EndpointFacts,
+  now: Instant,
+): boolean {
+  const isRecent = now - state.orderedAt < reportLagMilliseconds;
+  if (facts.orderCount < state.orderCount) return isRecent;
+  if (facts.orderCount > state.orderCount) return false;
+  return !hasAllLayers(facts.held, state.held);
+}
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -20,18 +20,17 @@
 import {
   createEndpointState,
   formatHeld,
-  hasAllLayers,
   isSameRange,
+  isStale,
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
 import {buildStage} from './build_stage.js';
+import {LimitTable} from './limit_table.js';
 import {NoticeTable, type Incarnation} from './notice_table.js';
 
 /** Endpoints update their entries every 1.2 s; store outages delay them further. */
 const listLagMilliseconds = 5000;
-/** Reports lag behind the endpoint's state by some hundred milliseconds. */
-const reportLagMilliseconds = 800;
 /**
  * A range loads for up to 3.5 s; an endpoint that loads for longer, because many
  * do so at once, reports that it is busy.
@@ -44,6 +43,8 @@
 export class EndpointTable {
   private readonly states = new Map<string, EndpointState>();
   private readonly notices: NoticeTable;
+  /** The limits that endpoints have stated. */
+  readonly limits: LimitTable;
   /** Incremented by every change that affects which paths are usable. */
   revision = 0;
 
@@ -55,6 +56,7 @@
       undefined,
   ) {
     this.notices = new NoticeTable(writeEvent, getNow);
+    this.limits = new LimitTable(writeEvent);
   }
 
   /** Finds an endpoint by its id. */
@@ -142,6 +144,7 @@
       }
     }
     this.notices.expire(id => this.states.has(id));
+    this.limits.expire(id => this.states.has(id));
   }
 
   /**
@@ -155,10 +158,11 @@
     notice: EndpointNotice,
     source: string,
   ): void {
-    const {isLeaving, pauseMilliseconds} = notice;
+    const {isLeaving, pauseMilliseconds, requestsPerSecond} = notice;
     if (isLeaving && this.recordLeaving(incarnation, source)) {
       this.sendLeaving(incarnation);
     }
+    this.limits.record(incarnation, requestsPerSecond, this.getNow(), source);
     if (pauseMilliseconds === undefined) return;
     if (this.notices.recordPause(incarnation, pauseMilliseconds, source)) {
       this.revision += 1;
@@ -218,7 +222,7 @@
     if (state === undefined) return false;
     state.reportedAt = this.getNow();
     const isRestart = facts.bornAt > state.bornAt;
-    if (!isRestart && this.isStale(state, facts)) return false;
+    if (!isRestart && isStale(state, facts, this.getNow())) return false;
     return this.applyFacts(facts);
   }
 
@@ -397,17 +401,6 @@
     return computeOverlap(state.held, pending.range);
   }
 
-  /**
-   * Tells whether facts are older than the known state. Between two orders the
-   * layers of an endpoint only increase, as they are loaded.
-   */
-  private isStale(state: EndpointState, facts: EndpointFacts): boolean {
-    const isRecent = this.getNow() - state.orderedAt < reportLagMilliseconds;
-    if (facts.orderCount < state.orderCount) return isRecent;
-    if (facts.orderCount > state.orderCount) return false;
-    return !hasAllLayers(facts.held, state.held);
-  }
-
   private applyFacts(facts: EndpointFacts): boolean {
     const state = this.states.get(facts.id)!;
     if (facts.bornAt < state.bornAt) return false;
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -51,6 +51,11 @@
    * read, undefined if it asks for no pause.
    */
   readonly pauseMilliseconds: number | undefined;
+  /**
+   * How many requests a second it takes from all VMs together; NaN if that
+   * cannot be read, undefined if it names no limit.
+   */
+  readonly requestsPerSecond?: number | undefined;
 }
 
 /** Receives what an endpoint states, as soon as the headers are there. */
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -39,6 +39,8 @@
   PartsQuarantined = 7213,
   QuarantineLifted = 7214,
   QuarantineTrial = 7215,
+  EndpointLimited = 7216,
+  LimitEnded = 7217,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -127,6 +129,10 @@
     'requests of service {service} whose prompts have the parts {parts} are served again: {reason}',
   [GatewayEvent.QuarantineTrial]:
     'request {request} is sent to see whether the parts {parts} of its prompt still end endpoints',
+  [GatewayEvent.EndpointLimited]:
+    'endpoint {endpoint} takes {perSecond} requests a second from all VMs together; it states {stated}, heard from {source}',
+  [GatewayEvent.LimitEnded]:
+    'endpoint {endpoint} states no limit of its requests any more, heard from {source}',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
