refactor(gateway): one function makes the incarnation of an endpoint

The tables, the path table and the prober built it by hand beside getIncarnation. The message of a limit stands behind the one that its comment refers to.

--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -25,6 +25,7 @@
   type EndpointReport,
 } from '../ports/index.js';
 import {
+  getIncarnation,
   hasAllLayers,
   type EndpointFacts,
   type EndpointState,
@@ -300,7 +301,7 @@
     state: EndpointState,
   ): Promise<Result<EndpointReport, EndpointError> | undefined> {
     const {id, address} = state.entry;
-    const asked = {id, bornAt: state.bornAt};
+    const asked = getIncarnation(state);
     const source = 'report';
     let notice: EndpointNotice | undefined;
     this.metrics.count(Counter.Probes);
@@ -362,8 +363,8 @@
     const hasEnded = error.code === EndpointErrorCode.NotListening;
     const isDown = hasEnded || error.code === EndpointErrorCode.Unreachable;
     if (hasEnded) {
-      const {bornAt} = state;
-      this.listeners.handleEnded({id, bornAt}, EndReason.NotListening);
+      const ended = getIncarnation(state);
+      this.listeners.handleEnded(ended, EndReason.NotListening);
     }
     if (isDown) this.listeners.handleDown(id);
     const isCertain = isDown || isFailing(state.health, now);
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -20,6 +20,7 @@
 import {
   createEndpointState,
   formatHeld,
+  getIncarnation,
   isSameRange,
   isStale,
   type EndpointFacts,
@@ -169,8 +170,8 @@
   }
 
   /** Finds until when an endpoint wants no requests; undefined if it takes them. */
-  findPauseEnd({entry, bornAt}: EndpointState): Deadline | undefined {
-    return this.notices.findPauseEnd({id: entry.id, bornAt});
+  findPauseEnd(state: EndpointState): Deadline | undefined {
+    return this.notices.findPauseEnd(getIncarnation(state));
   }
 
   /**
@@ -190,7 +191,7 @@
 
   /** Finds when an endpoint that takes no request now does so again. */
   private findTakeTime(state: EndpointState): Deadline | undefined {
-    const endpoint = {id: state.entry.id, bornAt: state.bornAt};
+    const endpoint = getIncarnation(state);
     const pauseEnd = this.findPauseEnd(state);
     if (this.limits.hasCredit(endpoint)) return pauseEnd;
     const credit = this.limits.findNextCredit(endpoint) ?? -Infinity;
@@ -216,9 +217,9 @@
    * Tells whether an endpoint leaves, by its entry or by what it stated; it gets
    * no new requests. An entry does not take a statement back.
    */
-  isDraining({entry, bornAt}: EndpointState): boolean {
-    if (entry.isDraining) return true;
-    return this.notices.isLeaving({id: entry.id, bornAt});
+  isDraining(state: EndpointState): boolean {
+    if (state.entry.isDraining) return true;
+    return this.notices.isLeaving(getIncarnation(state));
   }
 
   /**
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -24,7 +24,7 @@
 } from '@zinniaspindle/shared';
 import type {WriteEvent} from '../log/event_log.js';
 import type {ServiceModel} from '../ports/index.js';
-import {hasAllLayers} from './endpoint_state.js';
+import {getIncarnation, hasAllLayers} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 import type {Incarnation} from './notice_table.js';
 import type {LoadTracker} from './load_tracker.js';
@@ -199,7 +199,7 @@
   private findFirst(path: StagePath): Incarnation | undefined {
     const {id} = path.parts[0]!.endpoint;
     const state = this.endpoints.find(id);
-    return state && {id, bornAt: state.bornAt};
+    return state && getIncarnation(state);
   }
 
   private countAvailableCrossings({shape}: ServiceModel): number {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -188,6 +188,17 @@
   readonly limited?: LimitedEndpoint;
 }
 
+/**
+ * Makes the message that answers were begun on parts. It is a refutation by its
+ * kind, of an endpoint that no VM knows, so that earlier versions ignore it.
+ */
+export function makeAnsweredMessage(
+  answered: AnsweredParts,
+): RefutationMessage {
+  const kind = PeerMessageKind.Refutation;
+  return {kind, id: '', bornAt: 0, answered};
+}
+
 /** What an endpoint has stated of its limit in an answer to the sender. */
 export interface LimitedEndpoint {
   readonly id: string;
@@ -206,17 +217,6 @@
   return {kind, id: '', bornAt: 0, limited};
 }
 
-/**
- * Makes the message that answers were begun on parts. It is a refutation by its
- * kind, of an endpoint that no VM knows, so that earlier versions ignore it.
- */
-export function makeAnsweredMessage(
-  answered: AnsweredParts,
-): RefutationMessage {
-  const kind = PeerMessageKind.Refutation;
-  return {kind, id: '', bornAt: 0, answered};
-}
-
 /** Forwards what an endpoint reported to the sender. */
 export interface FactsMessage {
   readonly kind: PeerMessageKind.Facts;
