--- a/packages/gateway/__tests__/endpoint_prober.test.ts
+++ b/packages/gateway/__tests__/endpoint_prober.test.ts
@@ -47,6 +47,7 @@
     sendFacts: logNothing,
     sendSuspicion: (id: string) => suspected.push(id),
     handleDown: logNothing,
+    handleEnded: logNothing,
   };
   const prober = new EndpointProber(
     table,
@@ -125,6 +126,7 @@
       sendFacts: logNothing,
       sendSuspicion: logNothing,
       handleDown: logNothing,
+      handleEnded: logNothing,
     },
     new Metrics(),
     () => true,
@@ -134,3 +136,69 @@
   await prober.fetchReport(state);
   assert.equal(table.isDraining(state), true);
 });
+
+function createEndProber(
+  fetchReport: (asked: number) => ReturnType<EndpointCalls['fetchReport']>,
+) {
+  const table = new EndpointTable(logNothing, () => performance.now());
+  table.applyEntry(makeEntry({held}));
+  const ended: string[] = [];
+  let asked = 0;
+  const port = {
+    fetchReport: () => fetchReport((asked += 1)),
+  } as Partial<EndpointCalls> as EndpointCalls;
+  const prober = new EndpointProber(
+    table,
+    port,
+    {
+      sendFacts: logNothing,
+      sendSuspicion: logNothing,
+      handleDown: logNothing,
+      handleEnded: ({id, bornAt}, reason) => {
+        ended.push(`${id}@${bornAt} ${reason}`);
+      },
+    },
+    new Metrics(),
+    () => true,
+    () => 195,
+    () => performance.now(),
+  );
+  const bornAt = table.find('e1')!.bornAt;
+  return {prober, ended, bornAt, countAsked: () => asked};
+}
+
+function makeReport(bornAt: number): EndpointReport {
+  return {bornAt, orderCount: 1, isBusy: false, held, memoryFill: 0};
+}
+
+for (const [code, count] of [
+  [EndpointErrorCode.NotListening, 2],
+  [EndpointErrorCode.Unreachable, 0],
+  [EndpointErrorCode.TimedOut, 0],
+] as const) {
+  test(`a probe that fails as ${code} shows ${count > 0 ? 'an' : 'no'} end`, async () => {
+    const error = makeEndpointError(code, 'failed');
+    const fleet = createEndProber(() => Promise.resolve(Result.err(error)));
+    await fleet.prober.probe('e1');
+    assert.equal(fleet.ended.length, count);
+  });
+}
+
+test('a report of a newer incarnation shows the end of the one before', async () => {
+  const fleet = createEndProber(() =>
+    Promise.resolve(Result.ok(makeReport(fleet.bornAt + 1))),
+  );
+  await fleet.prober.probe('e1');
+  assert.deepEqual(fleet.ended, [`e1@${fleet.bornAt} it has started again`]);
+});
+
+test('an answer from before a break does not stand for a probe', async () => {
+  const fleet = createEndProber(() =>
+    Promise.resolve(Result.ok(makeReport(fleet.bornAt))),
+  );
+  await fleet.prober.probe('e1');
+  await fleet.prober.probe('e1');
+  assert.equal(fleet.countAsked(), 1);
+  await fleet.prober.probe('e1', performance.now());
+  assert.equal(fleet.countAsked(), 2);
+});
--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -224,6 +224,7 @@
     sendFacts: logNothing,
     sendSuspicion: logNothing,
     handleDown: logNothing,
+    handleEnded: logNothing,
   };
   const prober = new EndpointProber(
     table,
--- a/packages/gateway/__tests__/overruns.test.ts
+++ b/packages/gateway/__tests__/overruns.test.ts
@@ -28,6 +28,7 @@
     sendFacts: logNothing,
     sendSuspicion: (id: string) => suspected.push(id),
     handleDown: logNothing,
+    handleEnded: logNothing,
   };
   const metrics = new Metrics();
   const prober = new EndpointProber(
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -30,6 +30,8 @@
   type EndpointState,
 } from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
+import {EndReason} from './end_watch.js';
+import type {Incarnation} from './notice_table.js';
 
 /** Callbacks for the results of probes. */
 export interface ProbeListeners {
@@ -39,8 +41,10 @@
     bornAt: Instant,
     cause: FailureCause,
   ) => void;
-  /** An endpoint is down: nothing listens at its address. */
+  /** An endpoint is down: connections to its address fail. */
   readonly handleDown: (id: string) => void;
+  /** An incarnation of an endpoint has ended. */
+  readonly handleEnded: (ended: Incarnation, reason: EndReason) => void;
   /** An endpoint reported a state that was not known. */
   readonly sendFacts: (facts: EndpointFacts) => void;
 }
@@ -134,13 +138,18 @@
     return this.isVoter() && this.probe(state.entry.id);
   }
 
-  /** Probes an endpoint, twice if the first probe fails; returns whether it answered. */
-  async probe(id: string): Promise<boolean> {
+  /**
+   * Probes an endpoint, twice if the first probe fails; returns whether it
+   * answered. An answer from before `since` does not count.
+   */
+  async probe(id: string, since: Instant = -Infinity): Promise<boolean> {
     const state = this.table.find(id);
     if (state === undefined) return false;
     if (this.probing.has(id)) return state.health.failedProbes === 0;
     const interval = computeMinProbeInterval(this.countVms());
-    if (this.getNow() - state.health.answeredAt < interval) return true;
+    const {answeredAt} = state.health;
+    const isRecent = this.getNow() - answeredAt < interval;
+    if (isRecent && answeredAt > since) return true;
     // A failing endpoint is probed at its interval only, however many VMs suspect it.
     if ((this.nextProbeAt.get(id) ?? 0) > this.getNow()) return false;
     this.probing.add(id);
@@ -295,6 +304,9 @@
     }
     const {bornAt, orderCount, held} = report.value;
     const facts = {id, bornAt, orderCount, held};
+    if (bornAt > asked.bornAt) {
+      this.listeners.handleEnded(asked, EndReason.Restarted);
+    }
     // The report may be that of an incarnation which was not known.
     if (notice !== undefined) this.table.acceptNotice(facts, notice, source);
     if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
@@ -334,7 +346,12 @@
       now + suspicionMilliseconds,
       error.message,
     );
-    const isDown = error.code === EndpointErrorCode.Unreachable;
+    const hasEnded = error.code === EndpointErrorCode.NotListening;
+    const isDown = hasEnded || error.code === EndpointErrorCode.Unreachable;
+    if (hasEnded) {
+      const {bornAt} = state;
+      this.listeners.handleEnded({id, bornAt}, EndReason.NotListening);
+    }
     if (isDown) this.listeners.handleDown(id);
     const isCertain = isDown || isFailing(state.health, now);
     const cause = isCertain ? FailureCause.Silent : FailureCause.Unanswered;
--- a/packages/gateway/src/ports/errors.ts
+++ b/packages/gateway/src/ports/errors.ts
@@ -30,7 +30,9 @@
 
 /** Why a direct call to an endpoint failed. */
 export enum EndpointErrorCode {
-  /** Nothing listens at the address. */
+  /** Nothing listens at the address: its process has ended. */
+  NotListening = 'notListening',
+  /** The connection could not be opened, or failed. */
   Unreachable = 'unreachable',
   /** No answer before the timeout. */
   TimedOut = 'silent',
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -16,6 +16,10 @@
   readonly timeoutMilliseconds: number | undefined;
   readonly promptTokens: number;
   readonly maxAnswerTokens: number;
+  /**
+   * Ids of the parts of its prompt that other requests may share, in their order.
+   */
+  readonly promptParts: readonly string[];
   /** The caller's estimate of the number of tokens in the answer. */
   readonly estimatedAnswerTokens: number | undefined;
   /** Id of the last event of this stream that the caller received. */
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -2,6 +2,7 @@
 import type {StopPlan} from '@zinniaspindle/decisions';
 import type {Deadline, GatewayEvent, Instant} from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
+import type {EndWatch} from '../fleet/end_watch.js';
 import type {PathTable} from '../fleet/path_table.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {Intake} from '../intake/intake.js';
@@ -24,6 +25,7 @@
 export interface ServerContext {
   readonly codec: ExchangeCodec;
   readonly endpoints: EndpointTable;
+  readonly ends: EndWatch;
   readonly paths: PathTable;
   readonly queue: PathQueue;
   readonly prober: EndpointProber;
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -15,6 +15,7 @@
 import {FailureReason} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
 import {AttemptLog} from './attempt_log.js';
+import {AttemptWatch} from './attempt_watch.js';
 import {checkRefusal} from './check_refusal.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
@@ -75,6 +76,7 @@
   private readonly limits: AttemptLimits;
   private lastEventAt: Instant;
   private readonly log: AttemptLog;
+  private readonly watch: AttemptWatch;
 
   constructor(
     private readonly context: RequestContext,
@@ -84,6 +86,7 @@
     this.lastEventId = context.request.lastEventId;
     this.lastEventAt = context.receivedAt;
     this.log = new AttemptLog(context);
+    this.watch = new AttemptWatch(context);
     this.places = new StreamPlaces(context, model, this);
     const {isResumable: canRepeat, maxAttempts: maxRuns} = context.route;
     this.limits = {canRepeat, maxRuns, maxNotRun};
@@ -254,6 +257,7 @@
     this.answer = undefined;
     this.reservation = reservation;
     this.log.recordStart(path.key);
+    this.watch.recordStart(first.id, this.attempts.runs > 0);
     return new Promise(resolve => {
       const timer = setInterval(() => {
         this.swapQueuedPath(reservation);
@@ -357,9 +361,7 @@
     }
     if (end === UpstreamEnd.Broken) {
       if (this.answer === undefined) this.attempts.runs += 1;
-      const {path} = this.reservation!;
-      const {prober, paths} = this.context.server;
-      void prober.probePath(path, () => paths.dropStreams(path));
+      this.watch.handleBreak(this.reservation!);
       this.finishAttempt?.(AttemptEnd.Broken, detail);
       return;
     }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -11,6 +11,7 @@
 import {DirectoryServer} from '../directory/directory_server.js';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
+import {EndWatch} from '../fleet/end_watch.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
@@ -72,6 +73,7 @@
 interface FleetParts {
   readonly metrics: Metrics;
   readonly endpoints: EndpointTable;
+  readonly ends: EndWatch;
   readonly loads: LoadTracker;
   readonly paths: PathTable;
   readonly prober: EndpointProber;
@@ -144,8 +146,13 @@
     getNow,
     () => ({vms: getParts().mesh.countLive() + 1, rank: getRank()}),
   );
+  const ends = new EndWatch(log.write, getNow);
   const listeners: ProbeListeners = {
     handleDown: (id: string) => paths.dropStreamsThrough(id),
+    handleEnded: (ended, reason) => {
+      const service = endpoints.find(ended.id)?.entry.service;
+      if (service !== undefined) ends.recordEnd(ended, service, reason);
+    },
     sendFacts: (facts: EndpointFacts) => {
       getParts().mesh.sendAll({kind: PeerMessageKind.Facts, facts});
     },
@@ -165,7 +172,7 @@
     getNow,
     log.write,
   );
-  return {metrics, endpoints, loads, paths, prober};
+  return {metrics, endpoints, ends, loads, paths, prober};
 }
 
 function buildSync(
@@ -269,7 +276,7 @@
 
 function buildServing(
   {settings, ports, log, getNow, getPhase, findStopPlan}: GatewayContext,
-  {metrics, endpoints, paths, prober}: FleetParts,
+  {metrics, endpoints, ends, paths, prober}: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const countVms = () => mesh.listStaying().length + 1;
@@ -281,6 +288,7 @@
   const callers = new CallerServer({
     codec: ports.exchange,
     endpoints,
+    ends,
     paths,
     queue,
     prober,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -35,6 +35,7 @@
   EndpointLeaving = 7209,
   EndpointPausing = 7210,
   EndpointOverran = 7211,
+  EndpointEnded = 7212,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -115,6 +116,8 @@
     'endpoint {endpoint} gets no requests of this VM for {pauseMs} ms: it asks for {askedMs} ms, heard from {source}',
   [GatewayEvent.EndpointOverran]:
     'endpoint {endpoint} exceeded a bound and its connection was closed: {reason}, heard from {source}, {count} times since its first',
+  [GatewayEvent.EndpointEnded]:
+    'endpoint {endpoint} has ended ({reason}); {broken} requests broke there before their first event: {requests}',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
