--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -108,6 +108,20 @@
   assert.equal(findParts(evidence), 'none');
 });
 
+test('ends that overlap accuse a part that was never answered on', () => {
+  const evidence = createEvidence();
+  recordAnswered(evidence, ['first'], 0);
+  for (const at of [100, 130, 160]) addEnd(evidence, at, [['first bad', 50]]);
+  assert.equal(findParts(evidence), 'bad first');
+});
+
+test('ends that overlap accuse no part that is often answered on', () => {
+  const evidence = createEvidence();
+  recordAnswered(evidence, ['first'], 0);
+  for (const at of [100, 130, 160]) addEnd(evidence, at, [['first', 50]]);
+  assert.equal(findParts(evidence), 'none');
+});
+
 test('two parts that end endpoints are found one after the other', () => {
   const evidence = createEvidence();
   const known: string[][] = [];
--- a/packages/decisions/src/quarantine/find_culprit.ts
+++ b/packages/decisions/src/quarantine/find_culprit.ts
@@ -44,9 +44,13 @@
 const minRequests = 2;
 /**
  * Number of parts that so many ends in sequence may be expected to accuse by
- * chance.
+ * chance, if they were answered on before.
  */
 const maxByChance = 0.001;
+/** The same for parts that no VM remembers an answer on. */
+const maxNewByChance = 0.002;
+/** Endpoints that are lost together end within this time. */
+const atOnceMilliseconds = 20;
 /** Among several parts that are accused alike, further ends decide. */
 const tieEnds = 2;
 
@@ -55,7 +59,9 @@
  * not suffice. A part is accused by an end if an attempt with it broke there
  * before its first event, and cleared by any later answer on it. Ends count in
  * sequence: each of them needs an attempt that was sent after the end before,
- * so that endpoints which are lost at once, such as a rack, count as one.
+ * so that endpoints which are lost at once, such as a rack, count as one. Many
+ * requests with a part that is often answered may be at all of them; for a part
+ * that no VM remembers an answer on, ends at different instants are enough.
  *
  * Where endpoints end for another reason, attempts break at random. That an end
  * accuses a sound part several times without an answer between is the less
@@ -127,7 +133,8 @@
     for (const part of accused) {
       const isExplained =
         explaining.length > 0 && !explaining.some(one => one.includes(part));
-      if (!isExplained) addEnd(accusations, part, end);
+      const isNew = !evidence.answeredAt.has(part);
+      if (!isExplained) addEnd(accusations, part, end, isNew);
     }
   }
   for (const accusation of accusations.values()) {
@@ -153,6 +160,7 @@
   accusations: Map<string, Accusation>,
   part: string,
   {endpoint, endedAt, attempts}: EndpointEnd,
+  isNew: boolean,
 ): void {
   const accusing = attempts.filter(({parts}) => parts.includes(part));
   let accusation = accusations.get(part);
@@ -171,7 +179,8 @@
     accusation.common = accusation.common.filter(one => parts.includes(one));
   }
   const {lastEndedAt, requests} = accusation;
-  const later = accusing.filter(({sentAt}) => sentAt > lastEndedAt);
+  const isApart = isNew && endedAt - lastEndedAt > atOnceMilliseconds;
+  const later = accusing.filter(({sentAt}) => isApart || sentAt > lastEndedAt);
   if (later.length === 0) return;
   for (const {request} of later) requests.add(request);
   accusation.lastEndedAt = endedAt;
@@ -194,7 +203,9 @@
   const broken = countOtherBroken(evidence, part, now);
   const attempts = answered + broken + 1;
   const brokenShare = (broken + 1) / attempts;
-  return attempts * brokenShare ** ends <= maxByChance;
+  const isNew = !evidence.answeredAt.has(part);
+  const limit = isNew ? maxNewByChance : maxByChance;
+  return attempts * brokenShare ** ends <= limit;
 }
 
 /** Counts the attempts without a part that broke within the time compared. */
--- a/packages/gateway/src/fleet/end_watch.ts
+++ b/packages/gateway/src/fleet/end_watch.ts
@@ -93,6 +93,12 @@
     }
   }
 
+  /** Tells whether an incarnation has ended lately. */
+  hasEnded(endpoint: Incarnation): boolean {
+    const breaks = this.breaks.get(getIncarnationKey(endpoint));
+    return breaks?.reason !== undefined;
+  }
+
   private report(
     endpoint: Incarnation,
     {service, brokenAt, reason}: Breaks,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -171,11 +171,12 @@
   readonly service: string;
   /** When the message was sent, in Unix milliseconds of the sender's clock. */
   readonly sentAt: Instant;
-  /** Time since the first of the answers. */
-  readonly ageMilliseconds: number;
-  readonly parts: readonly string[];
+  readonly parts: readonly AnsweredPartRow[];
 }
 
+/** A part that an answer was begun on, and the time since then. */
+export type AnsweredPartRow = readonly [part: string, ageMilliseconds: number];
+
 /** Refutes a suspicion: the suspected endpoint answers the sender. */
 export interface RefutationMessage {
   readonly kind: PeerMessageKind.Refutation;
--- a/packages/gateway/src/quarantine/answer_news.ts
+++ b/packages/gateway/src/quarantine/answer_news.ts
@@ -5,11 +5,22 @@
 /** The others send what none of the first has sent, spread over this time. */
 const othersDelayMilliseconds = 200;
 
-/** Sends to the peers that answers on some parts of a service were begun. */
+/** Time for a message to reach all VMs. */
+const transitMilliseconds = 20;
+
+/**
+ * Computes the time after which all VMs have told what they know of a part; the
+ * others tell nothing in a fleet that has only voters.
+ */
+export function computeNewsTime(hasOthers: boolean): number {
+  const others = hasOthers ? othersDelayMilliseconds : 0;
+  return voterDelayMilliseconds + others + transitMilliseconds;
+}
+
+/** Sends to the peers when answers on parts of a service were begun. */
 export type SendAnswered = (
   service: string,
-  parts: readonly string[],
-  at: Instant,
+  answeredAt: ReadonlyMap<string, Instant>,
 ) => void;
 
 /**
@@ -28,22 +39,18 @@
     private readonly random: () => number,
   ) {}
 
-  /** Adds parts that an answer was begun on. */
-  add(service: string, parts: readonly string[], at: Instant): void {
-    if (parts.length === 0) return;
+  /** Adds a part that an answer was begun on. */
+  add(service: string, part: string, at: Instant): void {
     const pending = this.pending.get(service) ?? new Map<string, Instant>();
     this.pending.set(service, pending);
-    for (const part of parts) pending.set(part, at);
+    pending.set(part, at);
     this.timer ??= setTimeout(() => this.sendPending(), this.computeDelay());
   }
 
-  /** Removes parts of which a peer has told the same. */
-  remove(service: string, parts: readonly string[], at: Instant): void {
+  /** Removes a part of which a peer has told the same. */
+  remove(service: string, part: string, at: Instant): void {
     const pending = this.pending.get(service);
-    if (pending === undefined) return;
-    for (const part of parts) {
-      if ((pending.get(part) ?? Infinity) <= at) pending.delete(part);
-    }
+    if ((pending?.get(part) ?? Infinity) <= at) pending?.delete(part);
   }
 
   /** Drops what is to be sent. */
@@ -55,9 +62,7 @@
   private sendPending(): void {
     this.timer = undefined;
     for (const [service, parts] of this.pending) {
-      if (parts.size === 0) continue;
-      const at = Math.min(...parts.values());
-      this.send(service, [...parts.keys()], at);
+      if (parts.size > 0) this.send(service, parts);
     }
     this.pending.clear();
   }
--- a/packages/gateway/src/quarantine/part_messages.ts
+++ b/packages/gateway/src/quarantine/part_messages.ts
@@ -9,6 +9,7 @@
 import {
   makeAnsweredMessage,
   makeEndedMessage,
+  type AnsweredPartRow,
   type AnsweredParts,
   type EndedRequests,
   type PeerMessage,
@@ -65,23 +66,25 @@
     });
   }
 
-  /** Sends that answers on some parts were begun since an instant. */
-  sendAnswered(service: string, parts: readonly string[], at: Instant): void {
+  /** Sends when answers on some parts were begun. */
+  sendAnswered(
+    service: string,
+    answeredAt: ReadonlyMap<string, Instant>,
+  ): void {
     const {getNow, getWallClock} = this.clocks;
-    const ageMilliseconds = Math.ceil(getNow() - at);
-    const sentAt = getWallClock();
-    this.sendAll(
-      makeAnsweredMessage({service, sentAt, ageMilliseconds, parts}),
-    );
+    const now = getNow();
+    const parts: AnsweredPartRow[] = [];
+    for (const [part, at] of answeredAt) {
+      parts.push([part, Math.ceil(now - at)]);
+    }
+    this.sendAll(makeAnsweredMessage({service, sentAt: getWallClock(), parts}));
   }
 
-  /** Records that answers on some parts were begun at a peer. */
-  acceptAnswered(
-    {service, ageMilliseconds, parts}: AnsweredParts,
-    writtenAt: Instant,
-  ): void {
-    const at = writtenAt - ageMilliseconds;
-    this.quarantine.acceptAnswer(service, parts, at);
+  /** Records when answers on some parts were begun at a peer. */
+  acceptAnswered({service, parts}: AnsweredParts, writtenAt: Instant): void {
+    for (const [part, age] of parts) {
+      this.quarantine.acceptAnswer(service, part, writtenAt - age);
+    }
   }
 
   /** Applies the quarantines of a peer. */
--- a/packages/gateway/src/quarantine/part_quarantine.ts
+++ b/packages/gateway/src/quarantine/part_quarantine.ts
@@ -29,11 +29,6 @@
 import {Counter, type Metrics} from '../log/metrics.js';
 import type {AnswerNews} from './answer_news.js';
 
-/**
- * Time from an end to the decision on it, within which other VMs report their
- * attempts there and answers that clear parts.
- */
-const settleMilliseconds = 50;
 /** Endpoints that a line names. */
 const maxNamed = 8;
 
@@ -60,6 +55,11 @@
   constructor(
     private readonly clocks: Clocks,
     private readonly countVms: () => number,
+    /**
+     * Computes the time from an end to the decision on it, within which other
+     * VMs report their attempts there and answers that clear parts.
+     */
+    private readonly computeSettleTime: () => number,
     private readonly news: AnswerNews,
     private readonly metrics: Metrics,
     private readonly writeEvent: WriteEvent,
@@ -70,13 +70,10 @@
     const evidence = this.getEvidence(service);
     recordEndpointEnd(evidence, end, this.clocks.getNow());
     for (const {parts} of end.attempts) {
-      const answered = parts.filter(part =>
-        isAnsweredSince(evidence, part, end.endedAt),
-      );
-      this.sendAnswered(service, answered);
+      this.sendKnown(service, parts);
     }
     this.undecided.add(service);
-    this.timer ??= setTimeout(() => this.decide(), settleMilliseconds);
+    this.timer ??= setTimeout(() => this.decide(), this.computeSettleTime());
   }
 
   /** Records that an answer was begun at this VM on a prompt with some parts. */
@@ -88,13 +85,13 @@
       part => isAccused(evidence, part) || this.isQuarantined(service, part),
     );
     this.applyAnswer(service, parts, this.clocks.getNow());
-    this.sendAnswered(service, news);
+    this.sendKnown(service, news);
   }
 
-  /** Records that an answer on each of some parts was begun at a peer. */
-  acceptAnswer(service: string, parts: readonly string[], at: Instant): void {
-    this.news.remove(service, parts, at);
-    this.applyAnswer(service, parts, at);
+  /** Records that an answer on a part was begun at a peer. */
+  acceptAnswer(service: string, part: string, at: Instant): void {
+    this.news.remove(service, part, at);
+    this.applyAnswer(service, [part], at);
   }
 
   private applyAnswer(
@@ -279,8 +276,13 @@
     );
   }
 
-  private sendAnswered(service: string, parts: readonly string[]): void {
-    this.news.add(service, parts, this.clocks.getNow());
+  /** Tells the peers when this VM knows that parts were answered on. */
+  private sendKnown(service: string, parts: readonly string[]): void {
+    const {answeredAt} = this.getEvidence(service);
+    for (const part of parts) {
+      const at = answeredAt.get(part);
+      if (at !== undefined) this.news.add(service, part, at);
+    }
   }
 
   private getEvidence(service: string): PartEvidence {
--- a/packages/gateway/src/requests/attempt_watch.ts
+++ b/packages/gateway/src/requests/attempt_watch.ts
@@ -34,19 +34,36 @@
   }
 
   /** Checks the endpoints of a path on which the attempt has broken. */
-  handleBreak({path, hasStarted}: PathReservation): void {
-    const {server, request, service} = this.context;
-    const {prober, paths, ends, getNow} = server;
+  handleBreak(reservation: PathReservation): void {
+    const {path, hasStarted} = reservation;
+    const {prober, paths, getNow} = this.context.server;
     void prober.probePath(path, () => paths.dropStreams(path));
-    const {target} = this;
     this.hasBrokenUnstarted = !hasStarted;
+    if (hasStarted) return;
+    this.recordBreak();
+    // An answer from before the break does not show that the endpoint lives.
+    if (this.target !== undefined) void prober.probe(this.target.id, getNow());
+  }
+
+  /**
+   * Records an attempt that moves to another path. It may do so because its
+   * endpoint has ended, before its own connection has broken.
+   */
+  handleMove({hasStarted}: PathReservation): void {
+    const {target, context} = this;
     if (hasStarted || target?.bornAt === undefined) return;
+    const {id, bornAt} = target;
+    if (context.server.ends.hasEnded({id, bornAt})) this.recordBreak();
+  }
+
+  private recordBreak(): void {
+    const {target, context} = this;
+    if (target?.bornAt === undefined) return;
+    const {server, request, service} = context;
     const {id, bornAt, sentAt} = target;
     const {attemptId, promptParts: parts} = request;
     const attempt = {request: attemptId, parts, sentAt};
-    ends.recordBreak({id, bornAt}, service.name, attempt);
-    // An answer from before the break does not show that the endpoint lives.
-    void prober.probe(id, getNow());
+    server.ends.recordBreak({id, bornAt}, service.name, attempt);
   }
 
   /**
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -200,6 +200,7 @@
     this.next = next;
     if (reason === MoveReason.Queued) this.hasSwapped = true;
     if (this.answer === undefined) recordMove(this.attempts);
+    this.watch.handleMove(this.reservation!);
     this.cancelAttempt(AttemptEnd.Broken, reason);
   }
 
@@ -372,6 +373,7 @@
     if (answer!.isNotRun) return this.acceptNotRunAnswer(answer!);
     if (!this.isStreamAnswer()) return this.acceptFailureAnswer(answer!);
     if (this.body.hasPartialEvent() || !this.hasSentEvents) {
+      this.watch.handleBreak(this.reservation!);
       this.finishAttempt?.(AttemptEnd.Broken, 'stream ended within an event');
       return;
     }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -148,11 +148,15 @@
     getNow,
     () => ({vms: getParts().mesh.countLive() + 1, rank: getRank()}),
   );
+  const countVms = () => getParts().mesh.countLive() + 1;
   const quarantine = buildQuarantine(
     {log, getNow},
     metrics,
-    () => isVoter(getRank()),
-    () => getParts().mesh.countLive() + 1,
+    {
+      countVms,
+      isVoter: () => isVoter(getRank()),
+      hasOthers: () => countVms() > voterCount,
+    },
     message => getParts().mesh.sendAll(message),
   );
   const listeners: ProbeListeners = {
--- a/packages/gateway/src/root/quarantine_parts.ts
+++ b/packages/gateway/src/root/quarantine_parts.ts
@@ -3,7 +3,7 @@
 import type {EventLog} from '../log/event_log.js';
 import type {Metrics} from '../log/metrics.js';
 import type {PeerMessage} from '../peers/messages.js';
-import {AnswerNews} from '../quarantine/answer_news.js';
+import {AnswerNews, computeNewsTime} from '../quarantine/answer_news.js';
 import {PartMessages} from '../quarantine/part_messages.js';
 import {PartQuarantine} from '../quarantine/part_quarantine.js';
 
@@ -14,12 +14,21 @@
   readonly partMessages: PartMessages;
 }
 
+/** What this VM is in the fleet. */
+export interface FleetRole {
+  /** Number of live VMs. */
+  countVms(): number;
+  /** Whether this VM is one of the few that are the first to tell news. */
+  isVoter(): boolean;
+  /** Whether there are VMs that are not. */
+  hasOthers(): boolean;
+}
+
 /** Builds the parts that accuse, clear and refuse parts of prompts. */
 export function buildQuarantine(
   {log, getNow}: {readonly log: EventLog; readonly getNow: () => Instant},
   metrics: Metrics,
-  isVoter: () => boolean,
-  countVms: () => number,
+  fleet: FleetRole,
   sendAll: (message: PeerMessage) => void,
 ): QuarantineParts {
   const clocks = {getNow, getWallClock: Date.now};
@@ -27,13 +36,14 @@
     partMessages.handleEnd(ended);
   });
   const news = new AnswerNews(
-    (service, parts, at) => partMessages.sendAnswered(service, parts, at),
-    isVoter,
+    (service, answeredAt) => partMessages.sendAnswered(service, answeredAt),
+    () => fleet.isVoter(),
     Math.random,
   );
   const quarantine = new PartQuarantine(
     clocks,
-    countVms,
+    () => fleet.countVms(),
+    () => computeNewsTime(fleet.hasOthers()),
     news,
     metrics,
     log.write,
