--- a/packages/decisions/src/stages/index.ts
+++ b/packages/decisions/src/stages/index.ts
@@ -9,6 +9,7 @@
 export * from './memory.js';
 export * from './pick_path.js';
 export * from './plan_ranges.js';
+export * from './request_credit.js';
 export * from './request_limit.js';
 export * from './stage_types.js';
 export * from './stall_watch.js';
--- a/packages/decisions/src/stages/request_limit.ts
+++ b/packages/decisions/src/stages/request_limit.ts
@@ -8,7 +8,7 @@
   bornAt: Instant;
   /** Undefined if it states none. */
   perSecond: number | undefined;
-  /** When this VM or a peer last heard an answer of the incarnation. */
+  /** When this VM or a peer last heard what makes sense, a limit or none. */
   heardAt: Instant;
   /** Incarnation that stated a limit without sense. */
   faultyBornAt: Instant;
@@ -19,7 +19,7 @@
   /** A limit has begun, or has another value. */
   Changed = 'changed',
   Ended = 'ended',
-  /** The value is negative or no number; what held before holds on. */
+  /** The value is negative or no number; what held before holds for a while. */
   Faulty = 'faulty',
   Same = 'same',
 }
@@ -28,6 +28,8 @@
 export const minPerSecond = 0.1;
 /** Values that differ by less than this share are the same. */
 const sameShare = 0.02;
+/** Time for which a limit outlasts values without sense that follow it. */
+const faultyMilliseconds = 3000;
 
 /** Creates the limit of an endpoint that has stated none. */
 export function createRequestLimit(): RequestLimit {
@@ -53,9 +55,7 @@
     return LimitOutcome.Same;
   }
   if (stated !== undefined && !(stated >= 0)) {
-    if (bornAt <= limit.faultyBornAt) return LimitOutcome.Same;
-    limit.faultyBornAt = bornAt;
-    return LimitOutcome.Faulty;
+    return recordFaulty(limit, bornAt, heardAt);
   }
   const before = bornAt > limit.bornAt ? undefined : limit.perSecond;
   const perSecond =
@@ -71,6 +71,21 @@
   return isSame ? LimitOutcome.Same : LimitOutcome.Changed;
 }
 
+function recordFaulty(
+  limit: RequestLimit,
+  bornAt: Instant,
+  heardAt: Instant,
+): LimitOutcome {
+  const isHeld = limit.perSecond !== undefined && bornAt === limit.bornAt;
+  if (isHeld && heardAt - limit.heardAt > faultyMilliseconds) {
+    limit.perSecond = undefined;
+    return LimitOutcome.Ended;
+  }
+  if (bornAt <= limit.faultyBornAt) return LimitOutcome.Same;
+  limit.faultyBornAt = bornAt;
+  return LimitOutcome.Faulty;
+}
+
 /** Finds the limit of an incarnation; undefined if it has stated none. */
 export function findLimit(
   {bornAt: statedBornAt, perSecond}: RequestLimit,
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -72,6 +72,8 @@
 const unsealedSuspicionMilliseconds = 300;
 /** Time without new requests after refusals by an endpoint with capacity. */
 const failingSuspicionMilliseconds = 2500;
+/** Time without an answer of a limited endpoint after which it is asked. */
+const unheardMilliseconds = 2000;
 /** Interval of the lines on an endpoint that sends more than is taken. */
 const overrunLineMilliseconds = 1000;
 /** Memory fill from which on refusals for lack of memory are justified. */
@@ -269,6 +271,17 @@
     return this.table.findPending(state) === undefined;
   }
 
+  /**
+   * Asks the limited endpoints that have answered nothing for a while for their
+   * report, since only an answer shows the end of a limit.
+   */
+  checkLimits(): void {
+    for (const id of this.table.limits.listUnheard(unheardMilliseconds)) {
+      const state = this.table.find(id);
+      if (state !== undefined) void this.fetchReport(state);
+    }
+  }
+
   /** Probes the failing endpoints that are due. */
   probeFailing(): void {
     const now = this.getNow();
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -1,3 +1,4 @@
+import type {Incarnation} from './notice_table.js';
 import {
   formatLayerRange,
   type Deadline,
@@ -114,3 +115,8 @@
   if (facts.orderCount > state.orderCount) return false;
   return !hasAllLayers(facts.held, state.held);
 }
+
+/** Gets what identifies the incarnation of an endpoint. */
+export function getIncarnation({entry, bornAt}: EndpointState): Incarnation {
+  return {id: entry.id, bornAt};
+}
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -43,8 +43,6 @@
 export class EndpointTable {
   private readonly states = new Map<string, EndpointState>();
   private readonly notices: NoticeTable;
-  /** The limits that endpoints have stated. */
-  readonly limits: LimitTable;
   /** Incremented by every change that affects which paths are usable. */
   revision = 0;
 
@@ -54,9 +52,10 @@
     /** Tells the peers that an endpoint leaves. */
     private readonly sendLeaving: (leaving: Incarnation) => void = () =>
       undefined,
+    /** The limits that endpoints have stated. */
+    readonly limits = new LimitTable(writeEvent, getNow),
   ) {
     this.notices = new NoticeTable(writeEvent, getNow);
-    this.limits = new LimitTable(writeEvent);
   }
 
   /** Finds an endpoint by its id. */
@@ -162,7 +161,7 @@
     if (isLeaving && this.recordLeaving(incarnation, source)) {
       this.sendLeaving(incarnation);
     }
-    this.limits.record(incarnation, requestsPerSecond, this.getNow(), source);
+    this.limits.record(incarnation, requestsPerSecond, source);
     if (pauseMilliseconds === undefined) return;
     if (this.notices.recordPause(incarnation, pauseMilliseconds, source)) {
       this.revision += 1;
@@ -176,19 +175,28 @@
 
   /**
    * Finds when the first endpoint of a service takes requests again; undefined
-   * unless all that could serve them are pausing.
+   * unless all that could serve them are pausing or have got their limit.
    */
   findReturn(service: string): Deadline | undefined {
     let earliest: Deadline | undefined;
     for (const state of this.list(service)) {
       if (this.isDraining(state)) continue;
-      const until = this.findPauseEnd(state);
+      const until = this.findTakeTime(state);
       if (until === undefined) return undefined;
       earliest = Math.min(earliest ?? Infinity, until);
     }
     return earliest;
   }
 
+  /** Finds when an endpoint that takes no request now does so again. */
+  private findTakeTime(state: EndpointState): Deadline | undefined {
+    const endpoint = {id: state.entry.id, bornAt: state.bornAt};
+    const pauseEnd = this.findPauseEnd(state);
+    if (this.limits.hasCredit(endpoint)) return pauseEnd;
+    const credit = this.limits.findNextCredit(endpoint) ?? -Infinity;
+    return Math.max(pauseEnd ?? -Infinity, credit);
+  }
+
   /**
    * Records that an endpoint has stated, here or to a peer, that it leaves;
    * returns whether that is news.
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -26,6 +26,7 @@
 import type {ServiceModel} from '../ports/index.js';
 import {hasAllLayers} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
+import type {Incarnation} from './notice_table.js';
 import type {LoadTracker} from './load_tracker.js';
 
 /** A stream on a path, notified when the path stalls. */
@@ -176,7 +177,9 @@
     tokens: number,
     left?: StagePath,
   ): StagePath | undefined {
-    const usable = this.listUsable(service, model);
+    const usable = this.listUsable(service, model).filter(path =>
+      this.hasCredit(path),
+    );
     return pickPath(
       left === undefined ? usable : usable.filter(({key}) => key !== left.key),
       tokens,
@@ -187,6 +190,18 @@
     );
   }
 
+  /** Tells whether the endpoint at which a path begins takes a request now. */
+  private hasCredit(path: StagePath): boolean {
+    const first = this.findFirst(path);
+    return first === undefined || this.endpoints.limits.hasCredit(first);
+  }
+
+  private findFirst(path: StagePath): Incarnation | undefined {
+    const {id} = path.parts[0]!.endpoint;
+    const state = this.endpoints.find(id);
+    return state && {id, bornAt: state.bornAt};
+  }
+
   private countAvailableCrossings({shape}: ServiceModel): number {
     const {crossingsPerSecond} = shape;
     if (crossingsPerSecond === undefined) return Infinity;
@@ -215,6 +230,8 @@
     watch.waiting += 1;
     watched.streams.set(reservation, stream);
     takeCrossings(this.crossingBudget, path.crossings);
+    const first = this.findFirst(path);
+    if (first !== undefined) this.endpoints.limits.takeCredit(first);
     this.loads.addOwn(path, 1, tokens);
     return reservation;
   }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -184,6 +184,26 @@
   readonly bornAt: Instant;
   /** Refutes that these parts end endpoints, and nothing of an endpoint. */
   readonly answered?: AnsweredParts;
+  /** What an endpoint states of its limit; refutes nothing either. */
+  readonly limited?: LimitedEndpoint;
+}
+
+/** What an endpoint has stated of its limit in an answer to the sender. */
+export interface LimitedEndpoint {
+  readonly id: string;
+  readonly bornAt: Instant;
+  /** Requests a second from all VMs; null if it states no limit any more. */
+  readonly perSecond: number | null;
+  /** When the message was sent, in Unix milliseconds of the sender's clock. */
+  readonly sentAt: Instant;
+}
+
+/** Makes the message of an endpoint's limit; as above. */
+export function makeLimitedMessage(
+  limited: LimitedEndpoint,
+): RefutationMessage {
+  const kind = PeerMessageKind.Refutation;
+  return {kind, id: '', bornAt: 0, limited};
 }
 
 /**
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -21,6 +21,7 @@
   type SuspicionMessage,
   type Heartbeat,
   type TopicSnapshot,
+  type LimitedEndpoint,
   type OrderMessage,
   type PeerMessage,
   type RecordRow,
@@ -265,14 +266,22 @@
 
   private acceptRefutation(
     peer: Peer,
-    {id, bornAt, answered}: RefutationMessage,
+    {id, bornAt, answered, limited}: RefutationMessage,
   ): void {
-    if (answered === undefined) {
+    if (answered !== undefined) {
+      const writtenAt = this.computeWrittenAt(peer, answered.sentAt);
+      this.parts.acceptAnswered(answered, writtenAt);
+    } else if (limited !== undefined) {
+      this.acceptLimit(peer, limited);
+    } else {
       this.endpoints.recordRefutation(id, bornAt, peer.vm);
-      return;
     }
-    const writtenAt = this.computeWrittenAt(peer, answered.sentAt);
-    this.parts.acceptAnswered(answered, writtenAt);
+  }
+
+  private acceptLimit(peer: Peer, limited: LimitedEndpoint): void {
+    const heardAt = this.computeWrittenAt(peer, limited.sentAt);
+    const perSecond = limited.perSecond ?? undefined;
+    this.endpoints.limits.acceptPeerLimit(limited, perSecond, heardAt, peer.vm);
   }
 
   private findState(topic: Topic): TopicState | undefined {
--- a/packages/gateway/src/requests/failure.ts
+++ b/packages/gateway/src/requests/failure.ts
@@ -9,6 +9,7 @@
   BodyTimeout = 'the body did not come in time',
   NoEndpoint = 'no endpoint can take the request now',
   EndpointsPausing = 'all endpoints ask for a pause',
+  EndpointsLimited = 'all endpoints have the requests that they take',
   Quarantined = 'the prompt has parts that ended endpoints',
   EndpointsBusy = 'all endpoints are busy',
   Stopping = 'this VM is stopping and could not finish the request',
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -7,7 +7,7 @@
   RetryDenial,
 } from '@zinniaspindle/decisions';
 import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
-import type {EndpointState} from '../fleet/endpoint_state.js';
+import {getIncarnation, type EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
 import {AnswerBuffer} from './answer_buffer.js';
@@ -153,6 +153,7 @@
       if (this.tried.has(state.entry.id)) continue;
       if (server.endpoints.isDraining(state)) continue;
       if (server.endpoints.findPauseEnd(state) !== undefined) continue;
+      if (!server.endpoints.limits.hasCredit(getIncarnation(state))) continue;
       const isFailing = !canSend(state.breaker, now);
       if (isFailing && !canFail) continue;
       const rank =
@@ -203,6 +204,7 @@
   ): Promise<AttemptResult> {
     const {server, deadline} = this.context;
     const sentAt = server.getNow();
+    server.endpoints.limits.takeCredit(getIncarnation(endpoint));
     this.tried.add(endpoint.entry.id);
     endpoint.running += 1;
     return new Promise(resolve => {
@@ -352,10 +354,20 @@
     const {server, service} = context;
     const returnAt = server.endpoints.findReturn(service.name);
     const isPause = this.runs === 0 && returnAt !== undefined;
-    if (isPause) refuseForPause(context, returnAt);
+    if (isPause) refuseForPause(context, returnAt, this.findPauseReason());
     else context.refuse(this.chooseFailure());
   }
 
+  private findPauseReason(): FailureReason {
+    const {endpoints} = this.context.server;
+    const isLimited = endpoints
+      .list(this.context.service.name)
+      .some(state => endpoints.findPauseEnd(state) === undefined);
+    return isLimited
+      ? FailureReason.EndpointsLimited
+      : FailureReason.EndpointsPausing;
+  }
+
   private chooseFailure(): LocalAnswer {
     if (this.runs > 0) {
       return {status: 502, reason: FailureReason.OutcomeUnknown};
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -59,16 +59,20 @@
   else refuse({status: 502, reason: FailureReason.OutcomeUnknown});
 }
 
-/** Refuses a request that was not run and that only pausing endpoints could serve. */
+/**
+ * Refuses a request that was not run, since the endpoints that could serve it
+ * take none until an instant.
+ */
 export function refuseForPause(
   {server, refuse}: RequestContext,
   returnAt: Deadline,
+  reason = FailureReason.EndpointsPausing,
 ): void {
   const after = computeReturnDelay(returnAt, server.getNow(), Math.random);
   server.metrics.count(Counter.RefusedForPause);
   refuse({
     status: 503,
-    reason: FailureReason.EndpointsPausing,
+    reason,
     retryAfterMilliseconds: after,
   });
 }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -299,6 +299,7 @@
   private publishAddress(): void {
     if (this.phase === PeerPhase.Leaving) return;
     this.publisher.poll(this.rank);
+    if (this.rank === 0) this.parts.prober.checkLimits();
   }
 }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -11,6 +11,7 @@
 import {DirectoryServer} from '../directory/directory_server.js';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
+import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
@@ -27,6 +28,7 @@
   PeerMessageKind,
   PeerPhase,
   makeLeavingMessage,
+  makeLimitedMessage,
   type Hello,
   type OrderMessage,
 } from '../peers/messages.js';
@@ -136,9 +138,12 @@
   getParts: () => GatewayParts,
 ): FleetParts {
   const metrics = new Metrics();
-  const endpoints = new EndpointTable(log.write, getNow, leaving => {
-    getParts().mesh.sendAll(makeLeavingMessage(leaving));
-  });
+  const endpoints = new EndpointTable(
+    log.write,
+    getNow,
+    leaving => getParts().mesh.sendAll(makeLeavingMessage(leaving)),
+    buildLimits(log, getNow, () => getParts().mesh),
+  );
   const loads = new LoadTracker();
   const paths = new PathTable(
     endpoints,
@@ -188,6 +193,22 @@
   return {metrics, endpoints, loads, paths, prober, ...quarantine};
 }
 
+function buildLimits(
+  log: EventLog,
+  getNow: () => Instant,
+  getMesh: () => PeerMesh,
+): LimitTable {
+  return new LimitTable(log.write, getNow, Math.random, {
+    countVms: () => getMesh().listStaying().length + 1,
+    sendLimit: ({id, bornAt}, limit) => {
+      const perSecond = limit ?? null;
+      const sentAt = Date.now();
+      const message = makeLimitedMessage({id, bornAt, perSecond, sentAt});
+      getMesh().sendAll(message);
+    },
+  });
+}
+
 function buildSync(
   context: GatewayContext,
   fleet: FleetParts,
