feat(gateway): lines tell the same request again, and that plain endpoints ended

The lines could not tell whether the requests under which endpoints end are the same, nor whether a plain endpoint has ended. Neither key nor body is in a line. No decision uses them yet.

--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -205,6 +205,7 @@
   const orders: RangeOrder[] = [];
   const reports = {count: 0};
   const calls: EndpointCalls = {
+    checkListening: () => Promise.resolve(Result.ok()),
     fetchReport: () => {
       reports.count += 1;
       const code = EndpointErrorCode.TimedOut;
--- a/packages/gateway/__tests__/part_quarantine.test.ts
+++ b/packages/gateway/__tests__/part_quarantine.test.ts
@@ -92,7 +92,8 @@
     clock.now += 100;
     for (const parts of prompts) {
       const request = `r${(requests += 1)}`;
-      const attempt = {request, parts, sentAt: clock.now - 50};
+      const digest = request;
+      const attempt = {request, digest, parts, sentAt: clock.now - 50};
       vms[vm]!.ends.recordBreak(endpoint, service, attempt);
     }
     vms[vm]!.ends.recordEnd(endpoint, service, EndReason.NotListening);
--- a/packages/gateway/src/fleet/end_watch.ts
+++ b/packages/gateway/src/fleet/end_watch.ts
@@ -9,9 +9,14 @@
   Peer = 'a peer has found that',
 }
 
-/** A request whose attempt at an endpoint broke before its first event. */
+/**
+ * A request whose attempt at an endpoint broke before the first event of a
+ * stream, or before its answer was complete.
+ */
 export interface BrokenAttempt {
   readonly request: string;
+  /** Equal for the same request of one caller. */
+  readonly digest: string;
   /** Ids of the parts of its prompt that other requests may share. */
   readonly parts: readonly string[];
   readonly sentAt: Instant;
@@ -131,6 +136,6 @@
   }
 }
 
-function formatAttempt({request, parts}: BrokenAttempt): string {
-  return `${request}[${parts.slice(0, maxNamed).join(',')}]`;
+function formatAttempt({request, digest, parts}: BrokenAttempt): string {
+  return `${request}[${[digest, ...parts].slice(0, maxNamed).join(',')}]`;
 }
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -94,6 +94,8 @@
   private readonly probing = new Set<string>();
   /** Endpoints with a check of a refusal in progress. */
   private readonly checkingRefusal = new Set<string>();
+  /** Endpoints with a check for their end in progress. */
+  private readonly checkingEnds = new Set<string>();
   /** When each failing endpoint is probed next. */
   private readonly nextProbeAt = new Map<string, Instant>();
   private readonly overruns = new Map<string, Overruns>();
@@ -283,6 +285,33 @@
     }
   }
 
+  /**
+   * Checks whether an endpoint at which an attempt broke has ended. One that is
+   * ending may reset its connections before it stops listening.
+   */
+  async checkEnd(id: string): Promise<void> {
+    if (this.checkingEnds.has(id)) return;
+    this.checkingEnds.add(id);
+    if (!(await this.findEnd(id))) {
+      await waitMilliseconds(confirmDelayMilliseconds);
+      await this.findEnd(id);
+    }
+    this.checkingEnds.delete(id);
+  }
+
+  /** Returns whether nothing listens at the address of an endpoint. */
+  private async findEnd(id: string): Promise<boolean> {
+    const state = this.table.find(id);
+    if (state === undefined) return true;
+    const asked = getIncarnation(state);
+    this.metrics.count(Counter.Probes);
+    const result = await this.calls.checkListening(state.entry.address);
+    const hasEnded =
+      result.isErr && result.error.code === EndpointErrorCode.NotListening;
+    if (hasEnded) this.listeners.handleEnded(asked, EndReason.NotListening);
+    return hasEnded;
+  }
+
   /** Probes the failing endpoints that are due. */
   probeFailing(): void {
     const now = this.getNow();
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -1,5 +1,5 @@
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
-import type {Result} from 'true-myth';
+import type {Result, Unit} from 'true-myth';
 import type {EndpointError} from './errors.js';
 import type {HandleNotice} from './exchange.js';
 
@@ -66,6 +66,8 @@
 
 /** Direct calls from the gateway to endpoints. */
 export interface EndpointCalls {
+  /** Opens a connection to an address and closes it. */
+  checkListening(address: string): Promise<Result<Unit, EndpointError>>;
   fetchReport(
     address: string,
     handleNotice: HandleNotice,
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -20,6 +20,8 @@
    * Ids of the parts of its prompt that other requests may share, in their order.
    */
   readonly promptParts: readonly string[];
+  /** Equal for requests with the same model and prompt; empty without one. */
+  readonly prompt: string;
   /** The caller's estimate of the number of tokens in the answer. */
   readonly estimatedAnswerTokens: number | undefined;
   /** Id of the last event of this stream that the caller received. */
--- a/packages/gateway/src/requests/attempt_watch.ts
+++ b/packages/gateway/src/requests/attempt_watch.ts
@@ -10,7 +10,7 @@
   readonly sentAt: Instant;
 }
 
-/** Follows the attempts of one stream for attempts that break. */
+/** Follows the attempts of one request for attempts that break. */
 export class AttemptWatch {
   private target: AttemptTarget | undefined;
   /** Whether the last attempt broke before its first event. */
@@ -45,11 +45,18 @@
     if (this.target !== undefined) void prober.probe(this.target.id, getNow());
   }
 
+  /** Checks the endpoint at which an attempt without a path has broken. */
+  handleBrokenAnswer(): void {
+    this.recordBreak();
+    const {target, context} = this;
+    if (target !== undefined) void context.server.prober.checkEnd(target.id);
+  }
+
   /**
    * Records an attempt that moves to another path. It may do so because its
    * endpoint has ended, before its own connection has broken.
    */
-  handleMove({hasStarted}: PathReservation): void {
+  handleMove(hasStarted: boolean): void {
     const {target, context} = this;
     if (hasStarted || target?.bornAt === undefined) return;
     const {id, bornAt} = target;
@@ -59,10 +66,11 @@
   private recordBreak(): void {
     const {target, context} = this;
     if (target?.bornAt === undefined) return;
-    const {server, request, service} = context;
+    const {server, request, service, digests} = context;
     const {id, bornAt, sentAt} = target;
     const {attemptId, promptParts: parts} = request;
-    const attempt = {request: attemptId, parts, sentAt};
+    const digest = digests.exact;
+    const attempt = {request: attemptId, digest, parts, sentAt};
     server.ends.recordBreak({id, bornAt}, service.name, attempt);
   }
 
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -33,6 +33,7 @@
 import {PlainRequestHandler} from './plain_request_handler.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
+import {RequestHash} from './request_hash.js';
 import {pickTarget, RouteIndex} from './route_index.js';
 import {getDurationLatency} from './send_answer.js';
 import {StreamRequestHandler} from './stream_request_handler.js';
@@ -193,6 +194,8 @@
       refuse(this.describeStop(plan, this.context.getNow()));
     };
     const {route, service, account} = found;
+    const method = message.method ?? 'GET';
+    const hash = new RequestHash(method, request, account?.name);
     const timeout = Math.min(
       request.timeoutMilliseconds ?? Infinity,
       route.timeoutMilliseconds,
@@ -206,6 +209,7 @@
       idleMilliseconds: limits.idleTimeoutMilliseconds,
       leftMilliseconds: deadline - this.context.getNow(),
       held,
+      handleChunk: chunk => hash.addBody(chunk),
     });
     if (body === undefined || response.writableEnded) return held.release();
     if (body.isErr) return refuse(describeBodyFailure(body.error));
@@ -214,7 +218,8 @@
     await serveRequest({
       server: this.context,
       request,
-      method: message.method ?? 'GET',
+      digests: hash.computeDigests(),
+      method,
       body: body.value,
       route,
       service,
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -14,6 +14,7 @@
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {isNotRunStatus, isSuccess} from './answer_status.js';
 import {AttemptLog} from './attempt_log.js';
+import {AttemptWatch} from './attempt_watch.js';
 import type {RequestProgress} from './open_requests.js';
 import {openUpstream} from './open_upstream.js';
 import {
@@ -66,6 +67,7 @@
   /** Attempts that certainly did not run the request. */
   private notRun = 0;
   private readonly log: AttemptLog;
+  private readonly watch: AttemptWatch;
   /** The endpoint that it moves to. */
   private next: EndpointState | undefined;
   private readonly tried = new Set<string>();
@@ -74,6 +76,7 @@
 
   constructor(private readonly context: RequestContext) {
     this.log = new AttemptLog(context);
+    this.watch = new AttemptWatch(context);
   }
 
   /** Tries endpoints until one answers or no further attempt is allowed. */
@@ -94,6 +97,7 @@
       const attemptDeadline = this.computeAttemptDeadline();
       this.isAttempting = true;
       this.log.recordStart(endpoint.entry.id);
+      this.watch.recordStart(endpoint.entry.id);
       const result = await this.sendTo(endpoint, attemptDeadline);
       this.isAttempting = false;
       this.log.recordEnd();
@@ -235,6 +239,7 @@
             return;
           }
         }
+        this.watch.handleMove(false);
         upstream.cancel();
         closeAttempt(UpstreamEnd.Broken, 'no answer in time');
       };
@@ -247,7 +252,10 @@
         {
           handleAnswer: head => (answer = head),
           handleChunk: chunk => buffer.accept(answer!, chunk, upstream),
-          handleEnd: closeAttempt,
+          handleEnd: (end, detail) => {
+            if (end === UpstreamEnd.Broken) this.watch.handleBrokenAnswer();
+            closeAttempt(end, detail);
+          },
         },
       );
       this.upstream = upstream;
--- a/packages/gateway/src/requests/read_body.ts
+++ b/packages/gateway/src/requests/read_body.ts
@@ -19,13 +19,16 @@
   readonly leftMilliseconds: number;
   /** Counts the body as long as it is kept; whoever drops it releases this. */
   readonly held: HeldBytes;
+  /** Called with each piece that is kept. */
+  readonly handleChunk: (chunk: Buffer) => void;
 }
 
 /** Reads a whole body; undefined when the caller disconnects meanwhile. */
 export function readBody(
   request: http.IncomingMessage,
-  {maxBytes, idleMilliseconds, leftMilliseconds, held}: BodyBounds,
+  bounds: BodyBounds,
 ): Promise<Result<Buffer, BodyFailure> | undefined> {
+  const {maxBytes, idleMilliseconds, leftMilliseconds, held} = bounds;
   return new Promise(resolve => {
     const pending = new PendingBytes();
     const stopReading = (result: Result<Buffer, BodyFailure> | undefined) => {
@@ -53,6 +56,7 @@
         return dropRest(request, maxBytes - bytes, leftMilliseconds);
       }
       pending.append(chunk);
+      bounds.handleChunk(chunk);
     };
     const acceptEnd = () => stopReading(Result.ok(pending.take()));
     const handleClose = () => {
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -200,7 +200,7 @@
     this.next = next;
     if (reason === MoveReason.Queued) this.hasSwapped = true;
     if (this.answer === undefined) recordMove(this.attempts);
-    this.watch.handleMove(this.reservation!);
+    this.watch.handleMove(this.reservation!.hasStarted);
     this.cancelAttempt(AttemptEnd.Broken, reason);
   }
 
