feat(gateway): a line names an endpoint that only peers reach

The lines of a VM that is cut from an endpoint and of one whose endpoint has ended were the same. 7218 tells, from refutations that peers sent already, that peers reach an endpoint which does not answer this VM, and names them. No decision changes.

--- a/packages/gateway/__tests__/endpoint_table.test.ts
+++ b/packages/gateway/__tests__/endpoint_table.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {LayerRange} from '@zinniaspindle/shared';
+import {GatewayEvent, type LayerRange} from '@zinniaspindle/shared';
 import {EndpointTable} from '../src/fleet/endpoint_table.js';
+import type {EventFields} from '../src/log/event_log.js';
 import {makeEntry} from './make_entry.js';
 
 const id = 'e1';
@@ -176,3 +177,20 @@
   table.applyEntry(makeEntry({bornAt: 200}));
   assert.equal(table.findReturn('letters'), undefined);
 });
+
+test('an endpoint that peers reach and this VM does not is named with them', () => {
+  const lines: EventFields[] = [];
+  const table = new EndpointTable(
+    (event, fields) => {
+      if (event === GatewayEvent.EndpointUnreached) lines.push(fields);
+    },
+    () => 1000,
+  );
+  table.applyEntry(makeEntry({}));
+  const state = table.find('e1')!;
+  state.health.failedProbes = 1;
+  for (const vm of ['vm-1', 'vm-2', 'vm-3']) {
+    table.recordRefutation('e1', state.bornAt, vm);
+  }
+  assert.deepEqual(lines, [{endpoint: 'e1', peers: 'vm-1 vm-2'}]);
+});
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -66,10 +66,7 @@
 
   /** Finds an endpoint by its address. */
   findByAddress(address: string): EndpointState | undefined {
-    for (const state of this.states.values()) {
-      if (state.entry.address === address) return state;
-    }
-    return undefined;
+    return this.list().find(({entry}) => entry.address === address);
   }
 
   /** Lists the endpoints of a service or of all, including draining ones. */
@@ -285,7 +282,10 @@
     const now = this.getNow();
     const wasUp = isConfirmedAlive(state.health, now);
     state.health.refutations.set(vm, now);
-    if (!wasUp && isConfirmedAlive(state.health, now)) this.revision += 1;
+    if (wasUp || !isConfirmedAlive(state.health, now)) return;
+    this.revision += 1;
+    const peers = [...state.health.refutations.keys()].join(' ');
+    this.writeEvent(GatewayEvent.EndpointUnreached, {endpoint: id, peers});
   }
 
   /** Allows new requests to an endpoint again. */
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -41,6 +41,7 @@
   QuarantineTrial = 7215,
   EndpointLimited = 7216,
   LimitEnded = 7217,
+  EndpointUnreached = 7218,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -133,6 +134,8 @@
     'endpoint {endpoint} takes {perSecond} requests a second from all VMs together; it states {stated}, heard from {source}',
   [GatewayEvent.LimitEnded]:
     'endpoint {endpoint} states no limit of its requests any more, heard from {source}',
+  [GatewayEvent.EndpointUnreached]:
+    'endpoint {endpoint} does not answer this VM, but {peers}',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
