fix(gateway): a failed connection that no peer confirms is no certain failure

A VM whose connection was refused, and whose peers could tell nothing of the endpoint, reported it as unreachable, which others take for certain. Where most VMs are cut, the few that are asked may all be. It counts as one that was not established in time now, as does one that peers found silent. Found in reading; the tests of cut VMs pass as before.

--- a/packages/gateway/__tests__/relays.test.ts
+++ b/packages/gateway/__tests__/relays.test.ts
@@ -150,7 +150,7 @@
   peer.table.applyEntry(makeEntry({id: 'e2', address: '127.0.0.1:2'}));
   const error = (await open([peer])) as NodeJS.ErrnoException;
   assert.ok(error instanceof Error);
-  assert.equal(error.code, undefined);
+  assert.equal(error.code, 'ETIMEDOUT');
 });
 
 test('a refused connection without peers is the end of an endpoint', async () => {
--- a/packages/gateway/src/links/ask_relays.ts
+++ b/packages/gateway/src/links/ask_relays.ts
@@ -11,12 +11,13 @@
 
 /** Why no peer made a connection. */
 export class NoRelayError extends Error {
-  /** As of a connection of this VM, if a peer's was refused. */
-  readonly code: string | undefined;
+  /** As of a connection of this VM that is refused, or not established in time. */
+  readonly code: string;
 
   constructor(private readonly outcomes: readonly RelayOutcome[]) {
     super(`no peer made a connection: ${outcomes.join(' ') || 'none asked'}`);
-    if (outcomes.includes(RelayOutcome.Refused)) this.code = 'ECONNREFUSED';
+    const isRefused = outcomes.includes(RelayOutcome.Refused);
+    this.code = isRefused ? 'ECONNREFUSED' : 'ETIMEDOUT';
   }
 
   /** Whether a peer tried, and failed as well. */
@@ -28,14 +29,16 @@
 
   /**
    * Makes what the failure of this VM's own connection means: a refused one is
-   * the end of the endpoint only if a peer says so too, or there is no peer.
+   * the end of the endpoint only if a peer says so too, or there is no peer. Else it
+   * says no more than one that was not established in time.
    */
   translate(failure: Error): Error {
     const {code} = failure as NodeJS.ErrnoException;
     const {outcomes} = this;
     if (code !== 'ECONNREFUSED' || outcomes.length === 0) return failure;
     if (outcomes.includes(RelayOutcome.Refused)) return failure;
-    return new Error(`${failure.message}, which no peer confirms`);
+    const error = new Error(`${failure.message}, which no peer confirms`);
+    return Object.assign(error, {code: 'ETIMEDOUT'});
   }
 }
 
