--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -256,3 +256,18 @@
     assert.equal(parseQuarantine(malformed), undefined);
   }
 });
+
+test('many requests at many ends are compared in little time', () => {
+  const evidence = createEvidence();
+  for (let end = 0; end < 64; end += 1) {
+    const broken = Array.from({length: 64}, (_, i) => {
+      const digest = `request:${end}-${i}`;
+      return [`${digest} ${digest}a shared${i % 20}`, end * 100] as const;
+    });
+    addEnd(evidence, end * 100 + 50, broken);
+  }
+  const startedAt = performance.now();
+  findCulprit(evidence, {...comparison, now: 6400});
+  const milliseconds = performance.now() - startedAt;
+  assert.ok(milliseconds < 500, `${milliseconds} ms`);
+});
--- a/packages/decisions/src/quarantine/find_culprit.ts
+++ b/packages/decisions/src/quarantine/find_culprit.ts
@@ -2,6 +2,7 @@
 import {
   computeExposure,
   isRequestAccused,
+  minRequestEnds,
   type RequestEnd,
 } from './judge_request.js';
 import {
@@ -117,8 +118,7 @@
   comparison: Comparison,
   prompt: readonly string[],
 ): boolean {
-  for (const accusation of listAccusations(evidence, [])) {
-    if (!prompt.includes(accusation.part)) continue;
+  for (const accusation of listAccusations(evidence, [], prompt)) {
     if (isSufficient(evidence, accusation, comparison, 1)) return true;
   }
   return false;
@@ -132,9 +132,11 @@
   return wanted.every(one => values.includes(one));
 }
 
+/** Lists the accusations of all parts, or only of those that are wanted. */
 function listAccusations(
   evidence: PartEvidence,
   known: readonly (readonly string[])[],
+  wanted?: readonly string[],
 ): Iterable<Accusation> {
   const accusations = new Map<string, Accusation>();
   for (const end of evidence.ends) {
@@ -143,6 +145,7 @@
     );
     const accused = listAccused(evidence, end);
     for (const part of accused) {
+      if (wanted?.includes(part) === false) continue;
       const isExplained =
         explaining.length > 0 && !explaining.some(one => one.includes(part));
       const isNew = findAnswered(evidence, part) === undefined;
@@ -216,6 +219,8 @@
   further: number,
 ): boolean {
   const {now, vms} = comparison;
+  const ends = endpoints.length + further;
+  if (ends < (isRequestTrait(part) ? minRequestEnds : minEnds)) return false;
   const answered = countAnswers(evidence, now) * vms;
   const broken = countOtherBroken(evidence, part, now);
   const attempts = answered + broken + 1;
@@ -228,8 +233,6 @@
     };
     return isRequestAccused(requestEnds, compared, further);
   }
-  const ends = endpoints.length + further;
-  if (ends < minEnds) return false;
   const brokenShare = (broken + 1) / attempts;
   const limit = isNew ? maxNewByChance : maxByChance;
   return attempts * brokenShare ** ends <= limit;
--- a/packages/decisions/src/quarantine/judge_request.ts
+++ b/packages/decisions/src/quarantine/judge_request.ts
@@ -26,10 +26,11 @@
 /** Ends that accuse a request which nobody was ever answered on. */
 const minEnds = 3;
 /**
- * The same if no other request was at any of these endpoints and its caller sent
- * it again: a further attempt at once may meet endpoints that are lost together.
+ * The fewest ends that accuse a request: if no other one was at these endpoints and
+ * its caller sent it again, since a further attempt at once may meet endpoints that
+ * are lost together.
  */
-const minEndsAlone = 2;
+export const minRequestEnds = 2;
 const minRequestsAlone = 2;
 /** The same for a request that was answered on before. */
 const minEndsAnswered = 4;
@@ -54,7 +55,7 @@
   const assumed = Array<RequestEnd>(Math.max(0, further)).fill(last);
   const all = [...ends, ...assumed].slice(0, ends.length + further);
   const isAlone = requests >= minRequestsAlone && all.every(end => end.isAlone);
-  const needed = isAlone ? minEndsAlone : minEnds;
+  const needed = isAlone ? minRequestEnds : minEnds;
   if (all.length < (isNew ? needed : minEndsAnswered)) return false;
   const endsPerMillisecond =
     (otherEnds + 1) / (comparedMilliseconds * Math.max(1, endpoints));
