refactor(quarantine): what requests are compared by is called their traits

Fields named parts held digests too. The filter of attempts without any goes: each has two. No behaviour changes; tests of the gateway and of decisions pass.

--- a/packages/decisions/__tests__/quarantine.test.ts
+++ b/packages/decisions/__tests__/quarantine.test.ts
@@ -40,7 +40,7 @@
 function addEnd(evidence: PartEvidence, endedAt: number, broken: Broken): void {
   const attempts = broken.map(([parts, sentAt, request]) => ({
     request: request ?? `r${(requests += 1)}`,
-    parts: parts.split(' '),
+    traits: parts.split(' '),
     sentAt,
   }));
   const endpoint = `e${endedAt}`;
@@ -178,7 +178,7 @@
 test('several reports of one end count once', () => {
   const evidence = createEvidence();
   for (let vm = 0; vm < 5; vm += 1) {
-    const attempts = [{request: `r${vm}`, parts: ['bad'], sentAt: 50}];
+    const attempts = [{request: `r${vm}`, traits: ['bad'], sentAt: 50}];
     const end = {endpoint: 'e', endedAt: 100 + vm, attempts};
     recordEndpointEnd(evidence, end, 110);
   }
@@ -200,7 +200,7 @@
   assert.equal(evidence.ends.length, 64);
   for (const {attempts} of evidence.ends) {
     assert.equal(attempts.length, 64);
-    assert.equal(attempts[0]!.parts.length, 32);
+    assert.equal(attempts[0]!.traits.length, 32);
   }
   const answered = Array.from({length: 5000}, (_, i) => `p${i}`);
   recordAnswered(evidence, answered, 20_000);
--- a/packages/decisions/__tests__/quarantine_random.test.ts
+++ b/packages/decisions/__tests__/quarantine_random.test.ts
@@ -83,9 +83,9 @@
       if (up.length === 0) return;
       const path = up[Math.floor(random() * up.length)]!;
       const first = `f${Math.floor(random() * pattern.firstParts)}`;
-      const parts = isFatal ? [first, 'bad'] : [first];
+      const traits = isFatal ? [first, 'bad'] : [first];
       const request = `${now}${isFatal}`;
-      running.push({path, isFatal, request, parts, sentAt: now});
+      running.push({path, isFatal, request, traits, sentAt: now});
     };
     if (isDue(pattern.requestsPerSecond)) send(false);
     if (now >= fatalFrom && isDue(pattern.fatalPerSecond)) send(true);
@@ -96,7 +96,7 @@
       if (!isAnswered) left.push(one);
       else if (one.isFatal) ending.add(one.path);
       else {
-        recordAnswered(evidence, one.parts, now);
+        recordAnswered(evidence, one.traits, now);
         countAnswer(evidence, now);
       }
       if (isAnswered && one.isFatal) left.push(one);
--- a/packages/decisions/__tests__/quarantine_requests.test.ts
+++ b/packages/decisions/__tests__/quarantine_requests.test.ts
@@ -87,7 +87,7 @@
     endpoints: pattern.endpoints,
   });
   const send = (one: Omit<Running, 'endpoint' | 'sentAt'>, now: number) => {
-    if (known.some(([trait]) => one.parts.includes(trait!))) return;
+    if (known.some(([trait]) => one.traits.includes(trait!))) return;
     const up = [...awayUntil.keys()].filter(at => awayUntil[at]! <= now);
     if (up.length === 0) return;
     const endpoint = up[Math.floor(random() * up.length)]!;
@@ -99,19 +99,19 @@
       const isFrequent = random() < pattern.frequentShare;
       const trait = `${requestTraitPrefix}${isFrequent ? 'often' : request}`;
       const isSafe = random() < 0.5;
-      send({request, parts: [trait], isSafe, attempt: 1}, now);
+      send({request, traits: [trait], isSafe, attempt: 1}, now);
     }
     if (now >= fatalFrom && isDue(pattern.fatalPerSecond)) {
       const request = `f${(requests += 1)}`;
       const isSafe = pattern.isFatalSafe;
-      send({request, parts: [fatalTrait], isSafe, attempt: 1}, now);
+      send({request, traits: [fatalTrait], isSafe, attempt: 1}, now);
     }
     const ending = new Set<number>();
     for (const one of running) {
       if (now - one.sentAt < pattern.workMilliseconds) continue;
-      if (one.parts[0] === fatalTrait) ending.add(one.endpoint);
+      if (one.traits[0] === fatalTrait) ending.add(one.endpoint);
       else {
-        recordAnswered(evidence, one.parts, now);
+        recordAnswered(evidence, one.traits, now);
         countAnswer(evidence, now);
       }
     }
@@ -135,12 +135,12 @@
       running = running.filter(one => one.endpoint !== endpoint);
       awayUntil[endpoint] = now + pattern.awayMilliseconds;
       if (attempts.length === 0) continue;
-      if (attempts.some(({parts}) => parts[0] === fatalTrait)) fatalEnds += 1;
+      if (attempts.some(({traits}) => traits[0] === fatalTrait)) fatalEnds += 1;
       const retried = attempts.filter(
-        ({isSafe, attempt, parts}) =>
+        ({isSafe, attempt, traits}) =>
           isSafe &&
           attempt < maxAttempts &&
-          !isSuspect(evidence, makeComparison(now), parts),
+          !isSuspect(evidence, makeComparison(now), traits),
       );
       const end = {endpoint: `${endpoint}@${now}`, endedAt: now, attempts};
       recordEndpointEnd(evidence, end, now);
--- a/packages/decisions/src/quarantine/find_culprit.ts
+++ b/packages/decisions/src/quarantine/find_culprit.ts
@@ -15,7 +15,7 @@
 } from './part_evidence.js';
 import {isRequestTrait} from './request_trait.js';
 
-/** Parts that end the endpoints which begin an answer on a prompt with all of them. */
+/** Traits that end the endpoints which run requests with all of them. */
 export interface Culprit {
   readonly parts: readonly string[];
   /** The ends that led to it. */
@@ -67,10 +67,10 @@
 const tieEnds = 2;
 
 /**
- * Finds the parts of prompts that end endpoints; undefined if the evidence does
- * not suffice. A part is accused by an end if an attempt with it broke there
- * before its first event, and cleared by any later answer on it. Ends count in
- * sequence: each of them needs an attempt that was sent after the end before,
+ * Finds the traits that end endpoints, digests of a request or parts of prompts;
+ * undefined if the evidence does not suffice. A trait is accused by an end if an
+ * attempt with it broke there unanswered, and cleared by any later answer on it.
+ * Digests are judged by `isRequestAccused`; of parts, ends count in sequence: each of them needs an attempt that was sent after the end before,
  * so that endpoints which are lost at once, such as a rack, count as one. Many
  * requests with a part that is often answered may be at all of them; for a part
  * that no VM remembers an answer on, ends at different instants are enough.
@@ -110,15 +110,15 @@
 }
 
 /**
- * Tells whether one further end accuses a part of a prompt sufficiently. A
+ * Tells whether one further end accuses a trait of a request sufficiently. A
  * request under which an endpoint has just ended is such an end.
  */
 export function isSuspect(
   evidence: PartEvidence,
   comparison: Comparison,
-  prompt: readonly string[],
+  traits: readonly string[],
 ): boolean {
-  for (const accusation of listAccusations(evidence, [], prompt)) {
+  for (const accusation of listAccusations(evidence, [], traits)) {
     if (isSufficient(evidence, accusation, comparison, 1)) return true;
   }
   return false;
@@ -141,7 +141,7 @@
   const accusations = new Map<string, Accusation>();
   for (const end of evidence.ends) {
     const explaining = known.filter(parts =>
-      end.attempts.some(attempt => hasAll(attempt.parts, parts)),
+      end.attempts.some(attempt => hasAll(attempt.traits, parts)),
     );
     const accused = listAccused(evidence, end);
     for (const part of accused) {
@@ -163,8 +163,8 @@
 
 function listAccused(evidence: PartEvidence, end: EndpointEnd): Set<string> {
   const accused = new Set<string>();
-  for (const {parts} of end.attempts) {
-    for (const part of parts) {
+  for (const {traits} of end.attempts) {
+    for (const part of traits) {
       if (!isAnsweredSince(evidence, part, end.endedAt)) accused.add(part);
     }
   }
@@ -177,7 +177,7 @@
   {endpoint, endedAt, attempts}: EndpointEnd,
   isNew: boolean,
 ): void {
-  const accusing = attempts.filter(({parts}) => parts.includes(part));
+  const accusing = attempts.filter(({traits}) => traits.includes(part));
   let accusation = accusations.get(part);
   if (accusation === undefined) {
     accusation = {
@@ -187,12 +187,12 @@
       requests: new Set(),
       since: endedAt,
       lastEndedAt: -Infinity,
-      common: accusing[0]!.parts,
+      common: accusing[0]!.traits,
     };
     accusations.set(part, accusation);
   }
-  for (const {parts} of accusing) {
-    accusation.common = accusation.common.filter(one => parts.includes(one));
+  for (const {traits} of accusing) {
+    accusation.common = accusation.common.filter(one => traits.includes(one));
   }
   const {lastEndedAt, requests} = accusation;
   const isApart = isNew && endedAt - lastEndedAt > atOnceMilliseconds;
@@ -247,7 +247,7 @@
   let count = 0;
   for (const {endedAt, attempts} of ends) {
     if (now - endedAt > comparedMilliseconds) continue;
-    for (const {parts} of attempts) if (!parts.includes(part)) count += 1;
+    for (const {traits} of attempts) if (!traits.includes(part)) count += 1;
   }
   return count;
 }
@@ -261,7 +261,7 @@
   let count = 0;
   for (const {endedAt, attempts} of ends) {
     if (now - endedAt > comparedMilliseconds) continue;
-    if (attempts.every(({parts}) => !parts.includes(part))) count += 1;
+    if (attempts.every(({traits}) => !traits.includes(part))) count += 1;
   }
   return count;
 }
--- a/packages/decisions/src/quarantine/part_evidence.ts
+++ b/packages/decisions/src/quarantine/part_evidence.ts
@@ -4,8 +4,8 @@
 /** An attempt that broke before its first event at an endpoint that ended. */
 export interface EndedAttempt {
   readonly request: string;
-  /** Ids of the parts of its prompt that other requests may share. */
-  readonly parts: readonly string[];
+  /** Its digests and the ids of the parts of its prompt that others may share. */
+  readonly traits: readonly string[];
   readonly sentAt: Instant;
 }
 
@@ -82,15 +82,15 @@
   const attempts = new Map<string, EndedAttempt>();
   for (const attempt of [...(known?.attempts ?? []), ...end.attempts]) {
     if (attempts.size >= maxAttempts) break;
-    const parts = attempt.parts.slice(0, maxEvidenceParts);
-    attempts.set(attempt.request, {...attempt, parts});
+    const traits = attempt.traits.slice(0, maxEvidenceParts);
+    attempts.set(attempt.request, {...attempt, traits});
   }
   const merged = {endpoint, endedAt, attempts: [...attempts.values()]};
   evidence.ends = [...others, merged]
     .sort((a, b) => a.endedAt - b.endedAt)
     .slice(-maxEnds);
-  for (const {parts} of end.attempts) {
-    recordLatest(evidence.endedAt, parts, endedAt);
+  for (const {traits} of end.attempts) {
+    recordLatest(evidence.endedAt, traits, endedAt);
   }
   dropOldest(evidence.endedAt, maxEnded);
 }
--- a/packages/decisions/src/quarantine/quarantine.ts
+++ b/packages/decisions/src/quarantine/quarantine.ts
@@ -2,7 +2,8 @@
 import {hasAll} from './find_culprit.js';
 
 /**
- * Parts of prompts whose requests are refused, or were: those of one service
+ * Traits, digests of a request or parts of prompts, whose requests are refused, or
+ * were: those of one service
  * that have all of the parts. Instants are in Unix milliseconds, since VMs and
  * the store exchange them.
  */
@@ -105,12 +106,12 @@
   return isLifted && !known.isLifted;
 }
 
-/** Tells whether a quarantine holds for a prompt with some parts. */
+/** Tells whether a quarantine holds for a request with some traits. */
 export function matchQuarantine(
   {isLifted, parts}: Quarantine,
-  prompt: readonly string[],
+  traits: readonly string[],
 ): boolean {
-  return !isLifted && hasAll(prompt, parts);
+  return !isLifted && hasAll(traits, parts);
 }
 
 /**
--- a/packages/gateway/__tests__/end_watch.test.ts
+++ b/packages/gateway/__tests__/end_watch.test.ts
@@ -11,7 +11,7 @@
 const endpoint = {id: 'e1', bornAt: 7};
 
 function makeAttempt(request: string, sentAt = 0): BrokenAttempt {
-  return {request, parts: ['p1', 'p2'], sentAt};
+  return {request, traits: ['p1', 'p2'], sentAt};
 }
 
 function createWatch() {
--- a/packages/gateway/__tests__/part_quarantine.test.ts
+++ b/packages/gateway/__tests__/part_quarantine.test.ts
@@ -91,9 +91,9 @@
   const addEnd = (vm: number, ...prompts: (readonly string[])[]) => {
     const endpoint = {id: `e${(requests += 1)}`, bornAt: 1};
     clock.now += 100;
-    for (const parts of prompts) {
+    for (const traits of prompts) {
       const request = `r${(requests += 1)}`;
-      const attempt = {request, parts, sentAt: clock.now - 50};
+      const attempt = {request, traits, sentAt: clock.now - 50};
       vms[vm]!.ends.recordBreak(endpoint, service, attempt);
     }
     vms[vm]!.ends.recordEnd(endpoint, service, EndReason.NotListening);
--- a/packages/gateway/__tests__/path_queue.test.ts
+++ b/packages/gateway/__tests__/path_queue.test.ts
@@ -61,7 +61,7 @@
       waitUntil: receivedAt + waitMilliseconds,
       model: {} as ServiceModel,
       request: id,
-      parts: [id],
+      traits: [id],
       resolve: (found: StagePath | undefined) => {
         const waitedMilliseconds = state.now - receivedAt;
         outcomes.set(id, {isPlaced: found !== undefined, waitedMilliseconds});
--- a/packages/gateway/src/fleet/end_watch.ts
+++ b/packages/gateway/src/fleet/end_watch.ts
@@ -16,7 +16,7 @@
 export interface BrokenAttempt {
   readonly request: string;
   /** Digests of the request and ids of the parts of its prompt. */
-  readonly parts: readonly string[];
+  readonly traits: readonly string[];
   readonly sentAt: Instant;
 }
 
@@ -42,7 +42,7 @@
 const matchMilliseconds = 3000;
 /** Attempts that are kept for one incarnation. */
 const maxAttempts = 64;
-/** Requests and parts that a line names. */
+/** Requests, and traits of each, that a line names. */
 const maxNamed = 8;
 
 /**
@@ -134,6 +134,6 @@
   }
 }
 
-function formatAttempt({request, parts}: BrokenAttempt): string {
-  return `${request}[${parts.slice(0, maxNamed).join(',')}]`;
+function formatAttempt({request, traits}: BrokenAttempt): string {
+  return `${request}[${traits.slice(0, maxNamed).join(',')}]`;
 }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -132,7 +132,7 @@
 /** An attempt that broke at an endpoint that ended, as sent between VMs. */
 export type EndedAttemptRow = readonly [
   request: string,
-  parts: readonly string[],
+  traits: readonly string[],
   sentAgeMilliseconds: number,
 ];
 
--- a/packages/gateway/src/quarantine/part_messages.ts
+++ b/packages/gateway/src/quarantine/part_messages.ts
@@ -27,21 +27,19 @@
 
   /** Records and sends what broke of this VM at an endpoint that has ended. */
   handleEnd({endpoint, service, endedAt, attempts}: EndedEndpoint): void {
-    const accusing = attempts.filter(({parts}) => parts.length > 0);
-    if (accusing.length === 0) return;
     this.quarantine.recordEnd(service, {
       endpoint: getIncarnationKey(endpoint),
       endedAt,
-      attempts: accusing,
+      attempts,
     });
     const now = this.clocks.getNow();
     const message = makeEndedMessage(endpoint, {
       service,
       sentAt: this.clocks.getWallClock(),
       ageMilliseconds: Math.ceil(now - endedAt),
-      attempts: accusing.map(({request, parts, sentAt}) => [
+      attempts: attempts.map(({request, traits, sentAt}) => [
         request,
-        parts,
+        traits,
         Math.ceil(now - sentAt),
       ]),
     });
@@ -58,9 +56,9 @@
     this.quarantine.recordEnd(service, {
       endpoint: getIncarnationKey(endpoint),
       endedAt: writtenAt - ageMilliseconds,
-      attempts: attempts.map(([request, parts, age]) => ({
+      attempts: attempts.map(([request, traits, age]) => ({
         request,
-        parts,
+        traits,
         sentAt: writtenAt - age,
       })),
     });
--- a/packages/gateway/src/quarantine/part_quarantine.ts
+++ b/packages/gateway/src/quarantine/part_quarantine.ts
@@ -41,7 +41,8 @@
 }
 
 /**
- * Refuses requests whose prompts have parts that end endpoints. All VMs exchange
+ * Refuses requests with traits that end endpoints: their digests, or parts of their
+ * prompts. All VMs exchange
  * the ends and answers that accuse and clear parts, and decide alike; what they
  * have decided is exchanged as well, for VMs that missed some.
  */
@@ -72,14 +73,14 @@
   recordEnd(service: string, end: EndpointEnd): void {
     const evidence = this.getEvidence(service);
     recordEndpointEnd(evidence, end, this.clocks.getNow());
-    for (const {parts} of end.attempts) {
-      this.sendKnown(service, parts);
+    for (const {traits} of end.attempts) {
+      this.sendKnown(service, traits);
     }
     this.undecided.add(service);
     this.timer ??= setTimeout(() => this.decide(), this.computeSettleTime());
   }
 
-  /** Records that an answer was begun at this VM on a prompt with some parts. */
+  /** Records that a request with some traits was answered at this VM. */
   recordAnswer(service: string, parts: readonly string[]): void {
     const evidence = this.getEvidence(service);
     countAnswer(evidence, this.clocks.getNow());
@@ -108,33 +109,33 @@
     }
   }
 
-  /** Finds the quarantine that holds for a prompt. */
-  find(service: string, prompt: readonly string[]): Quarantine | undefined {
-    if (this.quarantines.size === 0 || prompt.length === 0) return undefined;
+  /** Finds the quarantine that holds for a request with some traits. */
+  find(service: string, traits: readonly string[]): Quarantine | undefined {
+    if (this.quarantines.size === 0 || traits.length === 0) return undefined;
     for (const [key, quarantine] of this.quarantines) {
       if (quarantine.service !== service || this.permits.has(key)) continue;
-      if (matchQuarantine(quarantine, prompt)) return quarantine;
+      if (matchQuarantine(quarantine, traits)) return quarantine;
     }
     return undefined;
   }
 
-  /** Tells whether one further end would quarantine parts of a prompt. */
-  isSuspect(service: string, prompt: readonly string[]): boolean {
+  /** Tells whether one further end would quarantine some of a request's traits. */
+  isSuspect(service: string, traits: readonly string[]): boolean {
     const evidence = this.getEvidence(service);
-    if (!prompt.some(part => isAccused(evidence, part))) return false;
-    return isSuspect(evidence, this.makeComparison(service), prompt);
+    if (!traits.some(part => isAccused(evidence, part))) return false;
+    return isSuspect(evidence, this.makeComparison(service), traits);
   }
 
   /** Records that a request is sent; one that a trial lets pass ends it. */
   recordSent(
     service: string,
-    prompt: readonly string[],
+    traits: readonly string[],
     request: string,
   ): void {
     for (const key of this.permits) {
       const quarantine = this.quarantines.get(key);
       if (quarantine?.service !== service) continue;
-      if (!matchQuarantine(quarantine, prompt)) continue;
+      if (!matchQuarantine(quarantine, traits)) continue;
       this.permits.delete(key);
       const parts = quarantine.parts.join(' ');
       this.writeEvent(GatewayEvent.QuarantineTrial, {request, parts});
--- a/packages/gateway/src/requests/attempt_watch.ts
+++ b/packages/gateway/src/requests/attempt_watch.ts
@@ -71,9 +71,9 @@
   private recordBreak(): void {
     const {target, context} = this;
     if (target?.bornAt === undefined) return;
-    const {server, request, service, traits: parts} = context;
+    const {server, request, service, traits} = context;
     const {id, bornAt, sentAt} = target;
-    const attempt = {request: request.attemptId, parts, sentAt};
+    const attempt = {request: request.attemptId, traits, sentAt};
     server.ends.recordBreak({id, bornAt}, service.name, attempt);
   }
 
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -20,7 +20,7 @@
   readonly tokens: number;
   readonly request: string;
   /** Digests of the request and ids of the parts of its prompt. */
-  readonly parts: readonly string[];
+  readonly traits: readonly string[];
   /** The path of the attempt that it keeps until it has a place elsewhere. */
   readonly left?: StagePath | undefined;
   /**
@@ -46,7 +46,7 @@
   /**
    * Gives a request a place at once if those before it leave one, or queues it,
    * or refuses it if it would not be served in time, if all paths begin at
-   * endpoints that are pausing, or if its prompt has parts that end endpoints.
+   * endpoints that are pausing, or if endpoints ended under such requests.
    */
   add(service: string, waiter: PathWaiter): void {
     const now = this.getNow();
@@ -99,13 +99,13 @@
     queue: WaitQueue<PathWaiter>,
     waiter: PathWaiter,
   ): boolean {
-    const {model, tokens, left, request, parts} = waiter;
+    const {model, tokens, left, request, traits} = waiter;
     if (this.isQuarantined(service, waiter)) return false;
     const path = this.paths.pick(service, model, tokens, left);
     if (path === undefined) return false;
     removeWaiter(queue, waiter);
     recordPlaced(queue, this.getNow());
-    this.quarantine.recordSent(service, parts, request);
+    this.quarantine.recordSent(service, traits, request);
     waiter.resolve(path);
     return true;
   }
@@ -119,8 +119,8 @@
     return this.paths.findReturn(service, waiter.model) !== undefined;
   }
 
-  private isQuarantined(service: string, {parts}: PathWaiter): boolean {
-    return this.quarantine.find(service, parts) !== undefined;
+  private isQuarantined(service: string, {traits}: PathWaiter): boolean {
+    return this.quarantine.find(service, traits) !== undefined;
   }
 
   private expireWaiters(service: string, queue: WaitQueue<PathWaiter>): void {
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -56,7 +56,7 @@
       model,
       tokens,
       request: request.attemptId,
-      parts: traits,
+      traits,
     };
   }
 
