--- a/packages/decisions/src/quarantine/find_culprit.ts
+++ b/packages/decisions/src/quarantine/find_culprit.ts
@@ -1,11 +1,18 @@
 import type {Instant} from '@zinniaspindle/shared';
+import {
+  computeExposure,
+  isRequestAccused,
+  type RequestEnd,
+} from './judge_request.js';
 import {
   comparedMilliseconds,
   countAnswers,
+  findAnswered,
   isAnsweredSince,
   type EndpointEnd,
   type PartEvidence,
 } from './part_evidence.js';
+import {isRequestTrait} from './request_trait.js';
 
 /** Parts that end the endpoints which begin an answer on a prompt with all of them. */
 export interface Culprit {
@@ -20,6 +27,8 @@
 interface Accusation {
   readonly part: string;
   readonly endpoints: string[];
+  /** The same ends, for the judgement of a whole request. */
+  readonly requestEnds: RequestEnd[];
   /** The requests that were sent in sequence. */
   readonly requests: Set<string>;
   readonly since: Instant;
@@ -33,6 +42,8 @@
   readonly now: Instant;
   /** VMs that serve as many requests as this one, with it. */
   readonly vms: number;
+  /** Endpoints of the service that requests are sent to. */
+  readonly endpoints: number;
 }
 
 /** Ends in sequence that accuse a part. */
@@ -79,7 +90,8 @@
   let best: Accusation | undefined;
   let isTied = false;
   for (const accusation of listAccusations(evidence, known)) {
-    if (accusation.requests.size < minRequests) continue;
+    const {part, requests} = accusation;
+    if (requests.size < minRequests && !isRequestTrait(part)) continue;
     if (!isSufficient(evidence, accusation, comparison, 0)) continue;
     if (known.some(parts => hasAll(accusation.common, parts))) continue;
     const order =
@@ -133,7 +145,7 @@
     for (const part of accused) {
       const isExplained =
         explaining.length > 0 && !explaining.some(one => one.includes(part));
-      const isNew = !evidence.answeredAt.has(part);
+      const isNew = findAnswered(evidence, part) === undefined;
       if (!isExplained) addEnd(accusations, part, end, isNew);
     }
   }
@@ -168,6 +180,7 @@
     accusation = {
       part,
       endpoints: [],
+      requestEnds: [],
       requests: new Set(),
       since: endedAt,
       lastEndedAt: -Infinity,
@@ -185,6 +198,11 @@
   for (const {request} of later) requests.add(request);
   accusation.lastEndedAt = endedAt;
   accusation.endpoints.push(endpoint);
+  const sentAt = later.map(attempt => attempt.sentAt);
+  accusation.requestEnds.push({
+    exposureMilliseconds: computeExposure(sentAt, endedAt),
+    isAlone: accusing.length === attempts.length,
+  });
 }
 
 /**
@@ -193,17 +211,26 @@
  */
 function isSufficient(
   evidence: PartEvidence,
-  {part, endpoints}: Accusation,
-  {now, vms}: Comparison,
+  {part, endpoints, requestEnds, requests}: Accusation,
+  comparison: Comparison,
   further: number,
 ): boolean {
-  const ends = endpoints.length + further;
-  if (ends < minEnds) return false;
+  const {now, vms} = comparison;
   const answered = countAnswers(evidence, now) * vms;
   const broken = countOtherBroken(evidence, part, now);
   const attempts = answered + broken + 1;
+  const isNew = findAnswered(evidence, part) === undefined;
+  if (isRequestTrait(part)) {
+    const otherEnds = countOtherEnds(evidence, part, now);
+    const compared = {
+      ...{attempts, otherEnds, isNew, requests: requests.size},
+      endpoints: comparison.endpoints,
+    };
+    return isRequestAccused(requestEnds, compared, further);
+  }
+  const ends = endpoints.length + further;
+  if (ends < minEnds) return false;
   const brokenShare = (broken + 1) / attempts;
-  const isNew = !evidence.answeredAt.has(part);
   const limit = isNew ? maxNewByChance : maxByChance;
   return attempts * brokenShare ** ends <= limit;
 }
@@ -222,10 +249,32 @@
   return count;
 }
 
-/** Most ends first, then the culprit that fewer requests match. */
+/** Counts the ends without a part within the time compared. */
+function countOtherEnds(
+  {ends}: PartEvidence,
+  part: string,
+  now: Instant,
+): number {
+  let count = 0;
+  for (const {endedAt, attempts} of ends) {
+    if (now - endedAt > comparedMilliseconds) continue;
+    if (attempts.every(({parts}) => !parts.includes(part))) count += 1;
+  }
+  return count;
+}
+
+/**
+ * Most ends first, then the culprit that fewer requests match. A part that
+ * several requests share goes before one of them.
+ */
 function compareAccusations(a: Accusation, b: Accusation): number {
   const byEnds = b.endpoints.length - a.endpoints.length;
-  return byEnds !== 0 ? byEnds : b.common.length - a.common.length;
+  if (byEnds !== 0) return byEnds;
+  if (isRequestTrait(a.part) !== isRequestTrait(b.part)) {
+    const byRequests = b.requests.size - a.requests.size;
+    if (byRequests !== 0) return byRequests;
+  }
+  return b.common.length - a.common.length;
 }
 
 function isSameCulprit(a: Accusation, b: Accusation): boolean {
--- a/packages/decisions/src/quarantine/part_evidence.ts
+++ b/packages/decisions/src/quarantine/part_evidence.ts
@@ -1,4 +1,5 @@
 import type {Instant} from '@zinniaspindle/shared';
+import {isRequestTrait} from './request_trait.js';
 
 /** An attempt that broke before its first event at an endpoint that ended. */
 export interface EndedAttempt {
@@ -26,6 +27,10 @@
   ends: EndpointEnd[];
   /** When an answer on each part was last begun; the latest are kept. */
   readonly answeredAt: Map<string, Instant>;
+  /** The same of whole requests, which are more and would replace the parts. */
+  readonly requestsAnsweredAt: Map<string, Instant>;
+  /** When an endpoint last ended under each part; the latest are kept. */
+  readonly endedAt: Map<string, Instant>;
   /** Answers that were begun at this VM in each second. */
   readonly answers: Map<number, number>;
 }
@@ -40,14 +45,22 @@
 const maxAttempts = 64;
 /** Parts of one attempt that are kept; the rest accuse nothing. */
 export const maxEvidenceParts = 32;
-/** Parts whose answers are kept. */
+/** Parts, and digests of requests, whose answers are kept. */
 const maxAnswered = 4096;
+/** Parts and digests whose last ends are kept. */
+const maxEnded = 16_384;
 /** Ends further back say nothing of those that come. */
 const endRetentionMilliseconds = 600_000;
 
 /** Creates the evidence of a service without ends or answers. */
 export function createPartEvidence(): PartEvidence {
-  return {ends: [], answeredAt: new Map(), answers: new Map()};
+  return {
+    ends: [],
+    answeredAt: new Map(),
+    requestsAnsweredAt: new Map(),
+    endedAt: new Map(),
+    answers: new Map(),
+  };
 }
 
 /**
@@ -76,26 +89,61 @@
   evidence.ends = [...others, merged]
     .sort((a, b) => a.endedAt - b.endedAt)
     .slice(-maxEnds);
+  for (const {parts} of end.attempts) {
+    recordLatest(evidence.endedAt, parts, endedAt);
+  }
+  dropOldest(evidence.endedAt, maxEnded);
+}
+
+/** Sets the instants of some parts that have none or an earlier one. */
+function recordLatest(
+  instants: Map<string, Instant>,
+  parts: readonly string[],
+  at: Instant,
+): void {
+  for (const part of parts) {
+    const known = instants.get(part);
+    if (known !== undefined && known >= at) continue;
+    instants.delete(part);
+    instants.set(part, at);
+  }
 }
 
 /** Records that an answer on some parts was begun at an instant. */
 export function recordAnswered(
-  {answeredAt}: PartEvidence,
+  evidence: PartEvidence,
   parts: readonly string[],
   at: Instant,
 ): void {
   for (const part of parts) {
-    const known = answeredAt.get(part);
-    if (known !== undefined && known >= at) continue;
-    answeredAt.delete(part);
-    answeredAt.set(part, at);
+    recordLatest(getAnsweredAt(evidence, part), [part], at);
   }
-  for (const part of answeredAt.keys()) {
-    if (answeredAt.size <= maxAnswered) return;
-    answeredAt.delete(part);
+  dropOldest(evidence.answeredAt, maxAnswered);
+  dropOldest(evidence.requestsAnsweredAt, maxAnswered);
+}
+
+function getAnsweredAt(
+  {answeredAt, requestsAnsweredAt}: PartEvidence,
+  part: string,
+): Map<string, Instant> {
+  return isRequestTrait(part) ? requestsAnsweredAt : answeredAt;
+}
+
+function dropOldest(instants: Map<string, Instant>, maxSize: number): void {
+  for (const part of instants.keys()) {
+    if (instants.size <= maxSize) return;
+    instants.delete(part);
   }
 }
 
+/** Finds when an answer on a part was last begun, as far as this VM remembers. */
+export function findAnswered(
+  evidence: PartEvidence,
+  part: string,
+): Instant | undefined {
+  return getAnsweredAt(evidence, part).get(part);
+}
+
 /** Counts an answer that was begun at this VM. */
 export function countAnswer({answers}: PartEvidence, now: Instant): void {
   const second = Math.floor(now / millisecondsPerSecond);
@@ -114,18 +162,15 @@
 
 /** Tells whether an answer on a part was begun since an instant. */
 export function isAnsweredSince(
-  {answeredAt}: PartEvidence,
+  evidence: PartEvidence,
   part: string,
   since: Instant,
 ): boolean {
-  return (answeredAt.get(part) ?? -Infinity) >= since;
+  return (findAnswered(evidence, part) ?? -Infinity) >= since;
 }
 
 /** Tells whether an end accuses a part that was not answered on since. */
 export function isAccused(evidence: PartEvidence, part: string): boolean {
-  for (const {endedAt, attempts} of evidence.ends) {
-    if (isAnsweredSince(evidence, part, endedAt)) continue;
-    if (attempts.some(({parts}) => parts.includes(part))) return true;
-  }
-  return false;
+  const endedAt = evidence.endedAt.get(part);
+  return endedAt !== undefined && !isAnsweredSince(evidence, part, endedAt);
 }
--- a/packages/decisions/src/retries/retry_denial.ts
+++ b/packages/decisions/src/retries/retry_denial.ts
@@ -6,7 +6,7 @@
   Route = 'not allowed by its route',
   Budget = 'retry budget used up',
   /** Endpoints have ended under requests like it. */
-  Suspect = 'its prompt may end endpoints',
+  Suspect = 'it may end endpoints',
   Place = 'no place in time',
   Deadline = 'deadline passed',
 }
--- a/packages/gateway/src/fleet/end_watch.ts
+++ b/packages/gateway/src/fleet/end_watch.ts
@@ -15,9 +15,7 @@
  */
 export interface BrokenAttempt {
   readonly request: string;
-  /** Equal for the same request of one caller. */
-  readonly digest: string;
-  /** Ids of the parts of its prompt that other requests may share. */
+  /** Digests of the request and ids of the parts of its prompt. */
   readonly parts: readonly string[];
   readonly sentAt: Instant;
 }
@@ -136,6 +134,6 @@
   }
 }
 
-function formatAttempt({request, digest, parts}: BrokenAttempt): string {
-  return `${request}[${[digest, ...parts].slice(0, maxNamed).join(',')}]`;
+function formatAttempt({request, parts}: BrokenAttempt): string {
+  return `${request}[${parts.slice(0, maxNamed).join(',')}]`;
 }
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -116,6 +116,14 @@
   return !hasAllLayers(facts.held, state.held);
 }
 
+/**
+ * Tells whether requests may be sent to an endpoint itself, as to the first of a
+ * path.
+ */
+export function canBeFirst({held}: EndpointState): boolean {
+  return held === undefined || held.first === 0;
+}
+
 /** Gets what identifies the incarnation of an endpoint. */
 export function getIncarnation({entry, bornAt}: EndpointState): Incarnation {
   return {id: entry.id, bornAt};
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -39,7 +39,7 @@
   [Counter.RefusedForPause]:
     'Requests among the refused that only pausing endpoints could serve.',
   [Counter.RefusedForParts]:
-    'Requests among the refused whose prompts have parts that end endpoints.',
+    'Requests among the refused that endpoints ended under, or whose prompts have such parts.',
   [Counter.Failed]:
     'Requests that the gateway answered with an error status other than 429 or 503, or whose answer was cut off.',
   [Counter.Abandoned]: 'Requests whose caller disconnected before the end.',
@@ -56,7 +56,7 @@
   [Counter.Overruns]:
     'Answers of endpoints that exceeded a bound on their bytes and were closed.',
   [Counter.Quarantines]:
-    'Times that requests with some parts in their prompts began to be refused.',
+    'Times that a request or requests with some parts began to be refused.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
--- a/packages/gateway/src/quarantine/part_quarantine.ts
+++ b/packages/gateway/src/quarantine/part_quarantine.ts
@@ -1,6 +1,7 @@
 import {
   createPartEvidence,
   createQuarantine,
+  findAnswered,
   findCulprit,
   formatQuarantine,
   getQuarantineKey,
@@ -55,6 +56,8 @@
   constructor(
     private readonly clocks: Clocks,
     private readonly countVms: () => number,
+    /** Counts the endpoints of a service that requests are sent to. */
+    private readonly countEndpoints: (service: string) => number,
     /**
      * Computes the time from an end to the decision on it, within which other
      * VMs report their attempts there and answers that clear parts.
@@ -118,7 +121,8 @@
   /** Tells whether one further end would quarantine parts of a prompt. */
   isSuspect(service: string, prompt: readonly string[]): boolean {
     const evidence = this.getEvidence(service);
-    return isSuspect(evidence, this.makeComparison(), prompt);
+    if (!prompt.some(part => isAccused(evidence, part))) return false;
+    return isSuspect(evidence, this.makeComparison(service), prompt);
   }
 
   /** Records that a request is sent; one that a trial lets pass ends it. */
@@ -176,7 +180,11 @@
     for (const service of this.undecided) {
       const evidence = this.getEvidence(service);
       const known = this.listActive(service).map(({parts}) => parts);
-      const culprit = findCulprit(evidence, this.makeComparison(), known);
+      const culprit = findCulprit(
+        evidence,
+        this.makeComparison(service),
+        known,
+      );
       if (culprit !== undefined) this.addCulprit(service, culprit);
     }
     this.undecided.clear();
@@ -266,8 +274,12 @@
     return this.listActive(service).some(({parts}) => parts.includes(part));
   }
 
-  private makeComparison(): Comparison {
-    return {now: this.clocks.getNow(), vms: this.countVms()};
+  private makeComparison(service: string): Comparison {
+    return {
+      now: this.clocks.getNow(),
+      vms: this.countVms(),
+      endpoints: this.countEndpoints(service),
+    };
   }
 
   private listActive(service: string): Quarantine[] {
@@ -278,9 +290,9 @@
 
   /** Tells the peers when this VM knows that parts were answered on. */
   private sendKnown(service: string, parts: readonly string[]): void {
-    const {answeredAt} = this.getEvidence(service);
+    const evidence = this.getEvidence(service);
     for (const part of parts) {
-      const at = answeredAt.get(part);
+      const at = findAnswered(evidence, part);
       if (at !== undefined) this.news.add(service, part, at);
     }
   }
--- a/packages/gateway/src/requests/attempt_watch.ts
+++ b/packages/gateway/src/requests/attempt_watch.ts
@@ -13,7 +13,7 @@
 /** Follows the attempts of one request for attempts that break. */
 export class AttemptWatch {
   private target: AttemptTarget | undefined;
-  /** Whether the last attempt broke before its first event. */
+  /** Whether the last attempt broke before its first event or whole answer. */
   private hasBrokenUnstarted = false;
 
   constructor(private readonly context: RequestContext) {}
@@ -26,11 +26,15 @@
     this.hasBrokenUnstarted = false;
   }
 
-  /** Records an event of the attempt; the first shows that its parts are sound. */
+  /** Records an event of the attempt; the first is an answer. */
   handleEvent({hasStarted}: PathReservation): void {
-    if (hasStarted) return;
-    const {server, request, service} = this.context;
-    server.quarantine.recordAnswer(service.name, request.promptParts);
+    if (!hasStarted) this.handleAnswer();
+  }
+
+  /** Records an answer of any status, which shows that the request is sound. */
+  handleAnswer(): void {
+    const {server, traits, service} = this.context;
+    server.quarantine.recordAnswer(service.name, traits);
   }
 
   /** Checks the endpoints of a path on which the attempt has broken. */
@@ -47,6 +51,7 @@
 
   /** Checks the endpoint at which an attempt without a path has broken. */
   handleBrokenAnswer(): void {
+    this.hasBrokenUnstarted = true;
     this.recordBreak();
     const {target, context} = this;
     if (target !== undefined) void context.server.prober.checkEnd(target.id);
@@ -66,11 +71,9 @@
   private recordBreak(): void {
     const {target, context} = this;
     if (target?.bornAt === undefined) return;
-    const {server, request, service, digests} = context;
+    const {server, request, service, traits: parts} = context;
     const {id, bornAt, sentAt} = target;
-    const {attemptId, promptParts: parts} = request;
-    const digest = digests.exact;
-    const attempt = {request: attemptId, digest, parts, sentAt};
+    const attempt = {request: request.attemptId, parts, sentAt};
     server.ends.recordBreak({id, bornAt}, service.name, attempt);
   }
 
@@ -79,8 +82,8 @@
    * ended their endpoints; a further one would end another.
    */
   isSuspect(): boolean {
-    const {server, request, service} = this.context;
+    const {server, traits, service} = this.context;
     if (!this.hasBrokenUnstarted) return false;
-    return server.quarantine.isSuspect(service.name, request.promptParts);
+    return server.quarantine.isSuspect(service.name, traits);
   }
 }
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -33,7 +33,7 @@
 import {PlainRequestHandler} from './plain_request_handler.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
-import {RequestHash} from './request_hash.js';
+import {listTraits, RequestHash} from './request_hash.js';
 import {pickTarget, RouteIndex} from './route_index.js';
 import {getDurationLatency} from './send_answer.js';
 import {StreamRequestHandler} from './stream_request_handler.js';
@@ -218,7 +218,7 @@
     await serveRequest({
       server: this.context,
       request,
-      digests: hash.computeDigests(),
+      traits: listTraits(request, hash.computeDigests()),
       method,
       body: body.value,
       route,
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -19,7 +19,7 @@
   readonly model: ServiceModel;
   readonly tokens: number;
   readonly request: string;
-  /** Ids of the parts of its prompt that other requests may share. */
+  /** Digests of the request and ids of the parts of its prompt. */
   readonly parts: readonly string[];
   /** The path of the attempt that it keeps until it has a place elsewhere. */
   readonly left?: StagePath | undefined;
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -1,8 +1,6 @@
 import {
-  canSend,
   FailureCertainty,
   recordFailure,
-  recordSend,
   recordSuccess,
   RetryDenial,
 } from '@zinniaspindle/decisions';
@@ -16,11 +14,13 @@
 import {AttemptLog} from './attempt_log.js';
 import {AttemptWatch} from './attempt_watch.js';
 import type {RequestProgress} from './open_requests.js';
+import {PickDenial, pickEndpoint} from './pick_endpoint.js';
 import {openUpstream} from './open_upstream.js';
 import {
   closeEarly,
   recordAnswered,
   recordRetry,
+  refuseForParts,
   refuseForPause,
   refuseUnknownOutcome,
   sendAnswer,
@@ -38,10 +38,8 @@
 /** Interval at which a slow attempt is checked for another endpoint. */
 const moveCheckMilliseconds = 100;
 const retryAfterMilliseconds = 400;
-/**
- * Added to the load of a failing endpoint, so that it ranks behind all others.
- */
-const failingPenalty = 1000;
+/** Until then another endpoint may have started. */
+const heldBackMilliseconds = 1000;
 
 /** The result of one attempt at an endpoint. */
 interface AttemptResult {
@@ -71,6 +69,8 @@
   /** The endpoint that it moves to. */
   private next: EndpointState | undefined;
   private readonly tried = new Set<string>();
+  /** Why there was no endpoint for the last attempt that was asked for. */
+  private denial: PickDenial | undefined;
   /** A failed answer of an endpoint, forwarded when no attempt succeeds. */
   private lastFailure: AttemptResult | undefined;
 
@@ -121,6 +121,7 @@
     if (this.notRun >= maxNotRun || this.runs >= route.maxAttempts) {
       return RetryDenial.Attempts;
     }
+    if (this.watch.isSuspect()) return RetryDenial.Suspect;
     if (!server.budgets.takeRetry(service.name)) return RetryDenial.Budget;
     return undefined;
   }
@@ -144,30 +145,10 @@
     this.closeAttempt?.(UpstreamEnd.Broken, 'caller disconnected');
   }
 
-  /**
-   * Picks the endpoint with the fewest requests; a failing one only as a last
-   * resort, and not in place of one that may still answer.
-   */
   private pickEndpoint(canFail: boolean): EndpointState | undefined {
-    const {server, service} = this.context;
-    const now = server.getNow();
-    let best: EndpointState | undefined;
-    let lowestRank = Infinity;
-    for (const state of server.endpoints.list(service.name)) {
-      if (this.tried.has(state.entry.id)) continue;
-      if (server.endpoints.isDraining(state)) continue;
-      if (server.endpoints.findPauseEnd(state) !== undefined) continue;
-      if (!server.endpoints.limits.hasCredit(getIncarnation(state))) continue;
-      const isFailing = !canSend(state.breaker, now);
-      if (isFailing && !canFail) continue;
-      const rank =
-        state.running + Math.random() + (isFailing ? failingPenalty : 0);
-      if (rank >= lowestRank) continue;
-      lowestRank = rank;
-      best = state;
-    }
-    if (best !== undefined) recordSend(best.breaker, now);
-    return best;
+    const picked = pickEndpoint(this.context, this.tried, canFail);
+    this.denial = picked.isErr ? picked.error : undefined;
+    return picked.unwrapOr(undefined);
   }
 
   private canRepeat(): boolean {
@@ -288,6 +269,7 @@
       return false;
     }
     this.runs += 1;
+    if (end === UpstreamEnd.Complete) this.watch.handleAnswer();
     if (result.buffer.isForwarding) return this.closeAnswer(endpoint, result);
     if (end === UpstreamEnd.Broken) {
       this.reportFailure(endpoint, FailureCertainty.Suspected);
@@ -360,6 +342,10 @@
       return;
     }
     const {server, service} = context;
+    const quarantine = server.quarantine.find(service.name, context.traits);
+    if (quarantine !== undefined && this.runs === 0) {
+      return refuseForParts(context, quarantine);
+    }
     const returnAt = server.endpoints.findReturn(service.name);
     const isPause = this.runs === 0 && returnAt !== undefined;
     if (isPause) refuseForPause(context, returnAt, this.findPauseReason());
@@ -380,6 +366,13 @@
     if (this.runs > 0) {
       return {status: 502, reason: FailureReason.OutcomeUnknown};
     }
+    if (this.denial === PickDenial.LastEndpoint) {
+      const reason = FailureReason.LastEndpoint;
+      return {
+        ...{status: 503, reason},
+        retryAfterMilliseconds: heldBackMilliseconds,
+      };
+    }
     const isFull = this.notRun > 0;
     const reason = isFull
       ? FailureReason.EndpointsBusy
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -19,7 +19,6 @@
 import type {LocalAnswer} from './failure.js';
 import type {OpenRequest} from './open_requests.js';
 import type {PathQueue} from './path_queue.js';
-import type {RequestDigests} from './request_hash.js';
 import type {RetryBudgets} from './retry_budgets.js';
 import type {AnswersByRoute} from './answers_by_route.js';
 
@@ -49,7 +48,8 @@
 export interface RequestContext {
   readonly server: ServerContext;
   readonly request: CallerRequest;
-  readonly digests: RequestDigests;
+  /** Its digests and the parts of its prompt; see `listTraits`. */
+  readonly traits: readonly string[];
   readonly method: string;
   readonly body: Buffer;
   readonly route: Route;
--- a/packages/gateway/src/requests/request_hash.ts
+++ b/packages/gateway/src/requests/request_hash.ts
@@ -1,4 +1,5 @@
 import {createHash, type Hash} from 'node:crypto';
+import {requestTraitPrefix} from '@zinniaspindle/decisions';
 import type {CallerRequest} from '../ports/index.js';
 
 /**
@@ -6,8 +7,6 @@
  * the same one by chance.
  */
 const digestCharacters = 22;
-/** Ids of parts of prompts have no colon, so that none is taken for a digest. */
-const digestPrefix = 'request:';
 
 /** Digests that equal requests share; neither key nor body can be read from them. */
 export interface RequestDigests {
@@ -46,6 +45,17 @@
   }
 }
 
+/**
+ * Lists what other requests under which endpoints end are compared by: digests
+ * of the request, then the parts of its prompt that others may share.
+ */
+export function listTraits(
+  {promptParts}: CallerRequest,
+  {exact, ofAccount}: RequestDigests,
+): readonly string[] {
+  return [exact, ofAccount, ...promptParts];
+}
+
 /** Encodes fields so that different ones never have the same bytes. */
 function encodeFields(...fields: readonly (string | undefined)[]): string {
   return JSON.stringify(fields.map(field => field ?? null));
@@ -53,5 +63,5 @@
 
 function formatDigest(hash: Hash): string {
   const text = hash.digest('base64url').slice(0, digestCharacters);
-  return `${digestPrefix}${text}`;
+  return `${requestTraitPrefix}${text}`;
 }
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -47,7 +47,7 @@
   }
 
   private makeWaiter(wait: PlaceWait): Omit<PathWaiter, 'resolve'> {
-    const {route, receivedAt, request} = this.context;
+    const {route, receivedAt, request, traits} = this.context;
     const {tokens, model} = this;
     return {
       ...wait,
@@ -56,7 +56,7 @@
       model,
       tokens,
       request: request.attemptId,
-      parts: request.promptParts,
+      parts: traits,
     };
   }
 
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -391,6 +391,7 @@
   }
 
   private acceptFailureAnswer(answer: EndpointAnswer): void {
+    this.watch.handleAnswer();
     const {status} = answer;
     const reason = `status ${status}`;
     const canForward = !isNotRunStatus(status) && !isSuccess(status);
@@ -413,7 +414,7 @@
   }
 
   private answerFailure(): void {
-    const {server, service} = this.context;
+    const {server, service, traits} = this.context;
     if (this.hasSentEvents) {
       closeEarly(this.context, 'no further attempt is allowed');
       return;
@@ -422,8 +423,7 @@
       refuseUnknownOutcome(this.context);
       return;
     }
-    const {promptParts} = this.context.request;
-    const quarantine = server.quarantine.find(service.name, promptParts);
+    const quarantine = server.quarantine.find(service.name, traits);
     if (quarantine !== undefined) {
       refuseForParts(this.context, quarantine);
       return;
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -9,7 +9,7 @@
 } from '@zinniaspindle/decisions';
 import {formatAddress, type Instant} from '@zinniaspindle/shared';
 import {DirectoryServer} from '../directory/directory_server.js';
-import type {EndpointFacts} from '../fleet/endpoint_state.js';
+import {canBeFirst, type EndpointFacts} from '../fleet/endpoint_state.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
 import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
@@ -159,6 +159,8 @@
     metrics,
     {
       countVms,
+      countEndpoints: service =>
+        endpoints.list(service).filter(canBeFirst).length,
       isVoter: () => isVoter(getRank()),
       hasOthers: () => countVms() > voterCount,
     },
--- a/packages/gateway/src/root/quarantine_parts.ts
+++ b/packages/gateway/src/root/quarantine_parts.ts
@@ -18,6 +18,8 @@
 export interface FleetRole {
   /** Number of live VMs. */
   countVms(): number;
+  /** Number of endpoints of a service that requests are sent to. */
+  countEndpoints(service: string): number;
   /** Whether this VM is one of the few that are the first to tell news. */
   isVoter(): boolean;
   /** Whether there are VMs that are not. */
@@ -43,6 +45,7 @@
   const quarantine = new PartQuarantine(
     clocks,
     () => fleet.countVms(),
+    service => fleet.countEndpoints(service),
     () => computeNewsTime(fleet.hasOthers()),
     news,
     metrics,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -124,11 +124,11 @@
   [GatewayEvent.EndpointEnded]:
     'endpoint {endpoint} has ended ({reason}); {broken} requests broke there unanswered: {requests}',
   [GatewayEvent.PartsQuarantined]:
-    'requests of service {service} whose prompts have the parts {parts} are refused from now on ({source}); {ends} endpoints ended under them: {endpoints}',
+    'requests of service {service} with all of {parts} are refused from now on ({source}); {ends} endpoints ended under them: {endpoints}',
   [GatewayEvent.QuarantineLifted]:
-    'requests of service {service} whose prompts have the parts {parts} are served again: {reason}',
+    'requests of service {service} with all of {parts} are served again: {reason}',
   [GatewayEvent.QuarantineTrial]:
-    'request {request} is sent to see whether the parts {parts} of its prompt still end endpoints',
+    'request {request} is sent to see whether those with all of {parts} still end endpoints',
   [GatewayEvent.EndpointLimited]:
     'endpoint {endpoint} takes {perSecond} requests a second from all VMs together; it states {stated}, heard from {source}',
   [GatewayEvent.LimitEnded]:
