--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -94,3 +94,4 @@
 export * from './stages/index.js';
 export * from './intake/index.js';
 export * from './quarantine/index.js';
+export * from './links/index.js';
--- /dev/null
+++ b/packages/decisions/src/links/index.ts
@@ -0,0 +1,2 @@
+/** Links of a VM to endpoints, which may be lost while peers keep theirs. */
+export * from './link_state.js';
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -15,6 +15,8 @@
   type LayerRange,
 } from '@zinniaspindle/shared';
 import type {Result} from 'true-myth';
+import type {EndpointLinks} from '../links/endpoint_links.js';
+import {makeOpener} from '../links/make_opener.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
@@ -94,8 +96,6 @@
   private readonly probing = new Set<string>();
   /** Endpoints with a check of a refusal in progress. */
   private readonly checkingRefusal = new Set<string>();
-  /** Endpoints with a check for their end in progress. */
-  private readonly checkingEnds = new Set<string>();
   /** When each failing endpoint is probed next. */
   private readonly nextProbeAt = new Map<string, Instant>();
   private readonly overruns = new Map<string, Overruns>();
@@ -110,6 +110,8 @@
     private readonly countVms: () => number,
     private readonly getNow: () => Instant,
     private readonly writeEvent: WriteEvent = () => undefined,
+    /** Opens connections; undefined to connect to the addresses. */
+    readonly links?: Pick<EndpointLinks, 'open'>,
   ) {}
 
   /**
@@ -285,33 +287,6 @@
     }
   }
 
-  /**
-   * Checks whether an endpoint at which an attempt broke has ended. One that is
-   * ending may reset its connections before it stops listening.
-   */
-  async checkEnd(id: string): Promise<void> {
-    if (this.checkingEnds.has(id)) return;
-    this.checkingEnds.add(id);
-    if (!(await this.findEnd(id))) {
-      await waitMilliseconds(confirmDelayMilliseconds);
-      await this.findEnd(id);
-    }
-    this.checkingEnds.delete(id);
-  }
-
-  /** Returns whether nothing listens at the address of an endpoint. */
-  private async findEnd(id: string): Promise<boolean> {
-    const state = this.table.find(id);
-    if (state === undefined) return true;
-    const asked = getIncarnation(state);
-    this.metrics.count(Counter.Probes);
-    const result = await this.calls.checkListening(state.entry.address);
-    const hasEnded =
-      result.isErr && result.error.code === EndpointErrorCode.NotListening;
-    if (hasEnded) this.listeners.handleEnded(asked, EndReason.NotListening);
-    return hasEnded;
-  }
-
   /** Probes the failing endpoints that are due. */
   probeFailing(): void {
     const now = this.getNow();
@@ -334,10 +309,15 @@
     const source = 'report';
     let notice: EndpointNotice | undefined;
     this.metrics.count(Counter.Probes);
-    const report = await this.calls.fetchReport(address, stated => {
+    const handleNotice = (stated: EndpointNotice) => {
       notice = stated;
       this.table.acceptNotice(asked, stated, source);
-    });
+    };
+    const report = await this.calls.fetchReport(
+      address,
+      handleNotice,
+      makeOpener(this.links, state, source),
+    );
     if (this.table.find(id) !== state) return undefined;
     if (report.isErr) {
       const {code, message} = report.error;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,13 @@
 /** The gateway: an entry VM that forwards opaque requests by route. */
 export * from './ports/index.js';
 export {PendingBytes} from '@zinniaspindle/framing';
+export {
+  openDirect,
+  type CancelConnection,
+  type EndpointConnection,
+  type HandleConnection,
+  type OpenConnection,
+} from './links/open_connection.js';
 export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
 export {Counter, gatewayMetricTexts, Latency, Metrics} from './log/metrics.js';
 export {Gateway} from './root/gateway.js';
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -20,6 +20,8 @@
   Probes = 'probes_total',
   Overruns = 'endpoint_overruns_total',
   Quarantines = 'quarantines_total',
+  Relayed = 'connections_relayed_total',
+  RelayedForPeers = 'connections_relayed_for_peers_total',
 }
 
 /** Latency histograms, in milliseconds. */
@@ -57,6 +59,9 @@
     'Answers of endpoints that exceeded a bound on their bytes and were closed.',
   [Counter.Quarantines]:
     'Times that a request or requests with some parts began to be refused.',
+  [Counter.Relayed]:
+    'Connections to endpoints that went through a peer, since those of this VM failed.',
+  [Counter.RelayedForPeers]: 'Connections of peers passed on to endpoints.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -20,6 +20,7 @@
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {WriteEvent} from '../log/event_log.js';
+import {makeOpener} from '../links/make_opener.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   OrderOutcome,
@@ -170,6 +171,7 @@
         expectedOrderCount: orderCount,
       },
       notice => this.table.acceptNotice({id, bornAt}, notice, 'order'),
+      makeOpener(this.prober.links, state, 'order'),
     );
     const layers = formatLayerRange(range);
     if (outcome.isErr) {
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -15,6 +15,8 @@
   Refutation = 'voucher',
   Facts = 'facts',
   Order = 'order',
+  /** The first and only message of a connection to pass on. */
+  Relay = 'relay',
 }
 
 /** Lifecycle phase of a VM; only a ready one accepts new callers. */
@@ -235,6 +237,33 @@
   readonly cutsRequests: boolean;
 }
 
+/** Asks a peer to connect to an endpoint and to pass all further bytes on. */
+export interface RelayRequest {
+  readonly kind: PeerMessageKind.Relay;
+  readonly id: string;
+  /** The request or call that needs the connection, for the log. */
+  readonly purpose: string;
+}
+
+/** What the peer answers, as one character; earlier versions close instead. */
+export enum RelayOutcome {
+  /** What follows comes from the endpoint. */
+  Open = 'o',
+  /** Nothing listens at the endpoint's address. */
+  Refused = 'r',
+  /** The endpoint did not accept in time. */
+  Silent = 's',
+  /** The peer does not reach or know the endpoint, or passes too much on. */
+  Unavailable = 'u',
+  /** There was no answer of the peer. */
+  NoRelay = 'n',
+}
+
+/** Makes the request to pass a connection on. */
+export function makeRelayRequest(id: string, purpose: string): RelayRequest {
+  return {kind: PeerMessageKind.Relay, id, purpose};
+}
+
 /** Any message between VMs. */
 export type PeerMessage =
   | Hello
@@ -245,4 +274,5 @@
   | SuspicionMessage
   | RefutationMessage
   | FactsMessage
-  | OrderMessage;
+  | OrderMessage
+  | RelayRequest;
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -70,6 +70,7 @@
   handle(peer: Peer, message: PeerMessage): void {
     switch (message.kind) {
       case PeerMessageKind.Hello:
+      case PeerMessageKind.Relay:
         return;
       case PeerMessageKind.Heartbeat:
         return this.acceptHeartbeat(peer, message);
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -22,6 +22,7 @@
   type Heartbeat,
   type Hello,
   type PeerMessage,
+  type RelayRequest,
 } from './messages.js';
 import {decodeMessage, encodeMessage} from './message_codec.js';
 import {computeRankWeight} from './compute_rank.js';
@@ -77,6 +78,11 @@
     private readonly handleMessage: HandleMessage,
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
+    /** Takes over a connection that a peer wants passed on. */
+    private readonly handleRelay: (
+      socket: net.Socket,
+      request: RelayRequest,
+    ) => void = socket => socket.destroy(),
   ) {}
 
   /** Listens for peers and connects to the seeds. */
@@ -199,6 +205,10 @@
       for (const decoded of messages.value) {
         const message = decodeMessage(decoded);
         if (message.isErr) return refuse(message.error.message);
+        if (message.value.kind === PeerMessageKind.Relay) {
+          socket.removeAllListeners('data');
+          return this.handleRelay(socket, message.value);
+        }
         try {
           peer = this.acceptMessage(peer, message.value);
         } catch (error) {
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -1,6 +1,7 @@
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {Result, Unit} from 'true-myth';
 import type {EndpointError} from './errors.js';
+import type {OpenConnection} from '../links/open_connection.js';
 import type {HandleNotice} from './exchange.js';
 
 /** An endpoint's own record in the store. */
@@ -64,16 +65,24 @@
   Refused = 'refused',
 }
 
-/** Direct calls from the gateway to endpoints. */
+/**
+ * Direct calls from the gateway to endpoints, over connections that are opened
+ * by the function given or, without one, to the address.
+ */
 export interface EndpointCalls {
   /** Opens a connection to an address and closes it. */
-  checkListening(address: string): Promise<Result<Unit, EndpointError>>;
+  checkListening(
+    address: string,
+    openConnection?: OpenConnection,
+  ): Promise<Result<Unit, EndpointError>>;
   fetchReport(
     address: string,
     handleNotice: HandleNotice,
+    openConnection?: OpenConnection,
   ): Promise<Result<EndpointReport, EndpointError>>;
   sendOrder(
     order: RangeOrder,
     handleNotice: HandleNotice,
+    openConnection?: OpenConnection,
   ): Promise<Result<OrderOutcome, EndpointError>>;
 }
--- a/packages/gateway/src/requests/attempt_watch.ts
+++ b/packages/gateway/src/requests/attempt_watch.ts
@@ -54,7 +54,7 @@
     this.hasBrokenUnstarted = true;
     this.recordBreak();
     const {target, context} = this;
-    if (target !== undefined) void context.server.prober.checkEnd(target.id);
+    if (target !== undefined) void context.server.endCheck.check(target.id);
   }
 
   /**
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -1,6 +1,7 @@
 import type {Instant} from '@zinniaspindle/shared';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
 import type {RequestContext} from './request_context.js';
+import {startLinkWatch} from './link_watch.js';
 import {Upstream, type UpstreamListener} from './upstream.js';
 
 /** The endpoint that a request is sent to. */
@@ -14,7 +15,7 @@
   context: RequestContext,
   {id, address}: UpstreamTarget,
   forwarding: Pick<ForwardingContext, 'urgency' | 'parts' | 'lastEventId'>,
-  listener: UpstreamListener,
+  listener: UpstreamListener & {readonly handleSilence?: () => void},
 ): Upstream {
   const {server, request, account, method, body, deadline} = context;
   const headers = server.codec.encodeUpstreamHeaders(request, {
@@ -30,8 +31,13 @@
   const handleHead = (answer: EndpointAnswer) => {
     acceptNotice(context, {id, bornAt}, answer);
   };
-  return new Upstream(
-    {address, method, path, headers, body, attemptId, deadline},
+  const purpose = `request ${attemptId}`;
+  const upstream = new Upstream(
+    {
+      ...{address, method, path, headers, body, attemptId, deadline},
+      openConnection: handle =>
+        server.links.open({id, address, purpose}, handle),
+    },
     server.codec,
     {
       handleHead,
@@ -45,6 +51,10 @@
       handleEnd: (end, detail) => listener.handleEnd(end, detail),
     },
   );
+  if (listener.handleSilence !== undefined) {
+    startLinkWatch(server.links, id, upstream, listener.handleSilence);
+  }
+  return upstream;
 }
 
 /**
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -18,6 +18,7 @@
 import {AttemptWatch} from './attempt_watch.js';
 import {checkRefusal} from './check_refusal.js';
 import type {RequestProgress} from './open_requests.js';
+import {MoveReason} from './move_reason.js';
 import {openUpstream} from './open_upstream.js';
 import {
   closeEarly,
@@ -50,13 +51,6 @@
   Broken = 'broken',
 }
 
-/** Why a stream leaves a path. */
-enum MoveReason {
-  Silent = 'path is silent',
-  /** It is still queued at its endpoint. */
-  Queued = 'no first event in time',
-}
-
 /** Handles a streaming request over paths of a model's endpoints. */
 export class StreamRequestHandler implements PathStream {
   private upstream: Upstream | undefined;
@@ -290,6 +284,7 @@
           handleAnswer: answer => this.acceptAnswer(answer),
           handleChunk: chunk => this.acceptChunk(chunk),
           handleEnd: (end, detail) => this.acceptEnd(end, detail),
+          handleSilence: () => this.handleStall(),
         },
       );
     });
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -1,5 +1,5 @@
 import http from 'node:http';
-import net from 'node:net';
+import type net from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {
   checkItem,
@@ -8,7 +8,13 @@
   kindLimits,
   type IntakeExcess,
 } from '@zinniaspindle/decisions';
-import {parseAddress, type Deadline} from '@zinniaspindle/shared';
+import type {Deadline} from '@zinniaspindle/shared';
+import {
+  openDirect,
+  type CancelConnection,
+  type EndpointConnection,
+  type OpenConnection,
+} from '../links/open_connection.js';
 import type {
   EndpointAnswer,
   ExchangeCodec,
@@ -26,6 +32,9 @@
  */
 const emptyLine = '\r\n';
 
+/** Time for a reset to come back from a peer that passes a connection on. */
+const relayResetMilliseconds = 100;
+
 /** The parser's error for a head that is larger than allowed. */
 const headOverflowCode = 'HPE_HEADER_OVERFLOW';
 
@@ -51,6 +60,8 @@
   /** The id that the answer must carry. */
   readonly attemptId: string;
   readonly deadline: Deadline;
+  /** Opens the connection; undefined to connect to the address. */
+  readonly openConnection?: OpenConnection;
 }
 
 /** Receives the answer; handleEnd is called last, and exactly once. */
@@ -75,7 +86,9 @@
   private readonly request: http.ClientRequest;
   private readonly connectTimer: NodeJS.Timeout;
   private message: http.IncomingMessage | undefined;
-  private isConnected = false;
+  private connection: EndpointConnection | undefined;
+  private readonly cancelConnection: CancelConnection;
+  private readonly closeHandlers: (() => void)[] = [];
   private hasEnded = false;
 
   constructor(
@@ -83,8 +96,12 @@
     private readonly codec: ExchangeCodec,
     private readonly listener: UpstreamListener,
   ) {
+    let handleSocket: (error: Error | null, socket: net.Socket) => void;
     this.request = http.request({
-      createConnection: () => this.openConnection(),
+      createConnection: (_options, handle) => {
+        handleSocket = handle;
+        return undefined;
+      },
       method: options.method,
       path: options.path,
       headers: options.headers as unknown as http.OutgoingHttpHeaders,
@@ -97,6 +114,15 @@
     }, wait);
     this.handleEvents();
     this.request.end(options.body.length > 0 ? options.body : undefined);
+    const {openConnection = handle => openDirect(options.address, handle)} =
+      options;
+    this.cancelConnection = openConnection(opened => {
+      if (opened.isErr) {
+        return this.close(UpstreamEnd.NotSent, opened.error.message);
+      }
+      this.acceptConnection(opened.value);
+      handleSocket(null, opened.value.socket);
+    });
   }
 
   /**
@@ -105,7 +131,26 @@
   cancel(): void {
     this.hasEnded = true;
     clearTimeout(this.connectTimer);
+    this.cancelConnection();
     this.request.destroy();
+    for (const handleClose of this.closeHandlers.splice(0)) handleClose();
+  }
+
+  /** Calls a function when the request ends or is cancelled. */
+  addCloseHandler(handleClose: () => void): void {
+    this.closeHandlers.push(handleClose);
+  }
+
+  /**
+   * Counts the bytes that have come on a connection of this VM itself; undefined
+   * without one.
+   */
+  countDirectBytes(): number | undefined {
+    const {connection} = this;
+    if (connection === undefined || connection.relay !== undefined) {
+      return undefined;
+    }
+    return connection.socket.bytesRead;
   }
 
   /** Pauses reading the answer, for backpressure. */
@@ -123,31 +168,33 @@
     return this.message !== undefined && this.hasLength(this.message);
   }
 
-  private openConnection(): net.Socket {
-    const address = parseAddress(this.options.address);
-    const socket = net.connect({...address, allowHalfOpen: true});
-    socket.setNoDelay(true);
-    socket.once('connect', () => {
-      this.isConnected = true;
-      clearTimeout(this.connectTimer);
-    });
-    socket.on('end', () => {
+  private acceptConnection(connection: EndpointConnection): void {
+    this.connection = connection;
+    clearTimeout(this.connectTimer);
+    connection.socket.on('end', () => {
       if (this.message !== undefined && !this.hasLength(this.message)) {
-        this.checkReset(socket);
+        this.checkReset(connection);
       }
     });
-    return socket;
   }
 
   /**
    * Distinguishes a regular end of the connection from a reset, for an answer
    * without a length, which ends with its connection. A reset may be reported
-   * as a regular end; only the next write to the connection fails.
+   * as a regular end; only the next write to the connection fails. Through a peer
+   * that shows when the peer has written it.
    */
-  private checkReset(socket: net.Socket): void {
+  private checkReset({socket, relay}: EndpointConnection): void {
     socket.write(emptyLine, error => {
-      if (error == null) this.close(UpstreamEnd.Complete, 'complete');
-      else this.close(UpstreamEnd.Broken, error.message);
+      if (error != null) this.close(UpstreamEnd.Broken, error.message);
+      else if (relay === undefined) {
+        this.close(UpstreamEnd.Complete, 'complete');
+      } else {
+        setTimeout(
+          () => this.close(UpstreamEnd.Complete, 'complete'),
+          relayResetMilliseconds,
+        );
+      }
     });
   }
 
@@ -162,7 +209,8 @@
       if ((error as NodeJS.ErrnoException).code === headOverflowCode) {
         this.checkExcess(this.computeHeadExcess());
       }
-      const end = this.isConnected ? UpstreamEnd.Broken : UpstreamEnd.NotSent;
+      const isSent = this.connection !== undefined;
+      const end = isSent ? UpstreamEnd.Broken : UpstreamEnd.NotSent;
       this.close(end, error.message);
     });
     request.on('close', () => {
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -192,7 +192,7 @@
   }
 
   private runTick(): void {
-    const {followers, mesh, ownership, endpoints, prober} = this.parts;
+    const {followers, mesh, ownership, endpoints, prober, links} = this.parts;
     this.checkPause();
     const ranks = {reader: this.readerRank, live: this.rank};
     for (const follower of followers) {
@@ -204,6 +204,7 @@
     mesh.checkSilence();
     endpoints.expireRemovals();
     prober.probeFailing();
+    links.runTrials(id => endpoints.find(id)?.entry.address);
     this.checkReady();
   }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -3,13 +3,13 @@
   defaultMemoryMegabytes,
   deriveIntakeLimits,
   deriveReadSchedule,
-  type FailureCause,
   type ReadSchedule,
   type StopPlan,
 } from '@zinniaspindle/decisions';
 import {formatAddress, type Instant} from '@zinniaspindle/shared';
 import {DirectoryServer} from '../directory/directory_server.js';
-import {canBeFirst, type EndpointFacts} from '../fleet/endpoint_state.js';
+import {canBeFirst} from '../fleet/endpoint_state.js';
+import {EndCheck} from '../fleet/end_check.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
 import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
@@ -20,6 +20,8 @@
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
 import {countPlaces, Intake} from '../intake/intake.js';
+import {EndpointLinks} from '../links/endpoint_links.js';
+import {RelayServer} from '../links/relay_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Metrics} from '../log/metrics.js';
 import {OrderRunner} from '../orders/order_runner.js';
@@ -33,7 +35,7 @@
   type OrderMessage,
 } from '../peers/messages.js';
 import {PeerHandler} from '../peers/peer_handler.js';
-import {PeerMesh} from '../peers/peer_mesh.js';
+import {PeerMesh, type Peer} from '../peers/peer_mesh.js';
 import {
   Topic,
   type DirectoryCodec,
@@ -80,6 +82,9 @@
   readonly loads: LoadTracker;
   readonly paths: PathTable;
   readonly prober: EndpointProber;
+  readonly links: EndpointLinks;
+  readonly relays: RelayServer;
+  readonly endCheck: EndCheck;
 }
 
 /** The exchange of state with the store and with peers. */
@@ -167,32 +172,55 @@
     message => getParts().mesh.sendAll(message),
   );
   const listeners: ProbeListeners = {
-    handleDown: (id: string) => paths.dropStreamsThrough(id),
+    ...buildSenders(() => getParts().mesh),
+    handleDown: id => paths.dropStreamsThrough(id),
     handleEnded: (ended, reason) => {
       const service = endpoints.find(ended.id)?.entry.service;
       if (service === undefined) return;
       quarantine.ends.recordEnd(ended, service, reason);
     },
-    sendFacts: (facts: EndpointFacts) => {
-      getParts().mesh.sendAll({kind: PeerMessageKind.Facts, facts});
-    },
-    sendSuspicion: (id: string, bornAt: Instant, cause: FailureCause) => {
-      const kind = PeerMessageKind.Suspicion;
-      getParts().mesh.sendAll({kind, id, bornAt, cause});
-    },
   };
   const calls = ports.endpoints;
+  const links = new EndpointLinks(
+    () => getParts().mesh.listLive().filter(isRelay),
+    metrics,
+    log.write,
+    getNow,
+  );
   const prober = new EndpointProber(
     endpoints,
     calls,
     listeners,
     metrics,
     () => isVoter(getRank()),
-    () => getParts().mesh.countLive() + 1,
+    countVms,
     getNow,
     log.write,
+    links,
   );
-  return {metrics, endpoints, loads, paths, prober, ...quarantine};
+  const isCut = (id: string) => links.isCut(id);
+  const relays = new RelayServer(endpoints, isCut, metrics, log.write);
+  const {handleEnded} = listeners;
+  const endCheck = new EndCheck(endpoints, calls, handleEnded, metrics, links);
+  return {
+    ...{metrics, endpoints, loads, paths, prober, links, relays, endCheck},
+    ...quarantine,
+  };
+}
+
+/** Builds what tells the peers of the results of probes. */
+function buildSenders(
+  getMesh: () => PeerMesh,
+): Pick<ProbeListeners, 'sendFacts' | 'sendSuspicion'> {
+  return {
+    sendFacts: facts => {
+      getMesh().sendAll({kind: PeerMessageKind.Facts, facts});
+    },
+    sendSuspicion: (id, bornAt, cause) => {
+      const kind = PeerMessageKind.Suspicion;
+      getMesh().sendAll({kind, id, bornAt, cause});
+    },
+  };
 }
 
 function buildLimits(
@@ -247,6 +275,7 @@
     (peer, message) => peerHandler.handle(peer, message),
     log.write,
     getNow,
+    (socket, request) => fleet.relays.accept(socket, request),
   );
   const access = createStoreAccess();
   const topics = [Topic.Configuration, Topic.Endpoints] as const;
@@ -332,9 +361,11 @@
 
 function buildServing(
   {settings, ports, log, getNow, getPhase, findStopPlan}: GatewayContext,
-  {metrics, endpoints, ends, quarantine, paths, prober}: FleetParts,
+  fleet: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
+  const {metrics, endpoints, ends, endCheck, quarantine} = fleet;
+  const {paths, prober, links} = fleet;
   const countVms = () => mesh.listStaying().length + 1;
   const queue = new PathQueue(paths, quarantine, getNow);
   const {memoryMegabytes = defaultMemoryMegabytes} = settings;
@@ -345,10 +376,12 @@
     codec: ports.exchange,
     endpoints,
     ends,
+    endCheck,
     quarantine,
     paths,
     queue,
     prober,
+    links,
     intake,
     budgets: new RetryBudgets(settings.bounds, countVms),
     metrics,
@@ -368,6 +401,11 @@
   return {callers, directory, queue};
 }
 
+/** Tells whether a peer can pass connections on. */
+function isRelay({phase}: Peer): boolean {
+  return phase === PeerPhase.Ready;
+}
+
 function applyOrder(
   {endpoints, paths}: FleetParts,
   order: Omit<OrderMessage, 'kind'>,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -42,6 +42,9 @@
   EndpointLimited = 7216,
   LimitEnded = 7217,
   EndpointUnreached = 7218,
+  LinkCut = 7219,
+  LinkRestored = 7220,
+  ConnectionRelayed = 7221,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -136,6 +139,12 @@
     'endpoint {endpoint} states no limit of its requests any more, heard from {source}',
   [GatewayEvent.EndpointUnreached]:
     'endpoint {endpoint} does not answer this VM, but {peers}',
+  [GatewayEvent.LinkCut]:
+    'connections to endpoint {endpoint} go through peers: this VM does not reach it ({reason}), {peer} does',
+  [GatewayEvent.LinkRestored]:
+    'connections to endpoint {endpoint} are made directly again, after {cutMs} ms',
+  [GatewayEvent.ConnectionRelayed]:
+    'a connection of a peer to endpoint {endpoint} is passed on, for {purpose}',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
