--- a/packages/decisions/src/links/link_state.ts
+++ b/packages/decisions/src/links/link_state.ts
@@ -114,15 +114,18 @@
 /**
  * Tells whether this VM seems to be cut from all endpoints, so that connections
  * to others are better made through a peer at once.
+ * @param cutLinks number of links that are cut
  * @param reachedAt when a connection of this VM was last established
  */
 export function isIsolated(
-  links: Iterable<LinkState>,
+  cutLinks: number,
   reachedAt: Instant,
   now: Instant,
 ): boolean {
-  if (now - reachedAt < isolatedMilliseconds) return false;
-  let cut = 0;
-  for (const {isCut} of links) if (isCut) cut += 1;
-  return cut >= minCutLinks;
+  return cutLinks >= minCutLinks && !isReaching(reachedAt, now);
+}
+
+/** Tells whether connections of this VM were established lately. */
+export function isReaching(reachedAt: Instant, now: Instant): boolean {
+  return now - reachedAt < isolatedMilliseconds;
 }
--- a/packages/gateway/src/links/ask_relays.ts
+++ b/packages/gateway/src/links/ask_relays.ts
@@ -11,8 +11,12 @@
 
 /** Why no peer made a connection. */
 export class NoRelayError extends Error {
+  /** As of a connection of this VM, if a peer's was refused. */
+  readonly code: string | undefined;
+
   constructor(private readonly outcomes: readonly RelayOutcome[]) {
     super(`no peer made a connection: ${outcomes.join(' ') || 'none asked'}`);
+    if (outcomes.includes(RelayOutcome.Refused)) this.code = 'ECONNREFUSED';
   }
 
   /** Whether a peer tried, and failed as well. */
--- a/packages/gateway/src/links/endpoint_links.ts
+++ b/packages/gateway/src/links/endpoint_links.ts
@@ -2,6 +2,7 @@
   canAskPeers,
   createLink,
   isIsolated,
+  isReaching,
   isLinkTrialDue,
   LinkFailure,
   recordGone,
@@ -39,6 +40,8 @@
  */
 const hedgeMilliseconds = 60;
 const trialMilliseconds = 300;
+/** Links whose state is kept. */
+const maxLinks = 4096;
 
 /**
  * Opens connections to endpoints: directly, or through a peer where those of this
@@ -47,6 +50,8 @@
  */
 export class EndpointLinks {
   private readonly links = new Map<string, LinkState>();
+  /** Those of them that are cut. */
+  private readonly cutLinks = new Map<string, LinkState>();
   /** Called when a link is lost, for what uses its open connections. */
   private readonly watchers = new Map<string, Set<() => void>>();
   /** When a connection of this VM was last established. */
@@ -65,7 +70,7 @@
   /** Tells whether connections of this VM to an endpoint fail, as far as known. */
   isCut(id: string): boolean {
     if (this.links.get(id)?.isCut === true) return true;
-    return isIsolated(this.links.values(), this.reachedAt, this.getNow());
+    return isIsolated(this.cutLinks.size, this.reachedAt, this.getNow());
   }
 
   /** Opens a connection to an endpoint. */
@@ -91,32 +96,59 @@
     };
   }
 
-  /** Tries the links that are cut, and forgets those of unlisted endpoints. */
+  /** Tries the links that are cut. */
   runTrials(findAddress: (id: string) => string | undefined): void {
     const now = this.getNow();
-    for (const [id, link] of this.links) {
+    for (const [id, link] of this.cutLinks) {
       const address = findAddress(id);
-      if (address === undefined) this.links.delete(id);
-      else if (isLinkTrialDue(link, now)) this.runTrial(id, address, link);
+      if (address === undefined) this.cutLinks.delete(id);
+      else if (isLinkTrialDue(link, now)) void this.runTrial(id, address, link);
     }
+    for (const id of this.links.keys()) {
+      if (this.links.size <= maxLinks) return;
+      if (!this.cutLinks.has(id)) this.links.delete(id);
+    }
+  }
+
+  /**
+   * Checks whether connections of this VM are established at all, by the latest
+   * ones or one to an endpoint of some at random.
+   */
+  checkOwn(addresses: readonly string[]): Promise<boolean> {
+    if (isReaching(this.reachedAt, this.getNow())) return Promise.resolve(true);
+    const address = addresses[Math.floor(Math.random() * addresses.length)];
+    if (address === undefined) return Promise.resolve(true);
+    return this.openTrial(address);
   }
 
-  private runTrial(id: string, address: string, link: LinkState): void {
+  private async runTrial(
+    id: string,
+    address: string,
+    link: LinkState,
+  ): Promise<void> {
     recordTrialStart(link, this.getNow());
-    const closeWith = (isOpen: boolean) => {
-      clearTimeout(timer);
-      if (isOpen) this.reachedAt = this.getNow();
-      if (!recordTrialEnd(link, isOpen)) return;
-      const cutMs = Math.round(this.getNow() - link.cutAt);
-      this.writeEvent(GatewayEvent.LinkRestored, {endpoint: id, cutMs});
-    };
-    const timer = setTimeout(() => {
-      cancel();
-      closeWith(false);
-    }, trialMilliseconds);
-    const cancel = openDirect(address, result => {
-      if (result.isOk) result.value.socket.destroy();
-      closeWith(result.isOk);
+    const isOpen = await this.openTrial(address);
+    if (!recordTrialEnd(link, isOpen)) return;
+    this.cutLinks.delete(id);
+    const cutMs = Math.round(this.getNow() - link.cutAt);
+    this.writeEvent(GatewayEvent.LinkRestored, {endpoint: id, cutMs});
+  }
+
+  /** Opens and closes a connection of this VM; tells whether it was established. */
+  private openTrial(address: string): Promise<boolean> {
+    return new Promise(resolve => {
+      const timer = setTimeout(() => {
+        cancel();
+        resolve(false);
+      }, trialMilliseconds);
+      const cancel = openDirect(address, result => {
+        clearTimeout(timer);
+        if (result.isOk) {
+          this.reachedAt = this.getNow();
+          result.value.socket.destroy();
+        }
+        resolve(result.isOk);
+      });
     });
   }
 
@@ -134,7 +166,11 @@
       });
     };
     cancel = askRelays(this.choice, target, result => {
-      if (result.isErr) return openLast();
+      if (result.isErr) {
+        const {error} = result;
+        if (link.isCut && error.hasAnswer) return handle(Result.err(error));
+        return openLast();
+      }
       this.metrics.count(Counter.Relayed);
       handle(Result.ok(result.value));
     });
@@ -214,6 +250,7 @@
     const failure =
       error === undefined ? LinkFailure.Hung : LinkFailure.Refused;
     if (!recordPeerReached(link, failure, this.getNow())) return;
+    this.cutLinks.set(id, link);
     const reason = error?.message ?? 'connections hang';
     const fields = {endpoint: id, reason, peer: relay};
     this.writeEvent(GatewayEvent.LinkCut, fields);
--- a/packages/gateway/src/links/relay_server.ts
+++ b/packages/gateway/src/links/relay_server.ts
@@ -4,6 +4,7 @@
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {RelayOutcome, type RelayRequest} from '../peers/messages.js';
+import type {EndpointLinks} from './endpoint_links.js';
 import {openDirect} from './open_connection.js';
 
 /** A live endpoint accepts within a few milliseconds. */
@@ -22,12 +23,16 @@
 
   constructor(
     private readonly endpoints: EndpointTable,
-    /** Whether connections of this VM to an endpoint fail. */
-    private readonly isCut: (id: string) => boolean,
+    private readonly links: Pick<EndpointLinks, 'isCut' | 'checkOwn'>,
     private readonly metrics: Metrics,
     private readonly writeEvent: WriteEvent,
   ) {}
 
+  /** Counts the connections that are passed on. */
+  count(): number {
+    return this.relayed;
+  }
+
   /** Handles a request on a connection that carries nothing else. */
   accept(near: net.Socket, {id, purpose}: RelayRequest): void {
     near.pause();
@@ -46,10 +51,8 @@
     const cancel = openDirect(address, result => {
       clearTimeout(timer);
       if (result.isErr) {
-        const {code} = result.error as NodeJS.ErrnoException;
-        const isRefused = code === 'ECONNREFUSED';
-        const outcome = isRefused ? RelayOutcome.Refused : RelayOutcome.Silent;
-        return refuse(near, outcome);
+        void this.refuseFailed(near, id, result.error);
+        return;
       }
       if (near.destroyed) return void result.value.socket.destroy();
       this.metrics.count(Counter.RelayedForPeers);
@@ -58,11 +61,27 @@
     });
   }
 
+  /** Tells how a connection failed, unless that may be the fault of this VM. */
+  private async refuseFailed(
+    near: net.Socket,
+    id: string,
+    {code}: NodeJS.ErrnoException,
+  ): Promise<void> {
+    const isRefused = code === 'ECONNREFUSED';
+    const outcome = isRefused ? RelayOutcome.Refused : RelayOutcome.Silent;
+    const others = this.endpoints
+      .list()
+      .filter(({entry}) => entry.id !== id)
+      .map(({entry}) => entry.address);
+    const isOwnFault = !(await this.links.checkOwn(others));
+    refuse(near, isOwnFault ? RelayOutcome.Unavailable : outcome);
+  }
+
   /** Finds the address of an endpoint to which this VM can pass connections on. */
   private findAddress(id: string): string | undefined {
     const state = this.endpoints.find(id);
     if (state === undefined || this.relayed >= maxRelayed) return undefined;
-    if (this.isCut(id)) return undefined;
+    if (this.links.isCut(id)) return undefined;
     // An endpoint counts what it asked of this VM against what comes from it.
     if (this.endpoints.findPauseEnd(state) !== undefined) return undefined;
     return state.entry.address;
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -188,6 +188,8 @@
   readonly answered?: AnsweredParts;
   /** What an endpoint states of its limit; refutes nothing either. */
   readonly limited?: LimitedEndpoint;
+  /** A pause that an endpoint wants of the receiver; refutes nothing either. */
+  readonly paused?: PausedEndpoint;
 }
 
 /**
@@ -219,6 +221,19 @@
   return {kind, id: '', bornAt: 0, limited};
 }
 
+/** An endpoint that asked for a pause on a connection which the receiver passed on. */
+export interface PausedEndpoint {
+  readonly id: string;
+  readonly bornAt: Instant;
+  readonly milliseconds: number;
+}
+
+/** Makes the message of a pause; as above. */
+export function makePausedMessage(paused: PausedEndpoint): RefutationMessage {
+  const kind = PeerMessageKind.Refutation;
+  return {kind, id: '', bornAt: 0, paused};
+}
+
 /** Forwards what an endpoint reported to the sender. */
 export interface FactsMessage {
   readonly kind: PeerMessageKind.Facts;
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -267,13 +267,17 @@
 
   private acceptRefutation(
     peer: Peer,
-    {id, bornAt, answered, limited}: RefutationMessage,
+    {id, bornAt, answered, limited, paused}: RefutationMessage,
   ): void {
     if (answered !== undefined) {
       const writtenAt = this.computeWrittenAt(peer, answered.sentAt);
       this.parts.acceptAnswered(answered, writtenAt);
     } else if (limited !== undefined) {
       this.acceptLimit(peer, limited);
+    } else if (paused !== undefined) {
+      const {milliseconds: pauseMilliseconds} = paused;
+      const notice = {isLeaving: false, pauseMilliseconds};
+      this.endpoints.acceptNotice(paused, notice, `peer ${peer.vm}`);
     } else {
       this.endpoints.recordRefutation(id, bornAt, peer.vm);
     }
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -30,6 +30,13 @@
   const bornAt = server.endpoints.find(id)?.bornAt;
   const handleHead = (answer: EndpointAnswer) => {
     acceptNotice(context, {id, bornAt}, answer);
+    const relay = upstream.getRelay();
+    const {pauseMilliseconds: milliseconds} = answer;
+    if (relay === undefined || milliseconds === undefined) return;
+    // The endpoint wants nothing of the VM that its connection came from.
+    if (bornAt !== undefined) {
+      server.sendPause(relay, {id, bornAt, milliseconds});
+    }
   };
   const purpose = `request ${attemptId}`;
   const upstream = new Upstream(
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -7,6 +7,7 @@
 import type {PathTable} from '../fleet/path_table.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {PausedEndpoint} from '../peers/messages.js';
 import type {PartQuarantine} from '../quarantine/part_quarantine.js';
 import type {Intake} from '../intake/intake.js';
 import type {EventFields} from '../log/event_log.js';
@@ -35,6 +36,8 @@
   readonly queue: PathQueue;
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
+  /** Tells a peer that an endpoint asked for a pause on a connection through it. */
+  readonly sendPause: (vm: string, paused: PausedEndpoint) => void;
   readonly budgets: RetryBudgets;
   readonly metrics: Metrics;
   readonly answersByRoute: AnswersByRoute;
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -141,6 +141,11 @@
     this.closeHandlers.push(handleClose);
   }
 
+  /** The peer VM through which the connection goes; undefined for none. */
+  getRelay(): string | undefined {
+    return this.connection?.relay;
+  }
+
   /**
    * Counts the bytes that have come on a connection of this VM itself; undefined
    * without one.
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -172,14 +172,23 @@
     this.phase = PeerPhase.Leaving;
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
     this.sendHeartbeat();
-    const {ownership, callers, mesh, directory} = this.parts;
+    const {ownership, callers, relays, mesh, directory} = this.parts;
     void this.ports.store.appendRecord(
       Topic.Vms,
       this.getPeerAddress(),
       undefined,
     );
     void ownership.release();
-    await stopGracefully(plan, sentAt, callers, getMonotonic, this.log);
+    const countRelayed = () => relays.count();
+    const {log} = this;
+    await stopGracefully(
+      plan,
+      sentAt,
+      callers,
+      countRelayed,
+      getMonotonic,
+      log,
+    );
     this.tasks.stop();
     this.turns.stop();
     callers.close();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -31,6 +31,7 @@
   PeerPhase,
   makeLeavingMessage,
   makeLimitedMessage,
+  makePausedMessage,
   type Hello,
   type OrderMessage,
 } from '../peers/messages.js';
@@ -49,6 +50,7 @@
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
 import {AnswersByRoute} from '../requests/answers_by_route.js';
+import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
 
@@ -198,8 +200,7 @@
     log.write,
     links,
   );
-  const isCut = (id: string) => links.isCut(id);
-  const relays = new RelayServer(endpoints, isCut, metrics, log.write);
+  const relays = new RelayServer(endpoints, links, metrics, log.write);
   const {handleEnded} = listeners;
   const endCheck = new EndCheck(endpoints, calls, handleEnded, metrics, links);
   return {
@@ -208,21 +209,6 @@
   };
 }
 
-/** Builds what tells the peers of the results of probes. */
-function buildSenders(
-  getMesh: () => PeerMesh,
-): Pick<ProbeListeners, 'sendFacts' | 'sendSuspicion'> {
-  return {
-    sendFacts: facts => {
-      getMesh().sendAll({kind: PeerMessageKind.Facts, facts});
-    },
-    sendSuspicion: (id, bornAt, cause) => {
-      const kind = PeerMessageKind.Suspicion;
-      getMesh().sendAll({kind, id, bornAt, cause});
-    },
-  };
-}
-
 function buildLimits(
   log: EventLog,
   getNow: () => Instant,
@@ -382,6 +368,10 @@
     queue,
     prober,
     links,
+    sendPause: (vm, paused) => {
+      const peer = mesh.listLive().find(one => one.vm === vm);
+      if (peer !== undefined) mesh.sendTo(peer, makePausedMessage(paused));
+    },
     intake,
     budgets: new RetryBudgets(settings.bounds, countVms),
     metrics,
--- a/packages/gateway/src/root/stop_gracefully.ts
+++ b/packages/gateway/src/root/stop_gracefully.ts
@@ -18,14 +18,15 @@
 
 /**
  * Keeps serving until callers have dropped this VM from their cached directory
- * answers and the requests in flight are answered, at the latest until the grace
- * period ends. Then the connections are closed, so that nothing is taken or left
+ * answers and the requests in flight are answered, those of peers included whose
+ * connections it passes on, at the latest until the grace period ends. Then the connections are closed, so that nothing is taken or left
  * unread between the last look at the requests in flight and the exit.
  */
 export async function stopGracefully(
   plan: StopPlan,
   sentAt: Instant,
   callers: CallerServer,
+  countRelayed: () => number,
   getNow: () => Instant,
   log: EventLog,
 ): Promise<void> {
@@ -39,7 +40,8 @@
   const logAgainAt = exitAt - (exitAt - startedAt) * lastPartShare;
   logInFlight(callers.listInFlight(), exitAt, getNow(), log);
   let isLoggedAgain = false;
-  while (!canClose(plan, callers.countInFlight(), getNow())) {
+  const countOpen = () => callers.countInFlight() + countRelayed();
+  while (!canClose(plan, countOpen(), getNow())) {
     if (!isLoggedAgain && isPast(logAgainAt, getNow())) {
       logInFlight(callers.listInFlight(), exitAt, getNow(), log);
       isLoggedAgain = true;
