--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -21,14 +21,27 @@
   readonly resumable?: boolean;
 }
 
+/** A model whose layers one worker of the kind "card" holds. */
+export const smallModel = {
+  ...{layers: 8, layerMb: 100, kvBytes: 8000, step_ms: 1, read_per_s: 100_000},
+  kinds: [{name: 'card', sizeMb: 2000, pace: 1}],
+  models: [{name: 'm', loadS: 1}],
+  usual: {prompt: 10, answer: 10},
+};
+
 /** What a deployment consists of. */
 export interface DeploymentOptions {
   readonly gateways: number;
   readonly routes: readonly RouteFields[];
+  /** Names of the services that run the model. */
+  readonly modelServices?: readonly string[];
 }
 
 /** Makes the first configuration of the operator. */
-function makeConfiguration(routes: readonly RouteFields[]): object {
+function makeConfiguration({
+  routes,
+  modelServices = [],
+}: DeploymentOptions): object {
   return {
     version: 7,
     routes: routes.map(route => ({
@@ -41,6 +54,7 @@
     })),
     services: [...new Set(routes.map(({service}) => service))].map(name => ({
       name,
+      ...(modelServices.includes(name) ? {engine: smallModel} : {}),
     })),
     limits: {
       maxHeaderBytes: 16_384,
@@ -65,8 +79,8 @@
   /** Starts the store and the gateways, which become ready later. */
   async start(): Promise<void> {
     const storeAddress = await this.store.start();
-    const {gateways, routes} = this.options;
-    this.store.write('keyed.op', 'config', makeConfiguration(routes));
+    const {gateways} = this.options;
+    this.store.write('keyed.op', 'config', makeConfiguration(this.options));
     // The process id keeps scripts that run side by side apart.
     const base = `127.${20 + (process.pid % 200)}.${(process.pid >> 8) % 250}`;
     const hosts = Array.from({length: gateways}, (_, i) => `${base}.${i + 1}`);
