--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -12,15 +12,15 @@
 import {hasTrouble, runCase, wait} from '../lib/run_case.js';
 
 const gateways = 3;
-const workers = 3;
+const workers = 4;
 /** The workers that are faulty for some time, and how long. */
 const faultyWorkers = 2;
 const faultyFrom = 3000;
 const faultyMilliseconds = 5000;
 /** One in so many answers of a faulty worker is spoiled. */
-const spoiledOneIn = 20;
+const spoiledOneIn = 40;
 const runMilliseconds = 11_000;
-const paceMilliseconds = 25;
+const paceMilliseconds = 20;
 const events = 20;
 const deadlineMilliseconds = 20_001;
 
--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -6,8 +6,8 @@
 import {hasTrouble, runCase, wait} from '../lib/run_case.js';
 
 const gateways = 3;
-const workers = 3;
-const streams = 18;
+const workers = 6;
+const streams = 24;
 const events = 30;
 const eventMilliseconds = 100;
 const crashAfterMilliseconds = 1500;
