feat(following): log late answers of the store and the age before a version

The log could not tell whether a version was late because the copy counted as newer than it was, or because reads failed. 7109 tells how late the answer to a read came, 7104 how old the copy was held to be when a version was applied. No decision depends on either.

--- a/packages/gateway/__tests__/topic_follower.test.ts
+++ b/packages/gateway/__tests__/topic_follower.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {createStoreAccess, deriveReadSchedule} from '@zinniaspindle/decisions';
+import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import {EraWatch} from '../src/following/era_watch.js';
 import {TopicFollower} from '../src/following/topic_follower.js';
@@ -14,6 +15,11 @@
   type Store,
 } from '../src/ports/index.js';
 
+interface LoggedEvent {
+  readonly event: GatewayEvent;
+  readonly fields: EventFields;
+}
+
 /** Reads a topic once from a store that does not answer; returns the event. */
 async function readLost(state: TopicState): Promise<EventFields> {
   const lost = Result.err(makeStoreError(StoreErrorCode.Unavailable, 'away'));
@@ -21,7 +27,17 @@
     readNewest: () => Promise.resolve(lost),
     readRecords: () => Promise.resolve(lost),
   } as Partial<Store> as Store;
-  const events: EventFields[] = [];
+  const [lostEvent] = await readOnce(state, store, () => 5000);
+  return lostEvent!.fields;
+}
+
+/** Reads a topic once as the first VM; returns the events. */
+async function readOnce(
+  state: TopicState,
+  store: Store,
+  getNow: () => Instant,
+): Promise<LoggedEvent[]> {
+  const events: LoggedEvent[] = [];
   const follower = new TopicFollower(
     state,
     store,
@@ -34,13 +50,13 @@
       sendReplacement: () => undefined,
       handleUpdate: () => undefined,
     },
-    (_event, fields) => events.push(fields),
+    (event, fields) => events.push({event, fields}),
     new Metrics(),
-    () => 5000,
+    getNow,
   );
   follower.poll({reader: 0, live: 0});
   for (let turn = 0; turn < 10; turn += 1) await Promise.resolve();
-  return events[0]!;
+  return events;
 }
 
 test('a lost store before any data is logged without an age', async () => {
@@ -65,3 +81,22 @@
   assert.equal(fields['newest'], 'the newest data is 100 ms old');
   assert.equal(fields['ageMs'], 100);
 });
+
+test('an answer to a read that comes late is logged', async () => {
+  const state = new TopicState(Topic.Endpoints, () => undefined);
+  state.acceptNewest([], 4, 4900);
+  let now = 5000;
+  const store = {
+    readRecords: () => {
+      now += 1700;
+      return Promise.resolve(Result.ok({records: [], era: undefined}));
+    },
+  } as Partial<Store> as Store;
+  const events = await readOnce(state, store, () => now);
+  assert.deepEqual(events, [
+    {
+      event: GatewayEvent.ReadLate,
+      fields: {topic: Topic.Endpoints, lateMs: 700, waitMs: 1000},
+    },
+  ]);
+});
--- a/packages/gateway/src/following/store_replica.ts
+++ b/packages/gateway/src/following/store_replica.ts
@@ -124,6 +124,7 @@
       version: configuration.version,
       offset,
       routes: configuration.routes.length,
+      newest: this.topics[Topic.Configuration].describeAge(this.getNow()),
     });
     this.handleConfiguration(configuration);
   }
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -20,6 +20,12 @@
 import type {EraWatch} from './era_watch.js';
 import type {TopicState} from './topic_state.js';
 
+/**
+ * An answer that comes later than this after the wait of its read is logged; the
+ * store usually answers in 4 ms.
+ */
+const lateAnswerMilliseconds = 250;
+
 /** Where a VM stands among the VMs that may read the store. */
 export interface ReaderRanks {
   /** Place among the VMs that the store serves; undefined if it refused this VM. */
@@ -92,6 +98,7 @@
     if (from === undefined || isVoid) {
       const newest = await store.readNewest(state.topic);
       if (newest.isErr) return this.handleFailure(newest.error, liveRank);
+      this.logLate(sentAt, 0);
       this.eras.acceptAnswer(newest.value.era);
       this.acceptNewest(from, newest.value, sentEra, sentAt);
       return;
@@ -99,6 +106,7 @@
     const waitMilliseconds = isFirst ? this.schedule.waitMilliseconds : 0;
     const batch = await store.readRecords(state.topic, from, waitMilliseconds);
     if (batch.isErr) return this.handleFailure(batch.error, liveRank);
+    this.logLate(sentAt, waitMilliseconds);
     const {records} = batch.value;
     this.eras.acceptAnswer(batch.value.era);
     // The store answers a waiting read with its state at the end of the wait.
@@ -112,6 +120,13 @@
     this.handleSuccess(asOf);
   }
 
+  private logLate(sentAt: Instant, waitMs: number): void {
+    const lateMs = Math.round(this.getNow() - sentAt - waitMs);
+    if (lateMs < lateAnswerMilliseconds) return;
+    const {topic} = this.state;
+    this.writeEvent(GatewayEvent.ReadLate, {topic, lateMs, waitMs});
+  }
+
   private acceptNewest(
     from: number | undefined,
     {records, next, era: seen}: NewestRecords,
@@ -166,17 +181,9 @@
     const ageMs = Math.round(now - asOf);
     this.writeEvent(GatewayEvent.StoreLost, {
       topic,
-      newest: describeAge(this.state, ageMs),
+      newest: this.state.describeAge(now),
       ...(Number.isFinite(ageMs) ? {ageMs} : {}),
       detail: error.message,
     });
   }
 }
-
-function describeAge({next}: TopicState, ageMilliseconds: number): string {
-  if (next === undefined) return 'there is no data yet';
-  if (!Number.isFinite(ageMilliseconds)) {
-    return 'the newest data is of unknown age';
-  }
-  return `the newest data is ${ageMilliseconds} ms old`;
-}
--- a/packages/gateway/src/following/topic_state.ts
+++ b/packages/gateway/src/following/topic_state.ts
@@ -120,6 +120,14 @@
     this.readAsOf = -Infinity;
   }
 
+  /** Describes how old the replica is, for the log. */
+  describeAge(now: Instant): string {
+    if (this.next === undefined) return 'there is no data yet';
+    const ageMs = Math.round(now - this.asOf);
+    if (!Number.isFinite(ageMs)) return 'the newest data is of unknown age';
+    return `the newest data is ${ageMs} ms old`;
+  }
+
   /** Lists the newest record of each key. */
   listNewest(): KeyedRecord[] {
     return [...this.newest.values()];
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -25,6 +25,7 @@
   StoreEraUnknown = 7106,
   TopicReplaced = 7107,
   RecordFailed = 7108,
+  ReadLate = 7109,
   EndpointAdded = 7201,
   EndpointDraining = 7202,
   EndpointRemoved = 7203,
@@ -100,7 +101,7 @@
   [GatewayEvent.RecordRefused]:
     'record {key} at offset {offset} of {topic} was left out: {reason}',
   [GatewayEvent.ConfigurationApplied]:
-    'configuration version {version} applied from offset {offset}: {routes} routes',
+    'configuration version {version} applied from offset {offset}: {routes} routes; before, {newest}',
   [GatewayEvent.StoreEraRisen]:
     'the store came back from an older copy: era {era} after {before}, seen by {source}',
   [GatewayEvent.StoreEraUnknown]:
@@ -109,6 +110,8 @@
     'records of {topic} were replaced by those of era {era}, up to offset {next}: {keys} keys, {missing} keys of before are missing',
   [GatewayEvent.RecordFailed]:
     'record {key} at offset {offset} of {topic} could not be applied and was left out: {reason}',
+  [GatewayEvent.ReadLate]:
+    'the answer to a read of {topic} came {lateMs} ms after the end of its wait of {waitMs} ms',
   [GatewayEvent.EndpointAdded]:
     'endpoint {endpoint} of service {service} added at {address}',
   [GatewayEvent.EndpointDraining]:
