test(following): a copy that counts as newer than it is delays a version

Two calm deployments of 15 VMs in virtual time: the VM that reads the store gets an answer late (frozen for 1.3 s, or answers 1.1 s late) and is then gone. Its peers held their copies for current as of the arrival of that answer, and apply a version 2.04 and 2.17 s after its confirmation; the bound is 2 s.

--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -49,6 +49,8 @@
   readonly isFrozen: (vm: number, now: Instant) => boolean;
   /** Messages between two VMs are lost. */
   readonly isCut: (from: number, to: number, now: Instant) => boolean;
+  /** Milliseconds by which answers of the store reach a VM late. */
+  readonly computeAnswerDelay: (vm: number, now: Instant) => number;
 }
 
 /** How a fleet is built. */
@@ -66,6 +68,8 @@
 const tickMilliseconds = 40;
 const rankMilliseconds = 200;
 const storeMilliseconds = 4;
+/** After this time beyond the wait of a read, its call fails. */
+const callTimeoutMilliseconds = 1200;
 const maxPauseMilliseconds = 100;
 const bitsPerByte = 8;
 const fastLinks = 2;
@@ -406,13 +410,27 @@
     const answer = <Value>(
       isRefused: boolean,
       at: Instant,
+      timeoutAt: Instant,
       makeValue: () => Result<Value, StoreError>,
     ) =>
       new Promise<Result<Value, StoreError>>(resolve => {
-        this.addEvent(at, () => {
+        const error = makeStoreError(StoreErrorCode.Unavailable, 'refused');
+        const resolveAwake = (value: Result<Value, StoreError>) => {
+          if (this.isFrozen(vm)) {
+            this.addEvent(this.now + 1, () => resolveAwake(value));
+            return;
+          }
           this.hasSettled = true;
-          const error = makeStoreError(StoreErrorCode.Unavailable, 'refused');
-          resolve(isRefused ? Result.err(error) : makeValue());
+          resolve(this.now >= timeoutAt ? Result.err(error) : value);
+        };
+        this.addEvent(at, () => {
+          const value = isRefused
+            ? Result.err<Value, StoreError>(error)
+            : makeValue();
+          const {computeAnswerDelay} = this.options.faults;
+          const delay = computeAnswerDelay?.(vm, this.now) ?? 0;
+          const arriveAt = Math.min(this.now + delay, timeoutAt);
+          this.addEvent(arriveAt, () => resolveAwake(value));
         });
       });
     const isRefused = () => {
@@ -422,23 +440,29 @@
     return {
       readRecords: async (_topic, from, waitMilliseconds) => {
         const refused = isRefused();
+        const timeoutAt = this.now + waitMilliseconds + callTimeoutMilliseconds;
         const isEmpty = from >= this.records.length && !refused;
         if (isEmpty && waitMilliseconds > 0) await this.wait(waitMilliseconds);
-        return answer(refused, this.now + storeMilliseconds, () =>
+        const answerAt = this.now + storeMilliseconds;
+        return answer(refused, answerAt, timeoutAt, () =>
           from < this.firstRetained
             ? Result.err(makeStoreError(StoreErrorCode.Expired, 'expired'))
             : Result.ok({records: this.records.slice(from), era: undefined}),
         );
       },
-      readNewest: () =>
-        answer(isRefused(), this.now + storeMilliseconds, () => {
+      readNewest: () => {
+        const refused = isRefused();
+        const answerAt = this.now + storeMilliseconds;
+        const timeoutAt = this.now + callTimeoutMilliseconds;
+        return answer(refused, answerAt, timeoutAt, () => {
           const newest = this.records.at(-1);
           const records = newest === undefined ? [] : [newest];
           const next = this.records.length;
           return Result.ok<NewestRecords, StoreError>({
             ...{records, next, era: undefined},
           });
-        }),
+        });
+      },
     } as Partial<Store> as Store;
   }
 
