fix(following): a copy whose last records did not fit into an answer is not current

The store tells the end of the topic in the first bytes of the answer, which were not read. An answer that does not reach it renews no age, so that the next read follows at once. The new test failed before (the copy counted as of 5000 instead of 4900).

--- a/packages/gateway/__tests__/era_fleet.ts
+++ b/packages/gateway/__tests__/era_fleet.ts
@@ -274,7 +274,11 @@
         const expired = makeStoreError(StoreErrorCode.Expired, 'expired');
         return send(
           isKnown
-            ? Result.ok({records: records.slice(from), era})
+            ? Result.ok({
+                records: records.slice(from),
+                end: records.length,
+                era,
+              })
             : Result.err(expired),
         );
       },
--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -447,7 +447,11 @@
         return answer(refused, answerAt, timeoutAt, () =>
           from < this.firstRetained
             ? Result.err(makeStoreError(StoreErrorCode.Expired, 'expired'))
-            : Result.ok({records: this.records.slice(from), era: undefined}),
+            : Result.ok({
+                records: this.records.slice(from),
+                end: this.records.length,
+                era: undefined,
+              }),
         );
       },
       readNewest: () => {
--- a/packages/gateway/__tests__/topic_follower.test.ts
+++ b/packages/gateway/__tests__/topic_follower.test.ts
@@ -89,7 +89,7 @@
   const store = {
     readRecords: () => {
       now += 1700;
-      return Promise.resolve(Result.ok({records: [], era: undefined}));
+      return Promise.resolve(Result.ok({records: [], end: 4, era: undefined}));
     },
   } as Partial<Store> as Store;
   const events = await readOnce(state, store, () => now);
@@ -100,3 +100,17 @@
     },
   ]);
 });
+
+test('records that an answer had no room for keep the copy from being current', async () => {
+  const state = new TopicState(Topic.Configuration, () => undefined);
+  state.acceptNewest([], 4, 4900);
+  const records = [{key: 'config', value: Buffer.from('5'), offset: 4}];
+  const store = {
+    readRecords: () =>
+      Promise.resolve(Result.ok({records, end: 6, era: undefined})),
+  } as Partial<Store> as Store;
+  await readOnce(state, store, () => 5000);
+  assert.equal(state.next, 5);
+  assert.equal(state.asOf, 4900);
+  assert.ok(state.readAsOf < 4900);
+});
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -112,18 +112,21 @@
     const batch = await store.readRecords(state.topic, from, waitMilliseconds);
     if (batch.isErr) return this.handleFailure(batch.error, liveRank);
     this.logLate(sentAt, waitMilliseconds);
-    const {records} = batch.value;
+    const {records, end} = batch.value;
+    const next = from + records.length;
     this.eras.acceptAnswer(batch.value.era);
-    const asOf = computeAnswerTime({
+    const answerTime = computeAnswerTime({
       ...{sentAt, waitMilliseconds, isEmpty: records.length === 0},
       arrivedAt: this.getNow(),
     });
+    // Until the rest is read, nothing is known of the topic at that time.
+    const asOf = next < end ? -Infinity : answerTime;
     const answer = deriveAnswerEra(state.era, sentEra, batch.value.era);
     // Offsets of an older era: the next read fetches all keys.
     if (answer.isOutdated || answer.era !== sentEra) return;
     this.listeners.handleUpdate();
     state.acceptBatch(from, records, asOf, answer.era);
-    this.listeners.sendChanges(from, records, from + records.length, asOf);
+    this.listeners.sendChanges(from, records, next, asOf);
     this.handleSuccess(asOf);
   }
 
--- a/packages/gateway/src/ports/store.ts
+++ b/packages/gateway/src/ports/store.ts
@@ -31,6 +31,8 @@
 /** Consecutive records of a topic. */
 export interface RecordBatch extends StoreAnswer {
   readonly records: readonly KeyedRecord[];
+  /** The offset after the newest record, which a full answer does not reach. */
+  readonly end: number;
 }
 
 /** The newest record of each key of a topic. */
