fix(gateway): a head that cannot be sent on is no answer

Callers of streams got an empty 200 without a seal, and callers of plain routes no answer at all, when an endpoint wrote a header whose name holds a space or a status below 100. Cause: the parser takes such heads, writing them throws, and the exception left the request half answered. The head is now checked once where answers enter, and a faulty one counts as a broken answer; a stream counts as begun only after its head was written.

odd_heads and the last test of cut_heads failed before.

--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -344,10 +344,10 @@
     this.recordEvent();
     this.ends.recordEvents();
     if (!this.hasSentEvents) {
+      writeHead(this.context, attempt.answer!, undefined);
       this.hasSentEvents = true;
       // It may have no counted run, since its endpoints have ended.
       this.limits = {...this.limits, maxNotRun: Infinity};
-      writeHead(this.context, attempt.answer!, undefined);
     }
     this.lastEventId = events.lastId ?? this.lastEventId;
     if (response.write(events.bytes)) return;
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -23,6 +23,7 @@
   RawHeaders,
 } from '../ports/index.js';
 import {isSuccess} from './answer_status.js';
+import {findHeadFault} from './find_head_fault.js';
 
 /**
  * Endpoints accept within 2 ms; a lost packet is retransmitted after a second.
@@ -232,6 +233,8 @@
     if (this.hasEnded) return;
     this.message = message;
     const answer = this.codec.decodeAnswer(message);
+    const fault = findHeadFault(answer);
+    if (fault !== undefined) return this.close(UpstreamEnd.Broken, fault);
     this.listener.handleHead?.(answer);
     const proof = verifyAnswer(answer, this.options.attemptId);
     if (proof === AnswerProof.Nothing) {
