--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -23,7 +23,7 @@
 } from '../ports/index.js';
 import {openServer} from '../open_server.js';
 import {answerParserError} from './answer_parser_error.js';
-import {checkSizes, describeBodyFailure} from './check_sizes.js';
+import {checkHead, describeBodyFailure} from './check_head.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {
   ClosedBy,
@@ -188,8 +188,8 @@
     const found = this.findService(request);
     if ('status' in found) return refuse(found);
     const {limits} = found.configuration;
-    const sizeFailure = checkSizes(message, limits);
-    if (sizeFailure !== undefined) return refuse(sizeFailure);
+    const headFailure = checkHead(message, limits);
+    if (headFailure !== undefined) return refuse(headFailure);
     open.answerNow = () => {
       const plan = this.context.findStopPlan();
       if (plan === undefined) return;
--- a/packages/gateway/src/requests/check_sizes.ts
+++ b/packages/gateway/src/requests/check_head.ts
@@ -1,16 +1,20 @@
 import type http from 'node:http';
 import type {CallerLimits} from '../ports/index.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
+import {findHeaderFault} from './find_head_fault.js';
 import type {BodyFailure} from './read_body.js';
 
 /** When callers whose bodies have no room are to come back. */
 const bodyRetryMilliseconds = 500;
 
-/** Checks the sizes that the head of a request states. */
-export function checkSizes(
+/** Checks the headers of a request, and the sizes that its head states. */
+export function checkHead(
   message: http.IncomingMessage,
   limits: CallerLimits,
 ): LocalAnswer | undefined {
+  if (findHeaderFault(message.rawHeaders) !== undefined) {
+    return {status: 400, reason: FailureReason.BadHeaders};
+  }
   let headerBytes = 0;
   for (const text of message.rawHeaders) headerBytes += text.length + 2;
   if (headerBytes > limits.maxHeaderBytes) {
