fix(gateway): an answer without a length is whole once its last byte is read

Callers that read slowly got answers that lost their end and looked complete. Cause: the end of the endpoint's connection ended such an answer, while bytes that the caller had no room for still lay in the parser's message; they were dropped. The answer now ends when its connection has ended in the regular way and its last byte has been read.

--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -4,7 +4,15 @@
 import {performance} from 'node:perf_hooks';
 import {test} from 'node:test';
 import type {ExchangeCodec} from '../src/ports/index.js';
-import {Upstream, UpstreamEnd} from '../src/requests/upstream.js';
+import {
+  Upstream,
+  UpstreamEnd,
+  type UpstreamRequest,
+} from '../src/requests/upstream.js';
+
+const bodyBytes = 300_000;
+/** The time that a slow reader takes for a piece. */
+const readerMilliseconds = 20;
 
 const codec = {
   decodeAnswer: message => ({
@@ -41,20 +49,22 @@
   return outcome;
 }
 
+function makeRequest(address: string): UpstreamRequest {
+  return {
+    address,
+    method: 'GET',
+    path: '/',
+    headers: ['Host', 'x', 'Connection', 'close'],
+    body: Buffer.alloc(0),
+    attemptId: 'r1',
+    deadline: performance.now() + 2000,
+  };
+}
+
 function send(address: string): Promise<Outcome> {
   return new Promise(resolve => {
     let body = '';
-    const deadline = performance.now() + 2000;
-    const request = {
-      address,
-      method: 'GET',
-      path: '/',
-      headers: ['Host', 'x', 'Connection', 'close'],
-      body: Buffer.alloc(0),
-      attemptId: 'r1',
-      deadline,
-    };
-    const upstream = new Upstream(request, codec, {
+    const upstream = new Upstream(makeRequest(address), codec, {
       handleAnswer: () => undefined,
       handleChunk: chunk => {
         body += chunk.toString();
@@ -147,3 +157,31 @@
   const outcome = await send(`127.0.0.1:${port}`);
   assert.equal(outcome.end, UpstreamEnd.NotSent);
 });
+
+test('an answer without Content-Length is read to its end by a slow reader', async () => {
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(`${head}\r\n`);
+      socket.end(Buffer.alloc(bodyBytes, 'x'));
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  let bytes = 0;
+  const end = await new Promise<UpstreamEnd>(resolve => {
+    const upstream = new Upstream(makeRequest(`127.0.0.1:${port}`), codec, {
+      handleAnswer: () => undefined,
+      handleChunk: chunk => {
+        bytes += chunk.length;
+        upstream.stopReading();
+        setTimeout(() => upstream.resumeReading(), readerMilliseconds);
+        return undefined;
+      },
+      handleEnd: resolve,
+    });
+  });
+  server.close();
+  assert.deepEqual({end, bytes}, {end: UpstreamEnd.Complete, bytes: bodyBytes});
+});
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -93,6 +93,10 @@
   private readonly cancelConnection: CancelConnection;
   private readonly closeHandlers: (() => void)[] = [];
   private hasEnded = false;
+  /** Whether an answer without a length has been read to its last byte. */
+  private hasReadAll = false;
+  /** Whether the end of its connection is the regular end of such an answer. */
+  private isEndConfirmed = false;
 
   constructor(
     private readonly options: UpstreamRequest,
@@ -195,17 +199,22 @@
   private checkReset({socket, relay}: EndpointConnection): void {
     socket.write(emptyLine, error => {
       if (error != null) this.close(UpstreamEnd.Broken, error.message);
-      else if (relay === undefined) {
-        this.close(UpstreamEnd.Complete, 'complete');
-      } else {
-        setTimeout(
-          () => this.close(UpstreamEnd.Complete, 'complete'),
-          relayResetMilliseconds,
-        );
-      }
+      else if (relay === undefined) this.acceptEnd();
+      else setTimeout(() => this.acceptEnd(), relayResetMilliseconds);
     });
   }
 
+  private acceptEnd(): void {
+    this.isEndConfirmed = true;
+    this.closeIfWhole();
+  }
+
+  /** Ends an answer without a length, whose reader may be behind its connection. */
+  private closeIfWhole(): void {
+    if (!this.isEndConfirmed || !this.hasReadAll) return;
+    this.close(UpstreamEnd.Complete, 'complete');
+  }
+
   private handleEvents(): void {
     const {request} = this;
     let interimHeads = 0;
@@ -262,8 +271,10 @@
     });
     message.on('error', error => this.close(UpstreamEnd.Broken, error.message));
     message.on('end', () => {
-      if (!this.hasLength(message)) return; // The end of the connection decides.
-      if (message.complete) this.close(UpstreamEnd.Complete, 'complete');
+      if (!this.hasLength(message)) {
+        this.hasReadAll = true;
+        this.closeIfWhole();
+      } else if (message.complete) this.close(UpstreamEnd.Complete, 'complete');
       else this.close(UpstreamEnd.Broken, 'answer was cut off');
     });
     message.on('close', () => {
