fix(gateway): a stream without a model ends between two events, or is broken off

Callers took streams of services without a model for complete that a crashed worker had cut inside an event. Cause: their answers were passed on as bytes, and the end of the connection ended them; only streams with a model were checked. What is broken off closes the caller's connection.

--- a/packages/decisions/src/answers/stream_end.ts
+++ b/packages/decisions/src/answers/stream_end.ts
@@ -40,3 +40,20 @@
     ? EndVerdict.Complete
     : EndVerdict.WithoutEvent;
 }
+
+/**
+ * Verifies that a stream of a service without a model is complete at the end of
+ * its answer. One that no length or chunk ends, and that brought no event, may have
+ * been broken off before its first one.
+ */
+export function verifyPlainStreamEnd({
+  isFramed,
+  hasEvents,
+  hasPartialEvent,
+}: Pick<
+  EndEvidence,
+  'isFramed' | 'hasEvents' | 'hasPartialEvent'
+>): EndVerdict {
+  if (hasPartialEvent) return EndVerdict.WithinEvent;
+  return isFramed || hasEvents ? EndVerdict.Complete : EndVerdict.WithoutEvent;
+}
--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -1,7 +1,13 @@
-import {FailureCertainty, recordFailure} from '@zinniaspindle/decisions';
+import {
+  EndVerdict,
+  FailureCertainty,
+  recordFailure,
+  verifyPlainStreamEnd,
+} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {getIncarnation, type EndpointState} from '../fleet/endpoint_state.js';
-import type {EndpointAnswer} from '../ports/index.js';
+import {RouteKind, type EndpointAnswer} from '../ports/index.js';
+import {isSuccess} from './answer_status.js';
 import {AnswerBuffer} from './answer_buffer.js';
 import {AttemptEnder, AttemptLog} from './attempt_log.js';
 import {AttemptWatch} from './attempt_watch.js';
@@ -79,14 +85,40 @@
   }
 
   private acceptEnd(end: UpstreamEnd, detail: string): void {
+    const verdict = this.verifyEnd(end);
+    if (verdict !== EndVerdict.Complete) {
+      return this.resolve(UpstreamEnd.Broken, verdict);
+    }
+    this.resolve(end, detail);
+  }
+
+  private resolve(end: UpstreamEnd, detail: string): void {
     this.release(end);
     if (end === UpstreamEnd.Broken) this.watch.handleBrokenAnswer();
     this.owner.handleEnd(this, end, detail);
   }
 
+  /** Verifies that an answer which ended in the regular way is a whole stream. */
+  private verifyEnd(end: UpstreamEnd): EndVerdict {
+    const {answer, buffer, upstream, context} = this;
+    const isStream =
+      end === UpstreamEnd.Complete &&
+      context.route.kind === RouteKind.Streaming &&
+      answer !== undefined &&
+      !answer.isNotRun &&
+      isSuccess(answer.status);
+    if (!isStream) return EndVerdict.Complete;
+    return verifyPlainStreamEnd({
+      isFramed: upstream?.isFramed() ?? false,
+      hasEvents: buffer.isForwarding,
+      hasPartialEvent: buffer.hasPartialEvent(),
+    });
+  }
+
   private release(end: UpstreamEnd): void {
     this.endpoint.running -= 1;
     this.log.recordEnd();
-    if (end === UpstreamEnd.Broken) this.buffer.drop();
+    const isOver = end === UpstreamEnd.Broken || this.buffer.isForwarding;
+    if (isOver) this.buffer.drop();
   }
 }
