fix(gateway): Last-Event-Id is passed on to services without a model

Callers that resumed a stream of such a service got all events again from the first one. Cause: the header was set only for services with a model, and dropped else.

The new test of plain_streams failed before.

--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -49,6 +49,7 @@
   start(): void {
     const {context, endpoint} = this;
     const {entry} = endpoint;
+    const {lastEventId} = context.request;
     context.server.endpoints.limits.takeCredit(getIncarnation(endpoint));
     endpoint.running += 1;
     this.log.recordStart(entry.id);
@@ -56,7 +57,7 @@
     const upstream = openUpstream(
       context,
       entry,
-      {urgency: undefined, parts: undefined, lastEventId: undefined},
+      {urgency: undefined, parts: undefined, lastEventId},
       {
         handleAnswer: answer => (this.answer = answer),
         handleChunk: chunk => this.buffer.accept(this.answer!, chunk, upstream),
