fix(drain): a stopping VM takes a plain request only if its deadline is before the exit

Callers got half of an answer when a planned stop ended, also of requests that may not be repeated. Cause: a request whose deadline was after the exit was taken because the earlier answers of its route were small and quick. Neither tells how large the next one is or how fast its caller reads. Such a request is now refused unrun, at once, and its caller is told to go to another VM; requests with a deadline before the exit are taken until shortly before it, as before. Streams, whose callers resume, keep their rules.

The test 'a small answer whose kind ends in time is taken until late' stated what was wrong, and 'a large answer is taken only if its deadline is before the exit' now holds for all plain answers, with the same instants.

--- a/packages/decisions/__tests__/stop_plan.test.ts
+++ b/packages/decisions/__tests__/stop_plan.test.ts
@@ -84,14 +84,6 @@
   assert.ok(canTake(plan, work, 16_000));
 });
 
-test('a small answer whose kind ends in time is taken until late', () => {
-  const findDuration = (share: number) => (share < 1 ? 1000 : 9000);
-  const answer = AnswerSize.Small;
-  const work = {...makeStream(0), answer, findDuration};
-  assert.ok(canTake(plan, work, 16_200));
-  assert.ok(!canTake(plan, work, 16_300));
-});
-
 test('a stream that may be cut is refused while the other VMs are ready', () => {
   assert.ok(!canTake(plan, makeStream(0), 10_000));
 });
@@ -119,13 +111,14 @@
   assert.ok(!canTake(plan, work, 12_700));
 });
 
-test('a large answer is taken only if its deadline is before the exit', () => {
-  const answer = AnswerSize.Large;
-  const work = {...makeStream(1), answer, findDuration: () => 10};
-  assert.ok(!canTake(plan, work, 10_000));
-  assert.ok(!canTake(plan, work, 12_700));
-  assert.ok(canTake(plan, {...work, deadline: 17_500}, 10_000));
-  assert.ok(canTake(plan, {...work, deadline: 17_500}, 17_000));
+test('a plain answer is taken only if its deadline is before the exit', () => {
+  for (const answer of [AnswerSize.Large, AnswerSize.Small]) {
+    const work = {...makeStream(1), answer, findDuration: () => 10};
+    assert.ok(!canTake(plan, work, 10_000));
+    assert.ok(!canTake(plan, work, 12_700));
+    assert.ok(canTake(plan, {...work, deadline: 17_500}, 10_000));
+    assert.ok(canTake(plan, {...work, deadline: 17_500}, 17_000));
+  }
 });
 
 test('a stream of unknown length is taken only if all VMs would refuse it', () => {
--- a/packages/decisions/src/drain/stop_plan.ts
+++ b/packages/decisions/src/drain/stop_plan.ts
@@ -24,11 +24,11 @@
   readonly exitAt: Deadline;
 }
 
-/** What an exit does to the answer of a request. */
+/** How an answer is written out, by those of its route so far. */
 export enum AnswerSize {
   /** It may be cut while its caller reads it. */
   Large = 'large',
-  /** It is written out at once, or another final answer is. */
+  /** It is likely to be written out at once, or another final answer is. */
   Small = 'small',
   /** It is forwarded as it arrives, and may be cut at any time. */
   Stream = 'stream',
@@ -150,16 +150,15 @@
 
 /**
  * Finds what speaks for taking a request that arrives during a stop; undefined to
- * refuse it. It is taken when its deadline is before the exit. No measured duration
- * makes the end of another one certain, so what the exit can cut is not taken
- * once callers know of the stop. A small answer reaches its caller whole in any
- * case and is taken while almost all of its kind end in time.
+ * refuse it. It is taken when its deadline is before the exit. Nothing else makes its
+ * end certain: neither its duration nor its size follows from those of earlier
+ * answers, and a large one takes as long as its caller reads.
  *
- * While callers could not know of the stop, a request is also taken when the risk
- * of a cut is smaller than that of a second refusal: in a rolling restart that
- * reaches many VMs at once, a caller that is sent away is likely to meet another VM
- * that stops. One that is cut as likely as not is refused in any case. A large
- * answer takes as long as its caller reads, which no earlier caller tells.
+ * While callers could not know of the stop, a stream, which can go on elsewhere, is
+ * also taken when the risk of a cut is smaller than that of a second refusal: in a
+ * rolling restart that reaches many VMs at once, a caller that is sent away is likely
+ * to meet another VM that stops. One that is cut as likely as not is refused in any
+ * case.
  */
 export function findTakeGrounds(
   plan: StopPlan,
@@ -173,14 +172,12 @@
     const reason = TakeReason.DeadlineBeforeExit;
     return {reason, durationMilliseconds: undefined};
   }
-  if (answer === AnswerSize.Large) return undefined;
-  const isKnown = now >= takeUntil;
-  if (isKnown && answer !== AnswerSize.Small) return undefined;
+  if (answer !== AnswerSize.Stream || now >= takeUntil) return undefined;
   const longest = (findDuration(certainShare) ?? Infinity) * certainHeadroom;
   if (now + longest <= exitAt) {
     return {reason: TakeReason.LongFits, durationMilliseconds: longest};
   }
-  return isKnown ? undefined : findRiskGrounds(plan, work, now);
+  return findRiskGrounds(plan, work, now);
 }
 
 function findRiskGrounds(
