fix(links): the end of a peer is not the end of the answer that it passes on

Callers got streams that ended as complete with half of their events when another VM was killed. Cause: where connections go through a peer, the end of the connection to it was taken for the end of the endpoint's answer; a killed process ends its connections in the regular way, and a wait of 100 ms for a reset that nobody read showed nothing.

The peer now frames the endpoint's bytes, checks the endpoint's end itself and says so in a last frame; without it the connection fails like one that was reset, and the stream is resumed or broken off. A reset after the checked end no longer takes back bytes that the VM has yet to read, and the 2 s of lingering count from when all was written. Builds before neither ask for frames nor get them; behind a peer of theirs, an answer without a length counts as broken.

--- a/packages/gateway/__tests__/relays.test.ts
+++ b/packages/gateway/__tests__/relays.test.ts
@@ -1,12 +1,19 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
+import type {Readable} from 'node:stream';
 import {after, test} from 'node:test';
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {reservePort} from '@zinniaspindle/stand-ins';
 import {EndpointTable} from '../src/fleet/endpoint_table.js';
 import {LoadTracker} from '../src/fleet/load_tracker.js';
 import {EndpointLinks} from '../src/links/endpoint_links.js';
+import type {Relay} from '../src/links/relay_client.js';
+import {encodeMessage} from '../src/peers/message_codec.js';
+import {makeRelayRequest, RelayOutcome} from '../src/peers/messages.js';
+import {Upstream, UpstreamEnd} from '../src/requests/upstream.js';
+import {exchangeCodec} from '../../../platform/src/exchange_codec.js';
+import {parseAddress} from '@zinniaspindle/shared';
 import type {EndpointConnection} from '../src/links/open_connection.js';
 import {RelayServer} from '../src/links/relay_server.js';
 import {Metrics} from '../src/log/metrics.js';
@@ -62,7 +69,7 @@
   );
   await mesh.open({host: '127.0.0.1', port}, []);
   closers.push(() => mesh.close());
-  return {vm, peerAddress, table, relays};
+  return {vm, peerAddress, table, relays, close: () => mesh.close()};
 }
 
 type TestPeer = Awaited<ReturnType<typeof openPeer>>;
@@ -86,7 +93,7 @@
   });
 }
 
-async function readAll(socket: net.Socket): Promise<string> {
+async function readAll(socket: Readable): Promise<string> {
   let text = '';
   for await (const chunk of socket) text += String(chunk);
   return text;
@@ -166,3 +173,100 @@
   peer.table.acceptNotice({id: 'e1', bornAt: state.bornAt}, notice, 'test');
   assert.ok((await open([peer])) instanceof Error);
 });
+
+/** Passes connections on without frames, like an older build, and ends them. */
+async function openOldPeer(text: string): Promise<Relay> {
+  const peerAddress = await openEndpoint(socket => {
+    socket.once('data', () => socket.write(RelayOutcome.Open));
+    socket.once('data', () => socket.end(text));
+  });
+  return {vm: 'old', peerAddress};
+}
+
+/** Asks an endpoint through peers; tells how the answer ended. */
+function ask(
+  peers: readonly Relay[],
+): Promise<{end: UpstreamEnd; body: string}> {
+  const links = new EndpointLinks(
+    () => peers,
+    new Metrics(),
+    logNothing,
+    getNow,
+  );
+  const target = {id: 'e1', address: closedAddress, purpose: 'request r1'};
+  return new Promise(resolve => {
+    let body = '';
+    const upstream = new Upstream(
+      {
+        ...{address: closedAddress, method: 'GET', path: '/'},
+        ...{headers: ['Host', 'x'], body: Buffer.alloc(0), attemptId: 'r1'},
+        deadline: getNow() + 5000,
+        openConnection: handle => links.open(target, handle),
+      },
+      exchangeCodec,
+      {
+        handleAnswer: () => undefined,
+        handleChunk: chunk => {
+          body += chunk.toString();
+          return undefined;
+        },
+        handleEnd: end => resolve({end, body}),
+      },
+    );
+    assert.ok(upstream);
+  });
+}
+
+const answerHead = 'HTTP/1.1 200 OK\r\nAttempt-Id: r1\r\nResponse-Seal: s\r\n';
+
+test('an answer without a length through a peer ends with its endpoint', async () => {
+  const body = 'x'.repeat(200_000);
+  const address = await openEndpoint(socket => {
+    socket.once('data', () => socket.end(`${answerHead}\r\n${body}`));
+  });
+  const outcome = await ask([await openPeer('vm-1', address)]);
+  assert.deepEqual(outcome, {end: UpstreamEnd.Complete, body});
+});
+
+test('an answer without a length is broken when the peer is killed', async () => {
+  const address = await openEndpoint(socket => {
+    socket.once('data', () => socket.write(`${answerHead}\r\nhalf`));
+  });
+  const peer = await openPeer('vm-1', address);
+  const asked = ask([peer]);
+  await waitMilliseconds(200);
+  // As the kernel does with the connections of a process that is killed.
+  peer.close();
+  assert.deepEqual(await asked, {end: UpstreamEnd.Broken, body: 'half'});
+});
+
+test('an answer with a length through a peer is complete in any case', async () => {
+  const head = `${answerHead}Content-Length: 4\r\n\r\n`;
+  const address = await openEndpoint(socket => {
+    socket.once('data', () => socket.end(`${head}body`));
+  });
+  const complete = {end: UpstreamEnd.Complete, body: 'body'};
+  assert.deepEqual(await ask([await openPeer('vm-1', address)]), complete);
+  assert.deepEqual(await ask([await openOldPeer(`${head}body`)]), complete);
+});
+
+test('the end of an older peer does not make an answer without a length whole', async () => {
+  const peer = await openOldPeer(`${answerHead}\r\nhalf`);
+  assert.deepEqual(await ask([peer]), {end: UpstreamEnd.Broken, body: 'half'});
+});
+
+test('an older build reads a connection that is passed on without frames', async () => {
+  const address = await openEndpoint(socket => {
+    socket.once('data', () => socket.end('answer'));
+  });
+  const {peerAddress} = await openPeer('vm-1', address);
+  const {host, port} = parseAddress(peerAddress);
+  const socket = net.connect({host, port, allowHalfOpen: true});
+  const {kind} = makeRelayRequest('e1', 'request r1');
+  socket.write(encodeMessage({kind, id: 'e1', purpose: 'request r1'}));
+  const text = readAll(socket);
+  await waitMilliseconds(100);
+  socket.write('GET');
+  assert.equal(await text, `${RelayOutcome.Open}answer`);
+  socket.destroy();
+});
--- a/packages/gateway/src/links/open_connection.ts
+++ b/packages/gateway/src/links/open_connection.ts
@@ -1,10 +1,22 @@
 import net from 'node:net';
+import type {Duplex} from 'node:stream';
 import {parseAddress} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 
+/** What shows that an endpoint has ended a connection in the regular way. */
+export enum EndProof {
+  /** The end, if a write after it succeeds. */
+  Write = 'write',
+  /** The end: the peer that passes the connection on confirms it. */
+  Peer = 'peer',
+  /** Nothing: the connection also ends when the peer does. */
+  None = 'none',
+}
+
 /** A connection to an endpoint that is established. */
 export interface EndpointConnection {
-  readonly socket: net.Socket;
+  readonly socket: Duplex & {readonly bytesRead: number};
+  readonly endProof: EndProof;
   /** The peer VM through which it goes; undefined for none. */
   readonly relay: string | undefined;
 }
@@ -37,7 +49,7 @@
   socket.once('connect', () => {
     if (isDone) return;
     isDone = true;
-    handle(Result.ok({socket, relay: undefined}));
+    handle(Result.ok({socket, endProof: EndProof.Write, relay: undefined}));
   });
   return () => {
     if (isDone) return;
--- a/packages/gateway/src/links/relay_client.ts
+++ b/packages/gateway/src/links/relay_client.ts
@@ -2,8 +2,13 @@
 import {parseAddress} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import {encodeMessage} from '../peers/message_codec.js';
-import {makeRelayRequest, RelayOutcome} from '../peers/messages.js';
-import type {CancelConnection, HandleConnection} from './open_connection.js';
+import {makeRelayRequest, openFramed, RelayOutcome} from '../peers/messages.js';
+import {FramedConnection} from './framed_connection.js';
+import {
+  EndProof,
+  type CancelConnection,
+  type HandleConnection,
+} from './open_connection.js';
 
 /** A peer that can pass connections on. */
 export interface Relay {
@@ -31,7 +36,7 @@
 
 /**
  * Opens a connection through a peer. Its answer is one byte; what follows are
- * bytes of the endpoint.
+ * bytes of the endpoint, in frames unless the peer is an older build.
  */
 export function openRelayed(
   {vm, peerAddress}: Relay,
@@ -52,7 +57,8 @@
   socket.on('error', () => fail(RelayOutcome.NoRelay));
   socket.on('close', () => fail(RelayOutcome.NoRelay));
   socket.once('connect', () => {
-    socket.write(encodeMessage(makeRelayRequest(id, purpose)));
+    const request = makeRelayRequest(id, purpose);
+    socket.write(encodeMessage({...request, readsFrames: true}));
   });
   const acceptOutcome = () => {
     if (isDone) return;
@@ -60,12 +66,18 @@
     if (byte === null) return;
     socket.off('readable', acceptOutcome);
     const text = byte.toString('latin1');
+    if (text === openFramed) {
+      isDone = true;
+      const framed = new FramedConnection(socket);
+      handle(Result.ok({socket: framed, endProof: EndProof.Peer, relay: vm}));
+      return;
+    }
     const outcome = outcomes.has(text) ? text : RelayOutcome.NoRelay;
     if (outcome !== (RelayOutcome.Open as string)) {
       return fail(outcome as RelayOutcome);
     }
     isDone = true;
-    handle(Result.ok({socket, relay: vm}));
+    handle(Result.ok({socket, endProof: EndProof.None, relay: vm}));
   };
   socket.on('readable', acceptOutcome);
   socket.on('end', () => fail(RelayOutcome.NoRelay));
--- a/packages/gateway/src/links/relay_server.ts
+++ b/packages/gateway/src/links/relay_server.ts
@@ -1,10 +1,17 @@
 import type net from 'node:net';
+import type {Duplex} from 'node:stream';
 import {GatewayEvent} from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
-import {RelayOutcome, type RelayRequest} from '../peers/messages.js';
+import {
+  openFramed,
+  RelayOutcome,
+  type RelayRequest,
+} from '../peers/messages.js';
+import {checkEnd} from './check_end.js';
 import type {EndpointLinks} from './endpoint_links.js';
+import {encodeFrameLength, endFrame} from './framed_connection.js';
 import {openDirect} from './open_connection.js';
 
 /** A live endpoint accepts within a few milliseconds. */
@@ -13,6 +20,8 @@
 const maxRelayed = 256;
 /** Time for the peer to close a connection that its endpoint has ended. */
 const lingerMilliseconds = 2000;
+/** Time for the peer to read what its endpoint has written before its end. */
+const drainMilliseconds = 60_000;
 
 /**
  * Passes connections of peers on to endpoints that they do not reach. It only
@@ -34,7 +43,10 @@
   }
 
   /** Handles a request on a connection that carries nothing else. */
-  accept(near: net.Socket, {id, purpose}: RelayRequest): void {
+  accept(
+    near: net.Socket,
+    {id, purpose, readsFrames = false}: RelayRequest,
+  ): void {
     near.pause();
     const address = this.findAddress(id);
     if (address === undefined) return refuse(near, RelayOutcome.Unavailable);
@@ -57,7 +69,7 @@
       if (near.destroyed) return void result.value.socket.destroy();
       this.metrics.count(Counter.RelayedForPeers);
       this.writeEvent(GatewayEvent.ConnectionRelayed, {endpoint: id, purpose});
-      joinSockets(near, result.value.socket);
+      joinSockets(near, result.value.socket, readsFrames);
     });
   }
 
@@ -92,20 +104,46 @@
   if (!near.destroyed) near.end(outcome);
 }
 
-/** Copies bytes, ends and resets between two connections. */
-function joinSockets(near: net.Socket, far: net.Socket): void {
-  near.write(RelayOutcome.Open);
-  far.pipe(near, {end: false});
+/** Copies bytes, ends and resets between the connections to a peer and an endpoint. */
+function joinSockets(near: net.Socket, far: Duplex, isFramed: boolean): void {
+  near.write(isFramed ? openFramed : RelayOutcome.Open);
+  if (isFramed) writeFrames(far, near);
+  else far.pipe(near, {end: false});
   near.pipe(far, {end: false});
+  let hasEnded = false;
   far.on('end', () => {
-    near.end();
-    setTimeout(() => near.destroy(), lingerMilliseconds).unref();
+    checkEnd(far, error => {
+      if (error !== undefined) return near.resetAndDestroy();
+      hasEnded = true;
+      closeNear(near, isFramed);
+    });
   });
+  const handleBreak = () => {
+    // A reset after the end must not take back what the peer has yet to read.
+    if (!hasEnded) near.resetAndDestroy();
+  };
   near.on('end', () => far.end());
-  far.on('error', () => near.resetAndDestroy());
+  far.on('error', handleBreak);
   near.on('error', () => far.destroy());
   near.on('close', () => far.destroy());
-  far.on('close', hadError => {
-    if (hadError || !far.readableEnded) near.resetAndDestroy();
+  far.on('close', () => {
+    if (far.errored !== null || !far.readableEnded) handleBreak();
   });
 }
+
+function writeFrames(far: Duplex, near: net.Socket): void {
+  far.on('data', (chunk: Buffer) => {
+    near.write(encodeFrameLength(chunk));
+    if (near.write(chunk)) return;
+    far.pause();
+    near.once('drain', () => far.resume());
+  });
+}
+
+/** Ends the connection to a peer whose endpoint has ended its own. */
+function closeNear(near: net.Socket, isFramed: boolean): void {
+  const closeNow = () => near.destroy();
+  setTimeout(closeNow, drainMilliseconds).unref();
+  if (isFramed) near.write(endFrame);
+  near.end(() => setTimeout(closeNow, lingerMilliseconds).unref());
+}
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -85,7 +85,11 @@
     orderCount: isCount,
     cutsRequests: value => typeof value === 'boolean',
   },
-  [PeerMessageKind.Relay]: {id: isText, purpose: isText},
+  [PeerMessageKind.Relay]: {
+    id: isText,
+    purpose: isText,
+    readsFrames: value => value === undefined || typeof value === 'boolean',
+  },
 };
 
 /** Finds the first field of a message that is missing or malformed. */
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -260,8 +260,16 @@
   readonly id: string;
   /** The request or call that needs the connection, for the log. */
   readonly purpose: string;
+  /** Whether the sender reads frames; older builds neither send nor read it. */
+  readonly readsFrames?: boolean;
 }
 
+/**
+ * What the peer answers in place of `RelayOutcome.Open` if the sender reads frames:
+ * what follows are frames of the endpoint's bytes.
+ */
+export const openFramed = 'f';
+
 /** What the peer answers, as one character; earlier versions close instead. */
 export enum RelayOutcome {
   /** What follows comes from the endpoint. */
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -1,6 +1,6 @@
 import http from 'node:http';
-import type net from 'node:net';
 import {performance} from 'node:perf_hooks';
+import type {Duplex} from 'node:stream';
 import {
   AnswerProof,
   checkItem,
@@ -11,7 +11,9 @@
   type IntakeExcess,
 } from '@zinniaspindle/decisions';
 import type {Deadline} from '@zinniaspindle/shared';
+import {checkEnd} from '../links/check_end.js';
 import {
+  EndProof,
   openDirect,
   type CancelConnection,
   type EndpointConnection,
@@ -30,14 +32,6 @@
  */
 const connectTimeoutMilliseconds = 500;
 
-/**
- * Sent to detect a reset; HTTP servers ignore an empty line between requests.
- */
-const emptyLine = '\r\n';
-
-/** Time for a reset to come back from a peer that passes a connection on. */
-const relayResetMilliseconds = 100;
-
 /** The parser's error for a head that is larger than allowed. */
 const headOverflowCode = 'HPE_HEADER_OVERFLOW';
 
@@ -103,7 +97,7 @@
     private readonly codec: ExchangeCodec,
     private readonly listener: UpstreamListener,
   ) {
-    let handleSocket: (error: Error | null, socket: net.Socket) => void;
+    let handleSocket: (error: Error | null, socket: Duplex) => void;
     this.request = http.request({
       createConnection: (_options, handle) => {
         handleSocket = handle;
@@ -185,23 +179,27 @@
     clearTimeout(this.connectTimer);
     connection.socket.on('end', () => {
       if (this.message !== undefined && !this.hasLength(this.message)) {
-        this.checkReset(connection);
+        this.verifyEnd(connection);
       }
     });
   }
 
   /**
-   * Distinguishes a regular end of the connection from a reset, for an answer
-   * without a length, which ends with its connection. A reset may be reported
-   * as a regular end; only the next write to the connection fails. Through a peer
-   * that shows when the peer has written it.
+   * Distinguishes the regular end of a connection, with which an answer without a
+   * length is complete, from any other one.
    */
-  private checkReset({socket, relay}: EndpointConnection): void {
-    socket.write(emptyLine, error => {
-      if (error != null) this.close(UpstreamEnd.Broken, error.message);
-      else if (relay === undefined) this.acceptEnd();
-      else setTimeout(() => this.acceptEnd(), relayResetMilliseconds);
-    });
+  private verifyEnd({socket, endProof}: EndpointConnection): void {
+    switch (endProof) {
+      case EndProof.Peer:
+        return this.acceptEnd();
+      case EndProof.None:
+        return this.close(UpstreamEnd.Broken, 'no peer confirms the end');
+      case EndProof.Write:
+        checkEnd(socket, error => {
+          if (error === undefined) this.acceptEnd();
+          else this.close(UpstreamEnd.Broken, error.message);
+        });
+    }
   }
 
   private acceptEnd(): void {
