--- a/packages/gateway/src/links/relay_server.ts
+++ b/packages/gateway/src/links/relay_server.ts
@@ -143,7 +143,11 @@
 /** Ends the connection to a peer whose endpoint has ended its own. */
 function closeNear(near: net.Socket, isFramed: boolean): void {
   const closeNow = () => near.destroy();
-  setTimeout(closeNow, drainMilliseconds).unref();
+  let timer = setTimeout(closeNow, drainMilliseconds).unref();
+  near.once('close', () => clearTimeout(timer));
   if (isFramed) near.write(endFrame);
-  near.end(() => setTimeout(closeNow, lingerMilliseconds).unref());
+  near.end(() => {
+    clearTimeout(timer);
+    timer = setTimeout(closeNow, lingerMilliseconds).unref();
+  });
 }
