--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -63,6 +63,8 @@
   /** Switches the guard off: heartbeats pass on ages heard from peers. */
   readonly passesAgesOn: boolean;
   readonly faults: Partial<FleetFaults>;
+  /** Era of the store at first; undefined for a store without eras. */
+  readonly firstEra?: number;
 }
 
 const tickMilliseconds = 40;
@@ -85,6 +87,7 @@
   readonly name: string;
   readonly linkMegabits: number;
   readonly replica: StoreReplica;
+  readonly eras: EraWatch;
   readonly handler: PeerHandler;
   readonly followers: readonly TopicFollower[];
   readonly peers: Map<number, Peer>;
@@ -105,6 +108,7 @@
   private readonly events: Event[] = [];
   private readonly vms: FleetVm[] = [];
   private readonly records: KeyedRecord[] = [];
+  private era: number | undefined;
   private firstRetained = 0;
   private readonly waiting = new Set<() => void>();
   private readonly schedule: ReadSchedule;
@@ -114,6 +118,7 @@
 
   constructor(private readonly options: FleetOptions) {
     this.schedule = deriveReadSchedule(options.boundMilliseconds);
+    this.era = options.firstEra;
     for (let index = 0; index < options.vms; index += 1) {
       this.vms.push(this.makeVm(index));
     }
@@ -133,6 +138,13 @@
     for (const resolve of [...this.waiting]) resolve();
   }
 
+  /** Comes back from an older copy, which lacks the last records. */
+  resumeWithout(count: number): void {
+    this.records.length = Math.max(1, this.records.length - count);
+    this.era = (this.era ?? 0) + 1;
+    for (const resolve of [...this.waiting]) resolve();
+  }
+
   /** Deletes all records but the newest of each key. */
   dropHistory(): void {
     this.firstRetained = this.records.length;
@@ -265,7 +277,7 @@
     const linkMegabits =
       this.options.linkMegabits * (isFast ? fastLinkFactor : 1);
     return {
-      ...{index, name: String(index), linkMegabits, replica, handler},
+      ...{index, name: String(index), linkMegabits, replica, eras, handler},
       ...{followers: [follower], peers: new Map<number, Peer>(), appliedAt},
       ...{linkFreeAt: 0, ranks: {reader: 0, live: 0}},
     };
@@ -352,7 +364,7 @@
       sentAt: this.now,
       topics,
       loads: [],
-      storeEra: undefined,
+      storeEra: vm.eras.known,
       quarantines: [],
     });
   }
@@ -445,12 +457,12 @@
         if (isEmpty && waitMilliseconds > 0) await this.wait(waitMilliseconds);
         const answerAt = this.now + storeMilliseconds;
         return answer(refused, answerAt, timeoutAt, () =>
-          from < this.firstRetained
+          from < this.firstRetained || from > this.records.length
             ? Result.err(makeStoreError(StoreErrorCode.Expired, 'expired'))
             : Result.ok({
                 records: this.records.slice(from),
                 end: this.records.length,
-                era: undefined,
+                era: this.era,
               }),
         );
       },
@@ -463,7 +475,7 @@
           const records = newest === undefined ? [] : [newest];
           const next = this.records.length;
           return Result.ok<NewestRecords, StoreError>({
-            ...{records, next, era: undefined},
+            ...{records, next, era: this.era},
           });
         });
       },
--- a/packages/gateway/__tests__/late_versions_random.test.ts
+++ b/packages/gateway/__tests__/late_versions_random.test.ts
@@ -9,6 +9,8 @@
 const stabilityWindowMilliseconds = 3000;
 const warmUpMilliseconds = 3000;
 const endMilliseconds = 16_000;
+/** Time that the store is away before it comes back from an older copy. */
+const awayMilliseconds = 400;
 
 interface Span {
   readonly vm: number;
@@ -36,6 +38,15 @@
   }),
   /** The whole store is away. */
   outages: fc.array(span, {maxLength: 1}),
+  /** The store comes back without the last versions; the newest is written again. */
+  setbacks: fc.array(
+    fc.record({
+      at: fc.integer({min: warmUpMilliseconds, max: endMilliseconds}),
+      lost: fc.integer({min: 1, max: 3}),
+      rewrittenAfter: fc.integer({min: 10, max: 1500}),
+    }),
+    {maxLength: 2},
+  ),
   published: fc.array(
     fc.integer({min: warmUpMilliseconds, max: endMilliseconds - 1}),
     {minLength: 1, maxLength: 12},
@@ -49,9 +60,13 @@
 
 /** Lists what excuses a VM: its own faults and those of the whole store. */
 function listExcuses(faults: Play, vm: number): Span[] {
-  const {freezes, refusals, delays, outages} = faults;
+  const {freezes, refusals, delays, outages, setbacks} = faults;
   const own = [...freezes, ...refusals, ...delays.map(([one]) => one)];
-  return [...own.filter(one => one.vm === vm), ...outages];
+  const away = setbacks.map(({at, rewrittenAfter}) => ({
+    ...{vm, from: at - awayMilliseconds},
+    milliseconds: awayMilliseconds + rewrittenAfter,
+  }));
+  return [...own.filter(one => one.vm === vm), ...outages, ...away];
 }
 
 /** Finds the first instant at which a VM is bound to have a version. */
@@ -69,16 +84,17 @@
 }
 
 async function findLate(faults: Play): Promise<string[]> {
-  const {freezes, refusals, delays, cuts, outages} = faults;
+  const {freezes, refusals, delays, cuts, outages, setbacks} = faults;
   const isSide = (mask: number, vm: number) => ((mask >> vm) & 1) === 1;
   const fleet = new FollowingFleet({
     ...{vms, boundMilliseconds, linkMegabits: 490},
-    ...{isFirstStart: false, passesAgesOn: false},
+    ...{isFirstStart: false, passesAgesOn: false, firstEra: 1},
     faults: {
       isFrozen: (vm, now) =>
         freezes.some(one => one.vm === vm && isIn(one, now)),
       isRefused: (vm, now) =>
         outages.some(one => isIn(one, now)) ||
+        setbacks.some(({at}) => now >= at - awayMilliseconds && now < at) ||
         refusals.some(one => one.vm === vm && isIn(one, now)),
       isCut: (from, to, now) =>
         cuts.some(
@@ -96,9 +112,23 @@
   });
   fleet.publish(1, 20_000);
   const publishedAt = [...faults.published].sort((one, other) => one - other);
-  for (const [index, at] of publishedAt.entries()) {
+  let newest = 1;
+  const steps = publishedAt.map((at, index) => ({
+    at,
+    run: () => {
+      newest = index + 2;
+      fleet.publish(newest, 20_000);
+    },
+  }));
+  for (const {at, lost, rewrittenAfter} of setbacks) {
+    steps.push({at, run: () => fleet.resumeWithout(lost)});
+    const run = () => fleet.publish(newest, 20_000);
+    steps.push({at: at + rewrittenAfter, run});
+  }
+  steps.sort((one, other) => one.at - other.at);
+  for (const {at, run} of steps.filter(one => one.at < endMilliseconds)) {
     await fleet.runUntil(at);
-    fleet.publish(index + 2, 20_000);
+    run();
   }
   await fleet.runUntil(endMilliseconds);
   const late: string[] = [];
