--- a/packages/decisions/src/following/read_schedule.ts
+++ b/packages/decisions/src/following/read_schedule.ts
@@ -1,3 +1,5 @@
+import type {Instant} from '@zinniaspindle/shared';
+
 /** When the VMs of a fleet read the store, by their rank among its readers. */
 export interface ReadSchedule {
   /**
@@ -76,3 +78,28 @@
     schedule.baseMaxAgeMilliseconds + rank * schedule.rankStepMilliseconds;
   return Math.min(age, schedule.maxAgeMilliseconds);
 }
+
+/** An answer to a read of the records after a position. */
+export interface ReadAnswer {
+  readonly sentAt: Instant;
+  /** How long the store waits for a record before it answers without one. */
+  readonly waitMilliseconds: number;
+  readonly isEmpty: boolean;
+  readonly arrivedAt: Instant;
+}
+
+/**
+ * Computes up to when a replica knows all records after an answer. The arrival
+ * does not tell, since an answer waits for a busy link, a lost packet or a VM that
+ * was paused: an answer without records was made at the end of the wait, one with
+ * records at any time since the read was sent.
+ */
+export function computeAnswerTime({
+  sentAt,
+  waitMilliseconds,
+  isEmpty,
+  arrivedAt,
+}: ReadAnswer): Instant {
+  if (!isEmpty) return sentAt;
+  return Math.min(sentAt + waitMilliseconds, arrivedAt);
+}
--- a/packages/gateway/__tests__/era_fleet.ts
+++ b/packages/gateway/__tests__/era_fleet.ts
@@ -242,8 +242,8 @@
       ...([replica.topics[topic], store, schedule] as const),
       ...([createStoreAccess(), eras] as const),
       {
-        sendChanges: (from, changes, next) => {
-          handler.sendChanges(topic, from, changes, next);
+        sendChanges: (from, changes, next, asOf) => {
+          handler.sendChanges(topic, from, changes, next, asOf);
         },
         sendSnapshot: () => handler.sendSnapshotToAll(topic),
         sendReplacement: () => handler.sendSnapshotToAll(topic),
--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -248,8 +248,8 @@
       createStoreAccess(),
       eras,
       {
-        sendChanges: (from, changes, next) => {
-          handler.sendChanges(topic, from, changes, next);
+        sendChanges: (from, changes, next, asOf) => {
+          handler.sendChanges(topic, from, changes, next, asOf);
         },
         sendSnapshot: () => {
           if (this.options.isFirstStart) handler.sendSnapshotToAll(topic);
--- a/packages/gateway/__tests__/late_reads.test.ts
+++ b/packages/gateway/__tests__/late_reads.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {computeAnswerTime} from '@zinniaspindle/decisions';
 import {FollowingFleet, type FleetFaults} from './following_fleet.js';
 
 const boundMilliseconds = 2000;
@@ -71,3 +72,12 @@
   }));
   assert.ok(worst < boundMilliseconds, `${worst} ms`);
 });
+
+test('an answer is no newer than the end of its wait, and one with records no newer than the read', () => {
+  const read = {sentAt: 100, waitMilliseconds: 1000, arrivedAt: 1900};
+  assert.equal(computeAnswerTime({...read, isEmpty: true}), 1100);
+  assert.equal(computeAnswerTime({...read, isEmpty: false}), 100);
+  const early = {...read, arrivedAt: 700, isEmpty: true};
+  assert.equal(computeAnswerTime(early), 700);
+  assert.equal(computeAnswerTime({...early, waitMilliseconds: 0}), 100);
+});
--- a/packages/gateway/src/following/topic_follower.ts
+++ b/packages/gateway/src/following/topic_follower.ts
@@ -1,4 +1,5 @@
 import {
+  computeAnswerTime,
   computeMaxAge,
   deriveAnswerEra,
   isReadDue,
@@ -36,11 +37,15 @@
 
 /** Sends what this VM read from the store to its peers. */
 export interface ReadListeners {
-  /** The newest record of each key that changed between two positions. */
+  /**
+   * The newest record of each key that changed between two positions, and up to
+   * when this VM knows all records by them.
+   */
   readonly sendChanges: (
     from: number,
     changes: readonly KeyedRecord[],
     next: number,
+    asOf: Instant,
   ) => void;
   /** The newest record of each key, read without a known position before. */
   readonly sendSnapshot: () => void;
@@ -109,14 +114,16 @@
     this.logLate(sentAt, waitMilliseconds);
     const {records} = batch.value;
     this.eras.acceptAnswer(batch.value.era);
-    // The store answers a waiting read with its state at the end of the wait.
-    const asOf = waitMilliseconds > 0 ? this.getNow() : sentAt;
+    const asOf = computeAnswerTime({
+      ...{sentAt, waitMilliseconds, isEmpty: records.length === 0},
+      arrivedAt: this.getNow(),
+    });
     const answer = deriveAnswerEra(state.era, sentEra, batch.value.era);
     // Offsets of an older era: the next read fetches all keys.
     if (answer.isOutdated || answer.era !== sentEra) return;
     this.listeners.handleUpdate();
     state.acceptBatch(from, records, asOf, answer.era);
-    this.listeners.sendChanges(from, records, from + records.length);
+    this.listeners.sendChanges(from, records, from + records.length, asOf);
     this.handleSuccess(asOf);
   }
 
@@ -142,7 +149,7 @@
     const changes = state.acceptNewest(records, next, asOf, era);
     if (from === undefined) listeners.sendSnapshot();
     else if (isReplaced) this.handleReplaced(changes, records.length);
-    else listeners.sendChanges(from, changes, next);
+    else listeners.sendChanges(from, changes, next, asOf);
     this.handleSuccess(asOf);
   }
 
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -35,6 +35,7 @@
     from: isCount,
     next: isCount,
     sentAt: isInstant,
+    ageMilliseconds: value => value === undefined || isAge(value),
     rows: isListOf(isRecordRow),
   },
   [PeerMessageKind.SnapshotRequest]: {topic: isTopic},
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -94,6 +94,8 @@
   readonly next: number;
   /** When it was sent, in Unix milliseconds of the sender's clock. */
   readonly sentAt: Instant;
+  /** Age of what was read when it was sent; older builds send none. */
+  readonly ageMilliseconds?: number;
   readonly rows: readonly RecordRow[];
 }
 
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -100,24 +100,30 @@
     const ages: TopicAge[] = [];
     for (const {topic, era, next, readAsOf} of this.listStates()) {
       if (next === undefined) continue;
-      const age = Math.min(maxAgeMilliseconds, this.getNow() - readAsOf);
-      ages.push({topic, era, next, ageMilliseconds: Math.ceil(age)});
+      const ageMilliseconds = this.computeAge(readAsOf);
+      ages.push({topic, era, next, ageMilliseconds});
     }
     return ages;
   }
 
-  /** Forwards the changes that this VM read from the store. */
+  /**
+   * Forwards the changes that this VM read from the store, by which it knows all
+   * records up to an instant.
+   */
   sendChanges(
     topic: Topic.Configuration | Topic.Endpoints,
     from: number,
     changes: readonly KeyedRecord[],
     next: number,
+    asOf: Instant,
   ): void {
-    const rows = changes.map(toRow);
-    const sentAt = this.getWallClock();
-    const kind = PeerMessageKind.Records;
     const {era} = this.storeReplica.topics[topic];
-    this.sendAll({kind, topic, ...makeEra(era), from, next, sentAt, rows});
+    this.sendAll({
+      ...{kind: PeerMessageKind.Records, topic, ...makeEra(era), from, next},
+      sentAt: this.getWallClock(),
+      ageMilliseconds: this.computeAge(asOf),
+      rows: changes.map(toRow),
+    });
   }
 
   /** Sends a snapshot of a topic that this VM read from the store. */
@@ -145,7 +151,7 @@
   }
 
   private acceptRecords(peer: Peer, message: Records): void {
-    const {topic, from, next, rows, sentAt} = message;
+    const {topic, from, next, rows, sentAt, ageMilliseconds = 0} = message;
     const state = this.findState(topic);
     const writtenAt = this.computeWrittenAt(peer, sentAt);
     if (state === undefined) return;
@@ -153,10 +159,17 @@
     const records = rows.map(toRecord);
     const era = parseEra(message.era);
     this.eras.acceptFromPeer(era, peer.vm);
-    const isAccepted = state.acceptChanges(from, records, next, writtenAt, era);
+    const asOf = writtenAt - ageMilliseconds;
+    const isAccepted = state.acceptChanges(from, records, next, asOf, era);
     if (!isAccepted) this.sendSnapshotRequest(peer, topic);
   }
 
+  /** Computes the age of what was known at an instant, as it is sent. */
+  private computeAge(asOf: Instant): number {
+    const age = Math.min(maxAgeMilliseconds, this.getNow() - asOf);
+    return Math.ceil(age);
+  }
+
   /**
    * Computes when a message was written, on this VM's clock. Messages wait for a
    * busy link or a paused VM, and what they say is older by that time.
@@ -183,13 +196,12 @@
   private makeSnapshot(topic: Topic): TopicSnapshot | undefined {
     const state = this.findState(topic);
     if (state?.next === undefined) return undefined;
-    const age = Math.min(maxAgeMilliseconds, this.getNow() - state.asOf);
     return {
       kind: PeerMessageKind.Snapshot,
       topic,
       ...makeEra(state.era),
       next: state.next,
-      ageMilliseconds: Math.ceil(age),
+      ageMilliseconds: this.computeAge(state.asOf),
       sentAt: this.getWallClock(),
       rows: state.listNewest().map(toRow),
     };
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -274,8 +274,8 @@
         access,
         eras,
         {
-          sendChanges: (from, changes, next) => {
-            peerHandler.sendChanges(topic, from, changes, next);
+          sendChanges: (from, changes, next, asOf) => {
+            peerHandler.sendChanges(topic, from, changes, next, asOf);
           },
           // A VM that joins a running fleet has nothing new for its peers.
           sendSnapshot: () => {
