--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -262,10 +262,7 @@
   private accept(message: http.IncomingMessage): void {
     if (this.hasEnded) return;
     this.message = message;
-    const recordBytes = () => (this.lastBytesAt = performance.now());
-    recordBytes();
-    // The connection, since a slow reader is behind it.
-    message.socket.on('data', recordBytes);
+    if (!this.hasLength(message)) this.recordBytes(message.socket);
     const answer = this.codec.decodeAnswer(message);
     const fault = findHeadFault(answer);
     if (fault !== undefined) return this.close(UpstreamEnd.Broken, fault);
@@ -309,6 +306,12 @@
     this.listener.handleAnswer(answer);
   }
 
+  /** Records when bytes come on a connection, whose reader may be behind it. */
+  private recordBytes(connection: Duplex): void {
+    this.lastBytesAt = performance.now();
+    connection.on('data', () => (this.lastBytesAt = performance.now()));
+  }
+
   /** Ends the request if its answer exceeds a bound. */
   private checkExcess(excess: IntakeExcess | undefined): void {
     if (excess === undefined || this.hasEnded) return;
