--- a/packages/decisions/src/answers/index.ts
+++ b/packages/decisions/src/answers/index.ts
@@ -2,3 +2,4 @@
 export * from './answer_proof.js';
 export * from './event_text.js';
 export * from './stream_end.js';
+export * from './unframed_end.js';
--- a/packages/gateway/__tests__/cut_heads.test.ts
+++ b/packages/gateway/__tests__/cut_heads.test.ts
@@ -3,6 +3,7 @@
 import net, {type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {test, type TestContext} from 'node:test';
+import {UnframedVerdict} from '@zinniaspindle/decisions';
 import {exchangeCodec} from '../../../platform/src/exchange_codec.js';
 import {Upstream, UpstreamEnd} from '../src/requests/upstream.js';
 
@@ -41,6 +42,7 @@
         headers: ['Host', 'x', 'Connection', 'close'],
         body: Buffer.alloc(0),
         deadline: performance.now() + 2000,
+        verifyEnd: () => Promise.resolve(UnframedVerdict.Whole),
       },
       exchangeCodec,
       {
--- a/packages/gateway/__tests__/relays.test.ts
+++ b/packages/gateway/__tests__/relays.test.ts
@@ -3,6 +3,7 @@
 import net, {type AddressInfo} from 'node:net';
 import type {Readable} from 'node:stream';
 import {after, test} from 'node:test';
+import {UnframedVerdict} from '@zinniaspindle/decisions';
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {reservePort} from '@zinniaspindle/stand-ins';
 import {EndpointTable} from '../src/fleet/endpoint_table.js';
@@ -201,6 +202,7 @@
         ...{address: closedAddress, method: 'GET', path: '/'},
         ...{headers: ['Host', 'x'], body: Buffer.alloc(0), attemptId: 'r1'},
         deadline: getNow() + 5000,
+        verifyEnd: () => Promise.resolve(UnframedVerdict.Whole),
         openConnection: handle => links.open(target, handle),
       },
       exchangeCodec,
--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -3,6 +3,7 @@
 import net, {type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {test} from 'node:test';
+import {UnframedVerdict} from '@zinniaspindle/decisions';
 import type {ExchangeCodec} from '../src/ports/index.js';
 import {
   Upstream,
@@ -58,6 +59,7 @@
     body: Buffer.alloc(0),
     attemptId: 'r1',
     deadline: performance.now() + 2000,
+    verifyEnd: () => Promise.resolve(UnframedVerdict.Whole),
   };
 }
 
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -1,10 +1,15 @@
-import type {Instant} from '@zinniaspindle/shared';
+import {
+  verifyUnframedEnd,
+  type UnframedVerdict,
+} from '@zinniaspindle/decisions';
+import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
 import type {
   CancelConnection,
   HandleConnection,
   OpenConnection,
 } from '../links/open_connection.js';
+import type {AnswerSource} from '../fleet/source_check.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
 import {Upstream, type UpstreamListener} from './upstream.js';
@@ -61,6 +66,7 @@
       ...{address, method, path, headers, body, attemptId, deadline},
       openConnection: handle =>
         openAs(done => server.links.open({id, address, purpose}, done), handle),
+      verifyEnd: relay => verifyEnd(context, {id, address, bornAt}, relay),
     },
     server.codec,
     {
@@ -81,6 +87,22 @@
   return upstream;
 }
 
+/** Verifies the end of an answer that has neither a length nor chunks. */
+async function verifyEnd(
+  {server, request}: RequestContext,
+  source: AnswerSource,
+  relay = '',
+): Promise<UnframedVerdict> {
+  const verdict = verifyUnframedEnd(await server.sourceCheck.check(source));
+  server.writeEvent(GatewayEvent.AnswerUnframed, {
+    request: request.attemptId,
+    endpoint: source.id,
+    relay,
+    verdict,
+  });
+  return verdict;
+}
+
 /**
  * Applies what an answer states about the endpoint that gave it. That is the
  * first of a path, also where the answer names another one as the cause of a
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -5,6 +5,7 @@
 import type {EndCheck} from '../fleet/end_check.js';
 import type {EndWatch} from '../fleet/end_watch.js';
 import type {PathTable} from '../fleet/path_table.js';
+import type {SourceCheck} from '../fleet/source_check.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {EndpointLinks} from '../links/endpoint_links.js';
 import type {PausedEndpoint} from '../peers/messages.js';
@@ -31,6 +32,7 @@
   readonly endpoints: EndpointTable;
   readonly ends: EndWatch;
   readonly endCheck: EndCheck;
+  readonly sourceCheck: SourceCheck;
   readonly quarantine: PartQuarantine;
   readonly paths: PathTable;
   readonly queue: PathQueue;
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -7,6 +7,7 @@
   describeExcess,
   IntakeKind,
   kindLimits,
+  UnframedVerdict,
   verifyAnswer,
   type IntakeExcess,
 } from '@zinniaspindle/decisions';
@@ -59,6 +60,11 @@
   readonly deadline: Deadline;
   /** Opens the connection; undefined to connect to the address. */
   readonly openConnection?: OpenConnection;
+  /**
+   * Verifies the regular end of a connection with an answer that has neither a
+   * length nor chunks.
+   */
+  readonly verifyEnd: (relay: string | undefined) => Promise<UnframedVerdict>;
 }
 
 /** Receives the answer; handleEnd is called last, and exactly once. */
@@ -191,18 +197,22 @@
   private verifyEnd({socket, endProof}: EndpointConnection): void {
     switch (endProof) {
       case EndProof.Peer:
-        return this.acceptEnd();
+        return void this.acceptEnd();
       case EndProof.None:
         return this.close(UpstreamEnd.Broken, 'no peer confirms the end');
       case EndProof.Write:
         checkEnd(socket, error => {
-          if (error === undefined) this.acceptEnd();
+          if (error === undefined) void this.acceptEnd();
           else this.close(UpstreamEnd.Broken, error.message);
         });
     }
   }
 
-  private acceptEnd(): void {
+  private async acceptEnd(): Promise<void> {
+    const verdict = await this.options.verifyEnd(this.getRelay());
+    if (verdict !== UnframedVerdict.Whole) {
+      return this.close(UpstreamEnd.Broken, verdict);
+    }
     this.isEndConfirmed = true;
     this.closeIfWhole();
   }
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -15,6 +15,7 @@
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
+import {SourceCheck} from '../fleet/source_check.js';
 import {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
 import {EraWatch} from '../following/era_watch.js';
 import {StoreReplica} from '../following/store_replica.js';
@@ -87,6 +88,7 @@
   readonly links: EndpointLinks;
   readonly relays: RelayServer;
   readonly endCheck: EndCheck;
+  readonly sourceCheck: SourceCheck;
 }
 
 /** The exchange of state with the store and with peers. */
@@ -202,9 +204,11 @@
   );
   const relays = new RelayServer(endpoints, links, metrics, log.write);
   const {handleEnded} = listeners;
-  const endCheck = new EndCheck(endpoints, calls, handleEnded, metrics, links);
+  const checked = {calls, links, handleEnded, metrics, getNow};
   return {
-    ...{metrics, endpoints, loads, paths, prober, links, relays, endCheck},
+    ...{metrics, endpoints, loads, paths, prober, links, relays},
+    endCheck: new EndCheck(endpoints, calls, handleEnded, metrics, links),
+    sourceCheck: new SourceCheck(checked),
     ...quarantine,
   };
 }
@@ -350,7 +354,7 @@
   fleet: FleetParts,
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
-  const {metrics, endpoints, ends, endCheck, quarantine} = fleet;
+  const {metrics, endpoints, ends, endCheck, sourceCheck, quarantine} = fleet;
   const {paths, prober, links} = fleet;
   const countVms = () => mesh.listStaying().length + 1;
   const queue = new PathQueue(paths, quarantine, getNow);
@@ -363,6 +367,7 @@
     endpoints,
     ends,
     endCheck,
+    sourceCheck,
     quarantine,
     paths,
     queue,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -69,6 +69,7 @@
   RequestGivenUp = 7510,
   RequestStays = 7511,
   RequestMoves = 7512,
+  AnswerUnframed = 7513,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
@@ -193,4 +194,6 @@
     'request {request} stays at {path}, {silentMs} ms after its last progress: {denial}',
   [GatewayEvent.RequestMoves]:
     'request {request} is sent to {next} as well as {path}, {silentMs} ms after its last progress: {reason}',
+  [GatewayEvent.AnswerUnframed]:
+    'answer of endpoint {endpoint} to request {request}, without a length, ended with its connection: {verdict}',
 };
