--- a/packages/decisions/__tests__/unframed_end.test.ts
+++ b/packages/decisions/__tests__/unframed_end.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {
   findSourceState,
+  isAfterStall,
   SourceState,
   UnframedVerdict,
   verifyUnframedEnd,
@@ -16,6 +17,16 @@
   ]);
 });
 
+test('an end after a long silence of a path of several endpoints is that of a stall', () => {
+  const stallMilliseconds = 2500;
+  const isStall = (milliseconds: number, isOfPath: boolean) =>
+    isAfterStall({milliseconds, isOfPath, stallMilliseconds});
+  assert.equal(isStall(2400, true), true);
+  // A sound endpoint may be silent for about a second.
+  assert.equal(isStall(1200, true), false);
+  assert.equal(isStall(2400, false), false);
+});
+
 test('an endpoint with a later start is another process', () => {
   assert.equal(findSourceState(5, 5), SourceState.Alive);
   assert.equal(findSourceState(5, 6), SourceState.Ended);
--- a/packages/gateway/__tests__/small_parts.test.ts
+++ b/packages/gateway/__tests__/small_parts.test.ts
@@ -172,6 +172,7 @@
       graceMilliseconds: 0,
       applyMilliseconds: 2000,
       drainMilliseconds: 2000,
+      stallMilliseconds: 2500,
       retryRatio: 0.2,
       retrySlack: 120,
     },
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -29,6 +29,11 @@
     readonly applyMilliseconds: number;
     /** Within this time, no request reaches an endpoint that is leaving or gone. */
     readonly drainMilliseconds: number;
+    /**
+     * Time for which an endpoint waits for another one of its path that is gone,
+     * before it breaks the work off.
+     */
+    readonly stallMilliseconds: number;
     /** Retries allowed per window, as a share of the requests. */
     readonly retryRatio: number;
     /**
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -1,6 +1,7 @@
 import {
+  isAfterStall,
+  UnframedVerdict,
   verifyUnframedEnd,
-  type UnframedVerdict,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
@@ -12,7 +13,7 @@
 import type {AnswerSource} from '../fleet/source_check.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
-import {Upstream, type UpstreamListener} from './upstream.js';
+import {Upstream, type UnframedEnd, type UpstreamListener} from './upstream.js';
 
 /** The endpoint that a request is sent to. */
 export interface UpstreamTarget {
@@ -25,6 +26,11 @@
   readonly handleSilence?: () => void;
 };
 
+/** The endpoint that gave an answer, alone or as the first of a path. */
+interface PathSource extends AnswerSource {
+  readonly isOfPath: boolean;
+}
+
 /**
  * Sends a caller's request to an endpoint.
  * @param openAs opens the connection, by the way to the endpoint that it gets
@@ -66,7 +72,10 @@
       ...{address, method, path, headers, body, attemptId, deadline},
       openConnection: handle =>
         openAs(done => server.links.open({id, address, purpose}, done), handle),
-      verifyEnd: relay => verifyEnd(context, {id, address, bornAt}, relay),
+      verifyEnd: end => {
+        const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
+        return verifyEnd(context, source, end);
+      },
     },
     server.codec,
     {
@@ -90,19 +99,29 @@
 /** Verifies the end of an answer that has neither a length nor chunks. */
 async function verifyEnd(
   {server, request}: RequestContext,
-  source: AnswerSource,
-  relay = '',
+  source: PathSource,
+  {relay = '', silentMilliseconds: milliseconds}: UnframedEnd,
 ): Promise<UnframedVerdict> {
-  const verdict = verifyUnframedEnd(await server.sourceCheck.check(source));
+  const {stallMilliseconds} = server;
+  const {isOfPath} = source;
+  const verdict = isAfterStall({milliseconds, isOfPath, stallMilliseconds})
+    ? UnframedVerdict.AfterStall
+    : verifyUnframedEnd(await server.sourceCheck.check(source));
   server.writeEvent(GatewayEvent.AnswerUnframed, {
     request: request.attemptId,
     endpoint: source.id,
     relay,
+    silentMs: Math.round(milliseconds),
     verdict,
   });
   return verdict;
 }
 
+/** Tells whether an answer depends on endpoints beside the one that gives it. */
+function hasFurther({parts = []}: Pick<ForwardingContext, 'parts'>): boolean {
+  return parts.length > 1;
+}
+
 /**
  * Applies what an answer states about the endpoint that gave it. That is the
  * first of a path, also where the answer names another one as the cause of a
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -33,6 +33,8 @@
   readonly ends: EndWatch;
   readonly endCheck: EndCheck;
   readonly sourceCheck: SourceCheck;
+  /** Time for which an endpoint waits for another one of its path that is gone. */
+  readonly stallMilliseconds: number;
   readonly quarantine: PartQuarantine;
   readonly paths: PathTable;
   readonly queue: PathQueue;
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -11,7 +11,7 @@
   verifyAnswer,
   type IntakeExcess,
 } from '@zinniaspindle/decisions';
-import type {Deadline} from '@zinniaspindle/shared';
+import type {Deadline, Instant} from '@zinniaspindle/shared';
 import {checkEnd} from '../links/check_end.js';
 import {
   EndProof,
@@ -64,7 +64,15 @@
    * Verifies the regular end of a connection with an answer that has neither a
    * length nor chunks.
    */
-  readonly verifyEnd: (relay: string | undefined) => Promise<UnframedVerdict>;
+  readonly verifyEnd: (end: UnframedEnd) => Promise<UnframedVerdict>;
+}
+
+/** The regular end of a connection. */
+export interface UnframedEnd {
+  /** The peer through which the connection went; undefined for none. */
+  readonly relay: string | undefined;
+  /** Time since the last bytes. */
+  readonly silentMilliseconds: number;
 }
 
 /** Receives the answer; handleEnd is called last, and exactly once. */
@@ -95,6 +103,8 @@
   private hasEnded = false;
   /** Whether an answer without a length has been read to its last byte. */
   private hasReadAll = false;
+  /** When bytes of the answer last came, or could come again. */
+  private lastBytesAt: Instant = -Infinity;
   /** Whether the end of its connection is the regular end of such an answer. */
   private isEndConfirmed = false;
 
@@ -172,6 +182,7 @@
 
   /** Resumes reading the answer. */
   resumeReading(): void {
+    this.lastBytesAt = performance.now();
     this.message?.resume();
   }
 
@@ -209,7 +220,9 @@
   }
 
   private async acceptEnd(): Promise<void> {
-    const verdict = await this.options.verifyEnd(this.getRelay());
+    const silentMilliseconds = performance.now() - this.lastBytesAt;
+    const end = {relay: this.getRelay(), silentMilliseconds};
+    const verdict = await this.options.verifyEnd(end);
     if (verdict !== UnframedVerdict.Whole) {
       return this.close(UpstreamEnd.Broken, verdict);
     }
@@ -249,6 +262,10 @@
   private accept(message: http.IncomingMessage): void {
     if (this.hasEnded) return;
     this.message = message;
+    const recordBytes = () => (this.lastBytesAt = performance.now());
+    recordBytes();
+    // The connection, since a slow reader is behind it.
+    message.socket.on('data', recordBytes);
     const answer = this.codec.decodeAnswer(message);
     const fault = findHeadFault(answer);
     if (fault !== undefined) return this.close(UpstreamEnd.Broken, fault);
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -368,6 +368,7 @@
     ends,
     endCheck,
     sourceCheck,
+    stallMilliseconds: settings.bounds.stallMilliseconds,
     quarantine,
     paths,
     queue,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -195,5 +195,5 @@
   [GatewayEvent.RequestMoves]:
     'request {request} is sent to {next} as well as {path}, {silentMs} ms after its last progress: {reason}',
   [GatewayEvent.AnswerUnframed]:
-    'answer of endpoint {endpoint} to request {request}, without a length, ended with its connection: {verdict}',
+    'answer of endpoint {endpoint} to request {request}, without a length, ended with its connection {silentMs} ms after its last bytes: {verdict}',
 };
