--- a/packages/decisions/__tests__/pick_entries.test.ts
+++ b/packages/decisions/__tests__/pick_entries.test.ts
@@ -86,3 +86,13 @@
   const odd = [...makeVms(2, 4), {address: 'odd:80', cores: 0}];
   assert.equal(pickEntries(odd, Math.random), undefined);
 });
+
+// Guards against a VM that states an absurd capacity and gets all callers.
+test('no VM gets more than its part of the shortest answer', () => {
+  const vms = [...makeVms(2, 20), {address: 'odd:80', cores: 1e12}];
+  const callers = 5000;
+  const counts = countCallers(vms, callers);
+  const most = (callers / defaultEntryOptions.minEntries) * 1.2;
+  assert.ok((counts.get('odd:80') ?? 0) < most, `${counts.get('odd:80')}`);
+  assert.ok(counts.size > 15, `${counts.size} VMs have callers`);
+});
