feat(routing): pick paths by predicted times, with silence thresholds by pace

Paths were picked by memory and slots only, so that endpoints slowed 5 to 12 times kept their share, and silence of 80 and 120 ms counted as a possible stall on paths whose events are 80 to 110 ms apart.

With the engine's figures, the time to the first event and the gaps of a path are predicted from its load, and weighed against the route's targets times how much slower than predicted the path runs. The silence thresholds follow the same gap. Both are off where a figure is missing or out of range; picks also without gapTargetMs.

The whole suite was not run.

--- a/packages/decisions/__tests__/moves_at_scale.test.ts
+++ b/packages/decisions/__tests__/moves_at_scale.test.ts
@@ -44,7 +44,8 @@
       streams: loads.get(id)! + (mine.get(id) ?? 0),
       layerTokens: 0,
     });
-    const path = pickSpreadPath(usable, tokens, getLoad, `dc${vm % 5}`, sample);
+    const view = {getLoad, dataCentre: `dc${vm % 5}`, random: sample};
+    const path = pickSpreadPath(usable, {tokens}, view);
     if (path === undefined) continue;
     const id = getId(path);
     mine.set(id, (mine.get(id) ?? 0) + 1);
--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -171,7 +171,11 @@
     }
   }
   const getLoad = (id: string) => loads.get(id)!;
-  const picked = pickPath(paths, 900, getLoad, 'a', () => 0.5);
+  const picked = pickPath(
+    paths,
+    {tokens: 900},
+    {getLoad, dataCentre: 'a', random: () => 0.5},
+  );
   assert.equal(picked, idle);
 });
 
@@ -179,7 +183,7 @@
   const paths = findPaths(applyPlan(makeFleet()), model);
   const getLoad = () => ({streams: 134, layerTokens: 0});
   assert.equal(
-    pickPath(paths, 900, getLoad, 'a', () => 0),
+    pickPath(paths, {tokens: 900}, {getLoad, dataCentre: 'a', random: () => 0}),
     undefined,
   );
 });
@@ -432,11 +436,8 @@
   const pick = (tokens: number, usualTokens: number) =>
     pickPath(
       [path!],
-      tokens,
-      id => loads.get(id)!,
-      'a',
-      () => 0.5,
-      usualTokens,
+      {tokens, usualTokens},
+      {getLoad: id => loads.get(id)!, dataCentre: 'a', random: () => 0.5},
     );
   const large = capacityTokens * 0.05;
   assert.equal(pick(large, large / 2), path);
--- a/packages/decisions/src/stages/stage_types.ts
+++ b/packages/decisions/src/stages/stage_types.ts
@@ -27,6 +27,8 @@
   readonly sizeMegabytes: number;
   /** Time of a token's pass relative to a reference endpoint; lower is faster. */
   readonly pace: number;
+  /** The same for a prefill; undefined if unknown. */
+  readonly readFactor?: number | undefined;
   /** Concurrent requests it accepts as the first endpoint of a path. */
   readonly slots: number;
   /** Whether this VM reaches it; paths cannot begin at an unreachable one. */
@@ -40,6 +42,14 @@
   readonly held: LayerRange | undefined;
 }
 
+/** The load of an endpoint from all VMs. */
+export interface EndpointLoad {
+  /** Streams whose path begins there. */
+  readonly streams: number;
+  /** Sum over requests of their tokens times the layers they use there. */
+  readonly layerTokens: number;
+}
+
 /** One endpoint's part of a path: the layers it runs. */
 export interface PathPart {
   readonly endpoint: StageEndpoint;
--- a/packages/decisions/src/stages/stall_watch.ts
+++ b/packages/decisions/src/stages/stall_watch.ts
@@ -1,4 +1,5 @@
 import type {Deadline, Instant} from '@zinniaspindle/shared';
+import type {PathTimes} from './predict_path.js';
 
 /** Timeouts after which a path without events is probed or abandoned. */
 export interface StallOptions {
@@ -32,6 +33,82 @@
   avoidMilliseconds: 1500,
 };
 
+/** Gap between events for which the default timeouts are chosen. */
+const usualGapMilliseconds = 30;
+/** Gaps within this factor of the usual one keep the default timeouts. */
+const usualGapTolerance = 1.25;
+/** Engines with at most this stride had the default timeouts before; they keep them. */
+const defaultStride = 2;
+/** Shorter silences occur between the events of any path on a busy VM. */
+export const minStallMilliseconds = 40;
+/** Checks run every 20 ms, so that a stall is found within 250 ms. */
+const maxStallMilliseconds = 230;
+const minFirstEventMilliseconds = 100;
+const maxFirstEventMilliseconds = 400;
+/** The default first-event timeout as a multiple of the usual first event of 50 ms. */
+const firstEventRatio = 5;
+/** Least multiple of the predicted first event, where that is long. */
+const slowFirstEventRatio = 1.5;
+
+/**
+ * Computes the timeouts of a path from its predicted times at its present load
+ * and slowness, so that a sound path of slow endpoints is not probed all the
+ * time and a fast one is probed early.
+ */
+export function computeStallOptions(
+  {gapMilliseconds, firstEventMilliseconds}: PathTimes,
+  stride: number,
+  options: StallOptions = defaultStallOptions,
+): StallOptions {
+  if (!(gapMilliseconds > 0) || !(firstEventMilliseconds > 0)) return options;
+  const {multiStreamMilliseconds, singleStreamMilliseconds} = options;
+  const ratio = computeGapRatio(gapMilliseconds);
+  const multi = multiStreamMilliseconds * ratio;
+  if (stride <= defaultStride) {
+    const multiStream = computeBounded(
+      multi,
+      multiStreamMilliseconds,
+      singleStreamMilliseconds,
+    );
+    return {...options, multiStreamMilliseconds: multiStream};
+  }
+  const single = singleStreamMilliseconds * ratio;
+  const longest = computeBounded(
+    firstEventMilliseconds * slowFirstEventRatio,
+    options.firstEventMilliseconds,
+    maxFirstEventMilliseconds,
+  );
+  return {
+    ...options,
+    multiStreamMilliseconds: computeStallTimeout(multi),
+    singleStreamMilliseconds: computeStallTimeout(single),
+    firstEventMilliseconds: computeBounded(
+      firstEventMilliseconds * firstEventRatio,
+      minFirstEventMilliseconds,
+      longest,
+    ),
+  };
+}
+
+/** Computes a gap as a multiple of the usual one; 1 for those that are about as long. */
+function computeGapRatio(gapMilliseconds: number): number {
+  const ratio = gapMilliseconds / usualGapMilliseconds;
+  if (ratio > usualGapTolerance) return ratio / usualGapTolerance;
+  return Math.min(1, ratio * usualGapTolerance);
+}
+
+function computeStallTimeout(milliseconds: number): number {
+  return computeBounded(
+    milliseconds,
+    minStallMilliseconds,
+    maxStallMilliseconds,
+  );
+}
+
+function computeBounded(value: number, min: number, max: number): number {
+  return Math.min(max, Math.max(min, value));
+}
+
 /** Number of VMs up to which probes are not throttled. */
 const unthrottledVms = 16;
 
--- a/packages/gateway/__tests__/path_queue.test.ts
+++ b/packages/gateway/__tests__/path_queue.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {createQuarantine, type StagePath} from '@zinniaspindle/decisions';
+import {
+  createQuarantine,
+  type PickRequest,
+  type StagePath,
+} from '@zinniaspindle/decisions';
 import type {PathTable} from '../src/fleet/path_table.js';
 import type {ServiceModel} from '../src/ports/index.js';
 import {PathQueue} from '../src/requests/path_queue.js';
@@ -28,7 +32,7 @@
     pick: (
       _service: string,
       _model: ServiceModel,
-      tokens: number,
+      {tokens}: PickRequest,
       left?: StagePath,
     ) => {
       if (left === path) return undefined;
--- a/packages/gateway/__tests__/path_table.test.ts
+++ b/packages/gateway/__tests__/path_table.test.ts
@@ -68,7 +68,7 @@
 
 test('a silent path is reported as stalled until it makes progress', () => {
   const {clock, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const reservations = [1, 2].map(() => paths.reserve(path, 10, makeStream()));
   for (const reservation of reservations) paths.recordProgress(reservation);
   clock.now += 70;
@@ -83,7 +83,7 @@
 
 test('a path that stays silent times out although its endpoints answer', () => {
   const {clock, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   paths.recordProgress(paths.reserve(path, 10, makeStream()));
   for (let silent = 0; silent < 800; silent += 20) {
     clock.now += 20;
@@ -97,19 +97,19 @@
 
 test('all streams leave a path through an unreachable endpoint', () => {
   const {paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const stream = makeStream();
   paths.reserve(path, 10, stream);
   paths.dropStreamsThrough('none');
   assert.equal(stream.stalls, 0);
   paths.dropStreamsThrough(path.parts[1]!.endpoint.id);
   assert.equal(stream.stalls, 1);
-  assert.notEqual(paths.pick('letters', model, 10)?.key, path.key);
+  assert.notEqual(paths.pick('letters', model, {tokens: 10})?.key, path.key);
 });
 
 test('streams stay on a path while the layers they need are kept', () => {
   const {paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const stream = makeStream();
   paths.reserve(path, 10, stream);
   const {endpoint, layers} = path.parts[0]!;
@@ -123,7 +123,7 @@
   const {paths} = makePaths();
   const counts = new Map<string, number>();
   for (;;) {
-    const path = paths.pick('letters', model, 10);
+    const path = paths.pick('letters', model, {tokens: 10});
     if (path === undefined) break;
     paths.reserve(path, 10, makeStream());
     counts.set(path.key, (counts.get(path.key) ?? 0) + 1);
@@ -133,7 +133,7 @@
 
 test('released slots are free again', () => {
   const {loads, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const first = path.parts[0]!.endpoint.id;
   const reservation = paths.reserve(path, 10, makeStream());
   assert.deepEqual(loads.computeLoad(first), {streams: 1, layerTokens: 20});
@@ -145,7 +145,7 @@
 
 test('a pause of the process does not count as silence of its paths', () => {
   const {clock, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   paths.recordProgress(paths.reserve(path, 10, makeStream()));
   clock.now += 5000;
   paths.resumeWatches();
@@ -154,7 +154,7 @@
 
 test('the load of peers counts at every endpoint of their path', () => {
   const {loads, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const other = new LoadTracker();
   other.addOwn(path, 3, 30);
   loads.setPeer('vm-2', other.listOwn());
@@ -180,7 +180,7 @@
 
 test('a stream paused by its caller does not stall its path', () => {
   const {clock, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const stream = makeStream();
   paths.recordProgress(paths.reserve(path, 10, stream));
   stream.paused = true;
@@ -197,7 +197,7 @@
 
 test('probes of a slow path whose endpoints answer are limited', () => {
   const {clock, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const reservations = [1, 2].map(() => paths.reserve(path, 10, makeStream()));
   for (const reservation of reservations) paths.recordProgress(reservation);
   let probed = 0;
@@ -234,7 +234,7 @@
 test('no path leads through an endpoint that leaves, wherever it stands', () => {
   for (const id of ['a0', 'a2']) {
     const {endpoints, paths} = makePaths();
-    const path = paths.pick('letters', model, 10)!;
+    const path = paths.pick('letters', model, {tokens: 10})!;
     const stream = makeStream();
     paths.reserve(path, 10, stream);
     endpoints.acceptNotice(
@@ -298,16 +298,16 @@
 
 test('a stream is not moved to the path that it leaves', () => {
   const {paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   for (let i = 0; i < 20; i += 1) {
-    const other = paths.pick('letters', model, 10, path)!;
+    const other = paths.pick('letters', model, {tokens: 10}, path)!;
     assert.notEqual(other.key, path.key);
   }
 });
 
 test('a path is not stalled because the process stood still', () => {
   const {clock, paths} = makePaths();
-  const path = paths.pick('letters', model, 10)!;
+  const path = paths.pick('letters', model, {tokens: 10})!;
   const streams = [makeStream(), makeStream()];
   for (const stream of streams) {
     paths.recordProgress(paths.reserve(path, 10, stream));
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -325,7 +325,8 @@
       if (isExcess) this.countOverrun(id, message, source);
       return report;
     }
-    const {bornAt, orderCount, held} = report.value;
+    const {bornAt, orderCount, held, pace} = report.value;
+    state.pace = pace === undefined ? undefined : {pace, at: this.getNow()};
     const facts = {id, bornAt, orderCount, held};
     if (bornAt > asked.bornAt) {
       this.listeners.handleEnded(asked, EndReason.Restarted);
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -10,6 +10,7 @@
   createEndpointHealth,
   type Breaker,
   type EndpointHealth,
+  type ReportedPace,
 } from '@zinniaspindle/decisions';
 import type {EndpointEntry} from '../ports/index.js';
 
@@ -40,6 +41,8 @@
   orderedAt: Instant;
   /** When the endpoint last reported what it holds. */
   reportedAt: Instant;
+  /** The pace that its last report stated, at the report's arrival. */
+  pace: ReportedPace | undefined;
   /** The order in progress. */
   pending: PendingRange | undefined;
   /** It reported that it carries out an order, and gets no other until then. */
@@ -67,6 +70,7 @@
     held: entry.held,
     orderedAt: -Infinity,
     reportedAt: -Infinity,
+    pace: undefined,
     pending: undefined,
     busyUntil: -Infinity,
     suspectUntil: 0,
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -8,11 +8,13 @@
   findPaths,
   isTimedOut,
   isStalled,
+  minStallMilliseconds,
   pickPath,
   pickSpreadPath,
   takeCrossings,
   type CrossingBudget,
   type PathWatch,
+  type PickRequest,
   type StageEndpoint,
   type StagePath,
 } from '@zinniaspindle/decisions';
@@ -29,6 +31,7 @@
 import type {EndpointTable} from './endpoint_table.js';
 import type {Incarnation} from './notice_table.js';
 import type {LoadTracker} from './load_tracker.js';
+import {PathPacing} from './path_pacing.js';
 
 /** A stream on a path, notified when the path stalls. */
 export interface PathStream {
@@ -43,6 +46,8 @@
   readonly path: StagePath;
   readonly tokens: number;
   hasStarted: boolean;
+  /** When its last events arrived; undefined without a gap to be measured. */
+  eventAt?: Instant | undefined;
 }
 
 interface WatchedPath {
@@ -93,6 +98,7 @@
   private readonly cache = new Map<string, CachedPaths>();
   private readonly watched = new Map<string, WatchedPath>();
   private readonly crossingBudget: CrossingBudget;
+  private readonly pacing: PathPacing;
   /** When the stalled paths were last listed. */
   private checkedAt: Instant;
 
@@ -106,6 +112,13 @@
   ) {
     this.crossingBudget = createCrossingBudget(getNow());
     this.checkedAt = getNow();
+    this.pacing = new PathPacing(
+      endpoints,
+      loads,
+      writeEvent,
+      getNow,
+      ({key}) => (this.watched.get(key)?.streams.size ?? 0) > 0,
+    );
   }
 
   /** Lists the paths of a service's model in all data centres. */
@@ -132,7 +145,10 @@
     if (isFresh) return cached;
     const stages = this.endpoints.listStages(service, model);
     const paths = findPaths(stages, model.shape);
-    for (const path of paths) this.loads.addPath(path);
+    for (const path of paths) {
+      this.loads.addPath(path);
+      this.pacing.addPath(path, model.figures);
+    }
     const pausing = this.listPausedStarts(stages);
     const found: CachedPaths = {
       revision: this.endpoints.revision,
@@ -175,7 +191,7 @@
   pick(
     service: string,
     model: ServiceModel,
-    tokens: number,
+    request: PickRequest,
     left?: StagePath,
   ): StagePath | undefined {
     const usable = this.listUsable(service, model).filter(path =>
@@ -184,11 +200,14 @@
     const pick = left === undefined ? pickPath : pickSpreadPath;
     return pick(
       left === undefined ? usable : usable.filter(({key}) => key !== left.key),
-      tokens,
-      id => this.loads.computeLoad(id),
-      this.dataCentre,
-      Math.random,
-      computeUsualTokens(model),
+      {usualTokens: computeUsualTokens(model), ...request},
+      {
+        getLoad: id => this.loads.computeLoad(id),
+        dataCentre: this.dataCentre,
+        random: Math.random,
+        getSlowness: path => this.pacing.getSlowness(path),
+        figures: model.figures,
+      },
     );
   }
 
@@ -235,13 +254,18 @@
     const first = this.findFirst(path);
     if (first !== undefined) this.endpoints.limits.takeCredit(first);
     this.loads.addOwn(path, 1, tokens);
+    this.pacing.recordReserved(path);
     return reservation;
   }
 
-  /** Records that a stream delivered an event. */
-  recordProgress(reservation: PathReservation): void {
-    const {watch} = this.getWatched(reservation.path);
-    watch.progressAt = this.getNow();
+  /** Records that a stream delivered some events. */
+  recordProgress(reservation: PathReservation, events = 1): void {
+    const {path, eventAt} = reservation;
+    const {watch} = this.getWatched(path);
+    const now = this.getNow();
+    watch.progressAt = now;
+    if (eventAt !== undefined) this.pacing.recordEvents(path, eventAt, events);
+    reservation.eventAt = now;
     if (reservation.hasStarted) return;
     reservation.hasStarted = true;
     watch.waiting -= 1;
@@ -261,6 +285,7 @@
   resumeWatches(): void {
     const now = this.getNow();
     for (const {watch} of this.watched.values()) watch.progressAt = now;
+    this.pacing.dropOpenGaps();
   }
 
   /**
@@ -269,9 +294,11 @@
    */
   listStalled(): StagePath[] {
     const now = this.getNow();
-    const late = now - this.checkedAt - maxCheckGapMilliseconds;
+    const sinceCheck = now - this.checkedAt;
+    const late = sinceCheck - maxCheckGapMilliseconds;
     this.checkedAt = now;
     if (late > 0) this.addPause(late);
+    this.pacing.expire();
     const stalled: StagePath[] = [];
     for (const [key, {watch, path, streams}] of this.watched) {
       if (streams.size === 0) {
@@ -279,13 +306,32 @@
         continue;
       }
       if (hasOnlyPaused(streams.values())) watch.progressAt = now;
-      if (!isStalled(watch, now)) continue;
+      if (!this.isStalled(path, watch, sinceCheck)) continue;
       watch.checkedAt = now;
       stalled.push(path);
     }
     return stalled;
   }
 
+  /**
+   * Tells whether a path is to be probed. Timeouts may be shorter than the
+   * greatest interval of the checks; then a check after a longer one does not
+   * count, as the events may not have been read yet.
+   */
+  private isStalled(
+    path: StagePath,
+    watch: PathWatch,
+    sinceCheck: number,
+  ): boolean {
+    const now = this.getNow();
+    if (now < watch.noProbeUntil) return false;
+    if (now - watch.progressAt <= minStallMilliseconds) return false;
+    const options = this.pacing.findStallOptions(path);
+    if (options === undefined) return isStalled(watch, now);
+    const isRead = sinceCheck <= options.multiStreamMilliseconds;
+    return isRead && isStalled(watch, now, options);
+  }
+
   /** Suspends probes of a path whose endpoints have all answered. */
   recordAnswers(path: StagePath, vms: number): void {
     const until = this.getNow() + computeProbePause(vms);
@@ -327,6 +373,7 @@
     for (const {watch} of this.watched.values()) {
       watch.progressAt = Math.min(now, watch.progressAt + milliseconds);
     }
+    this.pacing.dropOpenGaps();
   }
 
   private closePath(path: StagePath): void {
--- a/packages/gateway/src/fleet/stage_finder.ts
+++ b/packages/gateway/src/fleet/stage_finder.ts
@@ -48,10 +48,10 @@
     return Result.err(`it holds layers ${layers} of a model of ${layerCount}`);
   }
   const {id, address, dataCentre, slots} = state.entry;
-  const {sizeMegabytes, pace} = kind;
+  const {sizeMegabytes, pace, readFactor} = kind;
   const isReachable = true;
   return Result.ok({
-    ...{id, address, dataCentre, slots, sizeMegabytes, pace},
+    ...{id, address, dataCentre, slots, sizeMegabytes, pace, readFactor},
     ...{isReachable, held},
   });
 }
--- a/packages/gateway/src/ports/configuration.ts
+++ b/packages/gateway/src/ports/configuration.ts
@@ -1,4 +1,4 @@
-import type {StageModel} from '@zinniaspindle/decisions';
+import type {EngineFigures, StageModel} from '@zinniaspindle/decisions';
 
 /** Whether a route's requests may be executed more than once. */
 export enum RouteKind {
@@ -27,6 +27,8 @@
   readonly timeoutMilliseconds: number;
   /** Target latency of the answer, or of a stream's first event. */
   readonly targetLatencyMilliseconds: number;
+  /** Target of the longest gap between a stream's events; undefined for none. */
+  readonly gapTargetMilliseconds?: number | undefined;
   /** 0 is the highest priority. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
@@ -45,6 +47,8 @@
   readonly sizeMegabytes: number;
   /** Factor on the time of a token per layer; lower is faster. */
   readonly pace: number;
+  /** Factor on the time of a prefill; undefined if unknown. */
+  readonly readFactor?: number | undefined;
 }
 
 /** The model that a service's endpoints hold, each a range of its layers. */
@@ -55,6 +59,8 @@
   readonly meanAnswerTokens: number;
   /** Mean number of tokens of a prompt; undefined if unknown. */
   readonly meanPromptTokens?: number | undefined;
+  /** From which times are predicted; undefined if the engine does not state all. */
+  readonly figures?: EngineFigures | undefined;
 }
 
 /** A service of the operator's configuration. */
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -37,6 +37,8 @@
   readonly held: LayerRange | undefined;
   /** Used share of the memory for requests, 0 to 1. */
   readonly memoryFill: number;
+  /** How many times slower than usual it runs, from 1; undefined if not stated. */
+  readonly pace?: number | undefined;
 }
 
 /** An order to hold exactly one range of layers. */
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -5,6 +5,7 @@
   recordPlaced,
   recordRefused,
   removeWaiter,
+  type PickRequest,
   type StagePath,
   type Waiter,
   type WaitQueue,
@@ -15,9 +16,8 @@
 import type {ServiceModel} from '../ports/index.js';
 
 /** A request that waits for a place on a path of a model. */
-export interface PathWaiter extends Waiter {
+export interface PathWaiter extends Waiter, PickRequest {
   readonly model: ServiceModel;
-  readonly tokens: number;
   readonly request: string;
   /** Digests of the request and ids of the parts of its prompt. */
   readonly traits: readonly string[];
@@ -101,9 +101,9 @@
     queue: WaitQueue<PathWaiter>,
     waiter: PathWaiter,
   ): boolean {
-    const {model, tokens, left, answered, request, traits} = waiter;
+    const {model, left, answered, request, traits} = waiter;
     if (this.isQuarantined(service, waiter)) return false;
-    const path = this.paths.pick(service, model, tokens, left ?? answered);
+    const path = this.paths.pick(service, model, waiter, left ?? answered);
     if (path === undefined) return false;
     removeWaiter(queue, waiter);
     recordPlaced(queue, this.getNow());
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -6,6 +6,7 @@
 import {openSettled} from '../links/open_settled.js';
 import {AttemptWatch} from './attempt_watch.js';
 import {checkRefusal} from './check_refusal.js';
+import {countEvents} from './count_events.js';
 import {openUpstream} from './open_upstream.js';
 import type {RequestContext} from './request_context.js';
 import {StreamBody, type CompleteEvents} from './stream_body.js';
@@ -123,11 +124,14 @@
 
   /** Pauses reading its answer, for backpressure. */
   stopReading(): void {
+    // The gap until it reads again is not the path's.
+    this.reservation.eventAt = undefined;
     this.upstream.stopReading();
   }
 
   /** Resumes reading its answer. */
   resumeReading(): void {
+    this.reservation.eventAt = undefined;
     this.upstream.resumeReading();
   }
 
@@ -150,7 +154,8 @@
 
   private acceptEvents(events: CompleteEvents): void {
     this.watch.handleEvent(this.reservation);
-    this.context.server.paths.recordProgress(this.reservation);
+    const count = countEvents(events.bytes);
+    this.context.server.paths.recordProgress(this.reservation, count);
     this.listener.handleEvents(this, events);
   }
 
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -77,6 +77,9 @@
       receivedAt,
       model,
       tokens,
+      promptTokens: request.promptTokens,
+      targetMilliseconds: route.targetLatencyMilliseconds,
+      gapTargetMilliseconds: route.gapTargetMilliseconds,
       request: request.attemptId,
       traits,
     };
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -48,6 +48,8 @@
   LinkRestored = 7220,
   ConnectionRelayed = 7221,
   EndpointMisfit = 7222,
+  PathSlow = 7230,
+  PathUsual = 7231,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -157,6 +159,10 @@
     'a connection of a peer to endpoint {endpoint} is passed on, for {purpose}',
   [GatewayEvent.EndpointMisfit]:
     'endpoint {endpoint} gets no requests and no orders: {reason}',
+  [GatewayEvent.PathSlow]:
+    'path {path} runs {times} times slower than the {gapMs} ms predicted between two events',
+  [GatewayEvent.PathUsual]:
+    'path {path} runs as predicted again, or has had no events since it was slow',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
