--- /dev/null
+++ b/packages/gateway/__tests__/rank_bursts.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {RankFleet, type RankCount} from './rank_fleet.js';
+
+/** Streams a second by rank, of a deployment of 29 VMs. */
+const usualRates = [91.5, 48, 30];
+const fleet = {vms: 29, slots: 445, serviceMilliseconds: 2000};
+const waitMilliseconds = 300;
+
+/** Bursts of the lowest rank for 5 s and, at its end, of the highest for 4 s. */
+function getBurstRates(now: number): readonly number[] {
+  const rates = [...usualRates];
+  if (now >= 5000 && now < 10_000) rates[2]! *= 2.5;
+  if (now >= 9000 && now < 13_000) rates[0]! *= 2;
+  return rates;
+}
+
+/** Runs the bursts and counts the requests of each rank in them. */
+function countBurst(seed: number, hasRanks: boolean): RankCount[] {
+  const options = {...fleet, waitMilliseconds, hasRanks, seed};
+  const replay = new RankFleet(options);
+  replay.run(15_000, getBurstRates);
+  return usualRates.map((_, rank) => replay.count(rank, 9, 14));
+}
+
+function computeShare(...counts: readonly RankCount[]): number {
+  let served = 0;
+  let came = 0;
+  for (const count of counts) {
+    served += count.served;
+    came += count.came;
+  }
+  return served / came;
+}
+
+// All that get a place get it in time; the others are refused.
+test('in a burst the highest rank is served more on time, and no rank starves', () => {
+  const missed = {before: 0, after: 0};
+  for (const seed of [1, 2]) {
+    const before = countBurst(seed, false);
+    const after = countBurst(seed, true);
+    missed.before += 1 - computeShare(before[0]!);
+    missed.after += 1 - computeShare(after[0]!);
+    const overall = computeShare(...after);
+    assert.ok(overall >= computeShare(...before) - 0.01, `${overall}`);
+    for (const [rank, count] of after.entries()) {
+      const share = computeShare(count);
+      assert.ok(share >= overall / 4, `rank ${rank}: ${share} of ${overall}`);
+    }
+  }
+  const ratio = missed.after / missed.before;
+  assert.ok(ratio <= 0.75, `missed ${ratio} of what was missed before`);
+});
+
+test('lower ranks have the whole capacity once the highest asks for nothing', () => {
+  const getRates = (now: number) => (now < 4000 ? [180, 60, 60] : [0, 120, 90]);
+  const shares = [false, true].map(hasRanks => {
+    const options = {...fleet, waitMilliseconds, hasRanks, seed: 3};
+    const replay = new RankFleet(options);
+    replay.run(10_000, getRates);
+    return computeShare(replay.count(1, 5, 9), replay.count(2, 5, 9));
+  });
+  assert.ok(shares[1]! >= shares[0]! - 0.01, shares.join(' '));
+});
