--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -126,6 +126,17 @@
     return this.findAll(service, model).paths;
   }
 
+  /** Counts the slots of all paths. */
+  countSlots(service: string, model: ServiceModel): number {
+    const slots = new Map<string, number>();
+    for (const path of this.list(service, model)) {
+      slots.set(path.parts[0]!.endpoint.id, path.slots);
+    }
+    let sum = 0;
+    for (const count of slots.values()) sum += count;
+    return sum;
+  }
+
   /**
    * Finds when a path accepts requests again; undefined unless there is none
    * only because the endpoints at which paths begin are pausing.
