feat(routing): track prompt prefixes that paths hold

Cause: an endpoint that still holds the beginning of a prompt answers sooner, and neither the path choice nor the configuration knew of it. Change: decisions/src/prompts infers what is held from streams that began, with bounds, expiry and eviction; routing uses it in place of its own count. The header's segments and the engine's promptCache are read.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -93,6 +93,7 @@
 export * from './placement/index.js';
 export * from './following/index.js';
 export * from './stages/index.js';
+export * from './prompts/index.js';
 export * from './intake/index.js';
 export * from './quarantine/index.js';
 export * from './links/index.js';
--- a/packages/decisions/src/routing/chain_query.ts
+++ b/packages/decisions/src/routing/chain_query.ts
@@ -7,15 +7,9 @@
   ModelName,
   StageTarget,
 } from '@zinniaspindle/shared';
+import type {PromptPrefix} from '../prompts/prompt_prefix.js';
 import type {StageLoad} from './fleet_view.js';
 
-/** A prefix of the prompt, identified by the hash of its text. */
-export interface PromptPrefix {
-  readonly hash: string;
-  /** Tokens from the start of the prompt to the end of the prefix. */
-  readonly tokens: number;
-}
-
 /** Target time between tokens for queries that don't set one. */
 export const defaultTargetGapMilliseconds = 27;
 
--- a/packages/decisions/src/routing/endpoint_view.ts
+++ b/packages/decisions/src/routing/endpoint_view.ts
@@ -5,6 +5,11 @@
   type Instant,
   type VmId,
 } from '@zinniaspindle/shared';
+import {
+  createPromptCache,
+  type CacheBounds,
+  type PromptCache,
+} from '../prompts/prompt_cache.js';
 
 /** A load change at an endpoint that its last report doesn't include yet. */
 export interface UnreportedChange {
@@ -39,10 +44,19 @@
   failingUntil: Deadline;
   /** Peers whose breaker for the endpoint is open, and when they reported it. */
   suspectingPeers: Map<VmId, Instant>;
-  /** Prefixes presumed to be cached, with their expiry. */
-  prefixes: Map<string, Deadline>;
+  /** Prefixes presumed to be cached. */
+  readonly prefixes: PromptCache;
 }
 
+/**
+ * How long an engine presumably keeps a prefix. Its events tell when it drops
+ * one for lack of memory.
+ */
+export const enginePrefixBounds: CacheBounds = {
+  ttlMilliseconds: 60_000,
+  maxTokens: Infinity,
+};
+
 const maxChanges = 256;
 
 /** How long a peer's report of a failing endpoint counts. */
@@ -67,7 +81,7 @@
     leaving: false,
     failingUntil: 0,
     suspectingPeers: new Map(),
-    prefixes: new Map(),
+    prefixes: createPromptCache(),
   };
 }
 
--- a/packages/decisions/src/routing/fleet_view.ts
+++ b/packages/decisions/src/routing/fleet_view.ts
@@ -12,9 +12,11 @@
 } from '@zinniaspindle/shared';
 import {CacheEventKind} from '@zinniaspindle/shared';
 import type {EndpointUse, VmDigest} from '../membership/digest.js';
+import {dropHeld, recordHeld, removeHeld} from '../prompts/prompt_cache.js';
 import {
   addChange,
   createEndpointView,
+  enginePrefixBounds,
   setReport,
   type EndpointView,
 } from './endpoint_view.js';
@@ -46,9 +48,6 @@
   readonly prefillTokens: number;
 }
 
-const prefixLifetimeMilliseconds = 60_000;
-const maxPrefixes = 512;
-
 /** Creates the view of a VM in a data centre, without endpoints. */
 export function createFleetView(
   dataCentre: DataCentreId,
@@ -81,7 +80,7 @@
     const index = view.links.indexes.get(object.dataCentre)!;
     const endpoint =
       known.get(object.name) ?? createEndpointView(object, index);
-    if (!hasSameLayers(endpoint.object, object)) endpoint.prefixes.clear();
+    if (!hasSameLayers(endpoint.object, object)) dropHeld(endpoint.prefixes);
     endpoint.object = object;
     endpoint.dataCentre = index;
     view.endpoints.set(object.name, endpoint);
@@ -214,14 +213,9 @@
 ): void {
   const prefixes = view.endpoints.get(name)?.prefixes;
   if (prefixes === undefined) return;
-  for (const hash of hashes) {
-    prefixes.delete(hash);
-    prefixes.set(hash, now + prefixLifetimeMilliseconds);
-  }
-  for (const oldest of prefixes.keys()) {
-    if (prefixes.size <= maxPrefixes) break;
-    prefixes.delete(oldest);
-  }
+  // Engines report prefixes without their tokens.
+  const listed = Array.from(hashes, hash => ({hash, tokens: 0}));
+  recordHeld(prefixes, listed, enginePrefixBounds, now);
 }
 
 /** Applies an engine's cache event, which may arrive late. */
@@ -236,12 +230,14 @@
     return;
   }
   const prefixes = view.endpoints.get(name)?.prefixes;
-  for (const hash of event.prefixHashes) prefixes?.delete(hash);
+  if (prefixes === undefined) return;
+  for (const hash of event.prefixHashes) removeHeld(prefixes, hash);
 }
 
 /** Drops all cached prefixes of an endpoint, after a gap in its cache events. */
 export function dropPrefixes(view: FleetView, name: EndpointId): void {
-  view.endpoints.get(name)?.prefixes.clear();
+  const prefixes = view.endpoints.get(name)?.prefixes;
+  if (prefixes !== undefined) dropHeld(prefixes);
 }
 
 function hasSameLayers(a: EndpointObject, b: EndpointObject): boolean {
--- a/packages/decisions/src/routing/predict_stage.ts
+++ b/packages/decisions/src/routing/predict_stage.ts
@@ -1,7 +1,10 @@
 import {countLayers, type Instant} from '@zinniaspindle/shared';
+import {findHeldTokens} from '../prompts/prompt_cache.js';
+import {countSavedTokens} from '../prompts/weigh_prompt.js';
 import {defaultTargetGapMilliseconds, type ChainQuery} from './chain_query.js';
 import {
   countStreams,
+  enginePrefixBounds,
   toPrefillMilliseconds,
   toStepMilliseconds,
   type EndpointView,
@@ -69,12 +72,8 @@
   query: ChainQuery,
   now: Instant,
 ): number {
-  const {prefixes} = query;
-  for (let i = prefixes.length - 1; i >= 0; i -= 1) {
-    const prefix = prefixes[i]!;
-    const until = endpoint.prefixes.get(prefix.hash);
-    if (until === undefined || until <= now) continue;
-    return Math.max(1, query.promptTokens - prefix.tokens);
-  }
-  return Math.max(1, query.promptTokens);
+  const {prefixes, promptTokens} = query;
+  const cache = endpoint.prefixes;
+  const held = findHeldTokens(cache, prefixes, enginePrefixBounds, now);
+  return Math.max(1, promptTokens - countSavedTokens(promptTokens, held));
 }
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -22,6 +22,8 @@
   Quarantines = 'quarantines_total',
   Relayed = 'connections_relayed_total',
   RelayedForPeers = 'connections_relayed_for_peers_total',
+  PromptsHeld = 'prompts_held_total',
+  PromptTokensSaved = 'prompt_tokens_saved_total',
 }
 
 /** Latency histograms, in milliseconds. */
@@ -62,6 +64,10 @@
   [Counter.Relayed]:
     'Connections to endpoints that went through a peer, since those of this VM failed.',
   [Counter.RelayedForPeers]: 'Connections of peers passed on to endpoints.',
+  [Counter.PromptsHeld]:
+    'Streams sent to a path that presumably held the beginning of their prompt.',
+  [Counter.PromptTokensSaved]:
+    'Prompt tokens that presumably needed no prefill for these streams.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
@@ -116,9 +122,9 @@
   private readonly counters = new Map<Counter, number>();
   private readonly latencies = new Map<Latency, Histogram>();
 
-  /** Adds one to a counter. */
-  count(counter: Counter): void {
-    this.counters.set(counter, (this.counters.get(counter) ?? 0) + 1);
+  /** Adds an amount, one if none is given, to a counter. */
+  count(counter: Counter, amount = 1): void {
+    this.counters.set(counter, (this.counters.get(counter) ?? 0) + amount);
   }
 
   /** Records a latency; values above a minute count as a minute. */
--- a/packages/gateway/src/ports/configuration.ts
+++ b/packages/gateway/src/ports/configuration.ts
@@ -47,6 +47,14 @@
   readonly pace: number;
 }
 
+/** What the endpoints of a model keep of prompts that they have processed. */
+export interface PromptCacheLimits {
+  /** Prompt tokens that a path keeps at most, in memory no request uses. */
+  readonly tokens: number;
+  /** Time after its last use for which a prefix is kept. */
+  readonly ttlMilliseconds: number;
+}
+
 /** The model that a service's endpoints hold, each a range of its layers. */
 export interface ServiceModel {
   readonly shape: StageModel;
@@ -55,6 +63,8 @@
   readonly meanAnswerTokens: number;
   /** Mean number of tokens of a prompt; undefined if unknown. */
   readonly meanPromptTokens?: number | undefined;
+  /** Undefined if its endpoints keep nothing of prompts. */
+  readonly promptCache?: PromptCacheLimits | undefined;
 }
 
 /** A service of the operator's configuration. */
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import type {Deadline, Instant} from '@zinniaspindle/shared';
-import type {PathPart} from '@zinniaspindle/decisions';
+import type {PathPart, PromptSegments} from '@zinniaspindle/decisions';
 
 /** Alternating header names and values, as in node:http's `rawHeaders`. */
 export type RawHeaders = readonly string[];
@@ -20,6 +20,11 @@
    * Ids of the parts of its prompt that other requests may share, in their order.
    */
   readonly promptParts: readonly string[];
+  /**
+   * Reads all segments of its prompt, in their order; undefined without any. A
+   * function, since only models with a prompt cache need them.
+   */
+  readonly readPromptSegments?: (() => PromptSegments) | undefined;
   /** Equal for requests with the same model and prompt; empty without one. */
   readonly prompt: string;
   /** The caller's estimate of the number of tokens in the answer. */
