--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -94,6 +94,7 @@
 export * from './following/index.js';
 export * from './stages/index.js';
 export * from './prompts/index.js';
+export * from './explain/index.js';
 export * from './intake/index.js';
 export * from './quarantine/index.js';
 export * from './links/index.js';
