test(gateway): a popular prefix doesn't overload its first path

Cause: the spread was tested without departures and without the prompt table. Change: 2,000 requests with one prefix, 80 at a time, over four paths. Tests: prompt_table 13 passed, 0 failed.

--- a/packages/gateway/__tests__/prompt_table.test.ts
+++ b/packages/gateway/__tests__/prompt_table.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import type {StagePath} from '@zinniaspindle/decisions';
+import {choosePromptPath, type StagePath} from '@zinniaspindle/decisions';
 import {EndpointTable} from '../src/fleet/endpoint_table.js';
 import {LoadTracker} from '../src/fleet/load_tracker.js';
 import {PathTable} from '../src/fleet/path_table.js';
@@ -211,3 +211,40 @@
   assert.equal(open(makeRequest('')), undefined);
   assert.equal(open({...makeRequest('a'), promptTokens: 0}), undefined);
 });
+
+test('one popular prefix over many requests does not overload its first path', () => {
+  const {clock, paths, prompts, metrics} = makeTable(['a', 'b', 'c', 'd']);
+  const listed = paths.list('letters', model).slice(0, 4);
+  const streams = new Map(listed.map(path => [path, 0]));
+  const sent = new Map(listed.map(path => [path, 0]));
+  const ends: Array<{at: number; path: StagePath}> = [];
+  let most = 0;
+  // 80 streams at a time; 400 held tokens save 40 ms, the wait of 10 streams.
+  for (let i = 0; i < 2000; i += 1) {
+    clock.now += 5;
+    while (ends.length > 0 && ends[0]!.at <= clock.now) {
+      const {path} = ends.shift()!;
+      streams.set(path, streams.get(path)! - 1);
+    }
+    const request = makeRequest('popular', `own${i}`);
+    const use = prompts.open('letters', model, request)!;
+    const candidates = listed.map(path => ({
+      path,
+      waitMilliseconds: streams.get(path)! * 4,
+      prefillMillisecondsPerToken: 0.1,
+      heldTokens: use.countSaved(path),
+    }));
+    const {path} = choosePromptPath(candidates, request.promptTokens)!;
+    use.recordSend(path).recordFirstEvent();
+    streams.set(path, streams.get(path)! + 1);
+    sent.set(path, sent.get(path)! + 1);
+    most = Math.max(most, streams.get(path)!);
+    ends.push({at: clock.now + 400, path});
+  }
+  assert.equal(listed.length, 4);
+  assert.ok(most <= 20 + 10, `${most} streams on a path`);
+  for (const count of sent.values()) {
+    assert.ok(count >= 250, [...sent.values()].join(' '));
+  }
+  assert.match(readCounters(metrics)[0]!, / 199[0-9]$/);
+});
