--- a/packages/gateway/src/ports/configuration.ts
+++ b/packages/gateway/src/ports/configuration.ts
@@ -51,6 +51,14 @@
   readonly readFactor?: number | undefined;
 }
 
+/** What the endpoints of a model keep of prompts that they have processed. */
+export interface PromptCacheLimits {
+  /** Prompt tokens that a path keeps at most, in memory no request uses. */
+  readonly tokens: number;
+  /** Time after its last use for which a prefix is kept. */
+  readonly ttlMilliseconds: number;
+}
+
 /** The model that a service's endpoints hold, each a range of its layers. */
 export interface ServiceModel {
   readonly shape: StageModel;
@@ -61,6 +69,8 @@
   readonly meanPromptTokens?: number | undefined;
   /** From which times are predicted; undefined if the engine does not state all. */
   readonly figures?: EngineFigures | undefined;
+  /** Undefined if its endpoints keep nothing of prompts. */
+  readonly promptCache?: PromptCacheLimits | undefined;
 }
 
 /** A service of the operator's configuration. */
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -27,6 +27,8 @@
   readonly traits: readonly string[];
   /** Its level among the ranks of the configuration, 0 if there is one. */
   readonly level?: number | undefined;
+  /** Predicts the prompt tokens that need no prefill on a path. */
+  readonly countSavedTokens?: ((path: StagePath) => number) | undefined;
   /** The path of the attempt that it keeps until it has a place elsewhere. */
   readonly left?: StagePath | undefined;
   /** The path whose answer another one is to confirm. */
