--- a/packages/gateway/__tests__/rank_fleet.ts
+++ b/packages/gateway/__tests__/rank_fleet.ts
@@ -38,6 +38,8 @@
   readonly waitMilliseconds: number;
   /** Whether VMs know of the ranks of others; otherwise as earlier builds. */
   readonly hasRanks: boolean;
+  /** Whether requests leave room free for higher ranks; so by default. */
+  readonly hasReserve?: boolean;
   readonly seed: number;
 }
 
@@ -59,7 +61,8 @@
     const paths = {
       pick: (...args: Parameters<PathTable['pick']>) => {
         const fill = (this.used + 1) / slots;
-        return fill <= fullShare - (args[4] ?? 0) ? path : undefined;
+        const reserved = options.hasReserve === false ? 0 : (args[4] ?? 0);
+        return fill <= fullShare - reserved ? path : undefined;
       },
       countSlots: () => slots,
       findReturn: () => undefined,
--- a/packages/gateway/src/fleet/waiter_table.ts
+++ b/packages/gateway/src/fleet/waiter_table.ts
@@ -25,6 +25,11 @@
 
 /** Heartbeat periods after which the rows of a peer count as absent. */
 const maxAgePeriods = 2;
+/**
+ * The sums over 131 peers take 0.06 ms, and 80 heartbeats come in a second;
+ * what they report is up to 1.6 s old.
+ */
+const sumMilliseconds = 100;
 
 interface OwnDemand {
   waiting: number;
@@ -40,6 +45,8 @@
 
 /** The demand of all peers, by the hash of a service and by level. */
 interface PeerTotals {
+  readonly computedAt: Instant;
+  /** When the first rows among them are too old. */
   readonly until: Instant;
   readonly services: ReadonlyMap<number, readonly RankDemand[]>;
 }
@@ -59,6 +66,8 @@
   private readonly own = new Map<string, readonly OwnDemand[]>();
   private readonly peers = new Map<string, PeerRows>();
   private totals: PeerTotals | undefined;
+  /** Whether rows have changed since the totals were computed. */
+  private hasChanged = false;
 
   constructor(
     private readonly getNow: () => Instant,
@@ -152,12 +161,12 @@
   setPeer(vm: string, rows: readonly DemandRow[]): void {
     if (rows.length === 0) return this.removePeer(vm);
     this.peers.set(vm, {heardAt: this.getNow(), rows});
-    this.totals = undefined;
+    this.hasChanged = true;
   }
 
   /** Removes the rows of a peer. */
   removePeer(vm: string): void {
-    if (this.peers.delete(vm)) this.totals = undefined;
+    if (this.peers.delete(vm)) this.hasChanged = true;
   }
 
   /**
@@ -195,12 +204,18 @@
   private findPeers(service: string): readonly RankDemand[] | undefined {
     if (this.ranks.length <= 1 || this.peers.size === 0) return undefined;
     const now = this.getNow();
-    if (this.totals === undefined || now > this.totals.until) {
+    if (this.totals === undefined || this.isOutdated(this.totals, now)) {
       this.totals = this.computeTotals(now);
+      this.hasChanged = false;
     }
     return this.totals.services.get(hashText(service));
   }
 
+  private isOutdated({computedAt, until}: PeerTotals, now: Instant): boolean {
+    if (now > until) return true;
+    return this.hasChanged && now - computedAt >= sumMilliseconds;
+  }
+
   private computeTotals(now: Instant): PeerTotals {
     const maxAge = maxAgePeriods * computeHeartbeatPeriod(this.countPeers());
     const reported = new Map<number, RankDemand[][]>();
@@ -224,7 +239,7 @@
     for (const [hash, levels] of reported) {
       services.set(hash, levels.map(mergeDemands));
     }
-    return {until, services};
+    return {computedAt: now, until, services};
   }
 
   private readOwn({waiting, ...counters}: OwnDemand): RankDemand {
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -99,6 +99,7 @@
    * by those behind it; large ones may use room that small ones may not.
    */
   private runQueue(service: string, queue: WaitQueue<PathWaiter>): void {
+    if (queue.waiters.length === 0) return;
     let failures = 0;
     let movers = 0;
     const demands = this.waiters?.findFleet(service);
