--- a/packages/gateway/__tests__/build_samples.ts
+++ b/packages/gateway/__tests__/build_samples.ts
@@ -105,6 +105,10 @@
       name: 'heartbeat of a VM that leaves',
       message: {...heartbeat, phase: PeerPhase.Leaving, quarantines: []},
     },
+    {
+      name: 'heartbeat with demands',
+      message: {...heartbeat, demands: [[3_912_345_678, 2, 1, 40, 52, 7]]},
+    },
   ];
 }
 
