--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -27,8 +27,6 @@
   readonly traits: readonly string[];
   /** Its level among the ranks of the configuration, 0 if there is one. */
   readonly level?: number | undefined;
-  /** Predicts the prompt tokens that need no prefill on a path. */
-  readonly countSavedTokens?: ((path: StagePath) => number) | undefined;
   /** The path of the attempt that it keeps until it has a place elsewhere. */
   readonly left?: StagePath | undefined;
   /** The path whose answer another one is to confirm. */
@@ -101,6 +99,7 @@
    * by those behind it; large ones may use room that small ones may not.
    */
   private runQueue(service: string, queue: WaitQueue<PathWaiter>): void {
+    if (queue.waiters.length === 0) return;
     let failures = 0;
     let movers = 0;
     const demands = this.waiters?.findFleet(service);
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -98,7 +98,7 @@
       gapTargetMilliseconds: route.gapTargetMilliseconds,
       request: request.attemptId,
       traits,
-      countSavedTokens: this.prompt?.countSaved,
+      savedTokens: this.prompt?.countSaved,
     };
   }
 
