feat(routing): a rank that is hardly served leaves no room free

With the highest rank at eight times its rate, the lowest had 0.071 of its requests served at 0.242 overall, close to the quarter that each rank must have. A level served less than 0.4 of the overall share in the last second now leaves nothing free.

--- a/packages/decisions/__tests__/ranks.test.ts
+++ b/packages/decisions/__tests__/ranks.test.ts
@@ -143,6 +143,20 @@
   assert.equal(computeReservedShare(1, [served, others], 400), 0);
 });
 
+// Demand of the highest rank at many times its rate must not starve the others.
+test('a rank that is hardly served leaves no room free', () => {
+  const first = makeDemand({waiting: 20, arrivals: 400, placed: 160});
+  const demands = [{...first, refused: 240}, noDemand];
+  const makeDemands = (placed: number) => [
+    demands[0]!,
+    makeDemand({arrivals: 50, placed, refused: 50 - placed}),
+  ];
+  assert.ok(computeReservedShare(1, demands, 400) > 0);
+  assert.ok(computeReservedShare(1, makeDemands(20), 400) > 0);
+  assert.equal(computeReservedShare(1, makeDemands(5), 400), 0);
+  assert.equal(computeReservedShare(1, makeDemands(0), 400), 0);
+});
+
 test('the room left free is bounded for any figures', () => {
   const {maxShare} = defaultReserveOptions;
   const most = makeDemand({waiting: 1e9, arrivals: 1e9});
--- a/packages/decisions/src/ranks/reserve_room.ts
+++ b/packages/decisions/src/ranks/reserve_room.ts
@@ -9,6 +9,12 @@
   readonly aheadMilliseconds: number;
   /** Share of its longest wait after which a request may use the room. */
   readonly exemptShare: number;
+  /**
+   * A level whose share served in the last second is below this multiple of the
+   * overall one leaves nothing free. Each must have a quarter; the rest is a
+   * margin for late news.
+   */
+  readonly leastServed: number;
 }
 
 /** The settings used where a deployment gives none. */
@@ -16,6 +22,7 @@
   maxShare: 0.2,
   aheadMilliseconds: 500,
   exemptShare: 0.5,
+  leastServed: 0.4,
 };
 
 const millisecondsPerSecond = 1000;
@@ -46,9 +53,26 @@
   }
   const wanted = waiting + Math.max(0, (arrivals - freed) * seconds);
   if (wanted === 0 || slots <= 0) return 0;
+  if (isStarving(demands[level], demands, options)) return 0;
   return Math.min(options.maxShare, wanted / slots);
 }
 
+function isStarving(
+  own: RankDemand | undefined,
+  demands: readonly RankDemand[],
+  {leastServed}: ReserveOptions,
+): boolean {
+  if (own === undefined || own.placed + own.refused === 0) return false;
+  let placed = 0;
+  let refused = 0;
+  for (const demand of demands) {
+    placed += demand.placed;
+    refused += demand.refused;
+  }
+  const share = own.placed / (own.placed + own.refused);
+  return share < (leastServed * placed) / (placed + refused);
+}
+
 /**
  * Tells whether a request has waited for so long that it leaves no room free, so
  * that no rank starves.
--- a/packages/gateway/__tests__/rank_bursts.test.ts
+++ b/packages/gateway/__tests__/rank_bursts.test.ts
@@ -70,6 +70,19 @@
   assertBurst(132, [1], 0.85);
 });
 
+// The highest rank alone asks for twice what the paths can serve.
+test('no rank starves while the highest comes at four times its rate', () => {
+  const options = {...fleet, waitMilliseconds, hasRanks: true, seed: 1};
+  const replay = new RankFleet(options);
+  replay.run(11_000, now => [now > 2000 ? 366 : 91.5, 48, 30]);
+  const counts = usualRates.map((_, rank) => replay.count(rank, 4, 10));
+  const overall = computeShare(...counts);
+  for (const [rank, count] of counts.entries()) {
+    const share = computeShare(count);
+    assert.ok(share >= overall / 4, `rank ${rank}: ${share} of ${overall}`);
+  }
+});
+
 test('lower ranks have the whole capacity once the highest asks for nothing', () => {
   const getRates = (now: number) => (now < 4000 ? [180, 60, 60] : [0, 120, 90]);
   const shares = [false, true].map(hasRanks => {
