--- a/packages/decisions/src/stages/wait_queue.ts
+++ b/packages/decisions/src/stages/wait_queue.ts
@@ -6,8 +6,15 @@
   /** A stream that was cut and goes on; its caller has had part of the answer. */
   readonly isResumed: boolean;
   readonly receivedAt: Instant;
-  /** It is refused at this instant if it has no place. */
+  /** Until this instant it can still be answered in time. */
   readonly waitUntil: Deadline;
+  /**
+   * Until this instant it may wait on behind all others, since a late answer
+   * comes sooner than one to a caller that is sent away; undefined if not.
+   */
+  readonly lateUntil?: Deadline | undefined;
+  /** Whether it waits on although it can no longer be answered in time. */
+  isLate?: boolean;
 }
 
 /** The requests of one service that wait at a VM, and how fast they get places. */
@@ -48,8 +55,8 @@
 }
 
 /**
- * Adds a request behind those that go before it: cut streams first, then by
- * rank, then by age.
+ * Adds a request behind those that go before it: cut streams first, those
+ * that are late last, then by rank, then by age.
  */
 export function addWaiter<Item extends Waiter>(
   queue: WaitQueue<Item>,
@@ -63,6 +70,28 @@
   queue.crowdedSince ??= now;
 }
 
+/** Finds when a request is refused if it has no place by then. */
+export function getWaitEnd({waitUntil, lateUntil, isLate}: Waiter): Deadline {
+  return isLate === true ? (lateUntil ?? waitUntil) : waitUntil;
+}
+
+/**
+ * Puts a request that can no longer be answered in time behind those that can; it
+ * gets a place that they leave. Returns false if it may not wait on.
+ */
+export function recordLate<Item extends Waiter>(
+  queue: WaitQueue<Item>,
+  item: Item,
+  now: Instant,
+): boolean {
+  const {isResumed, isLate, lateUntil = -Infinity} = item;
+  if (isResumed || isLate === true || lateUntil <= now) return false;
+  removeWaiter(queue, item);
+  item.isLate = true;
+  addWaiter(queue, item, now);
+  return true;
+}
+
 /** Removes a request that left, was placed or was refused. */
 export function removeWaiter<Item extends Waiter>(
   queue: WaitQueue<Item>,
@@ -130,5 +159,7 @@
 
 function compareWaiters(a: Waiter, b: Waiter): number {
   if (a.isResumed !== b.isResumed) return a.isResumed ? -1 : 1;
+  const isLate = a.isLate === true;
+  if (isLate !== (b.isLate === true)) return isLate ? 1 : -1;
   return compareRanks(a, b) || a.receivedAt - b.receivedAt;
 }
--- a/packages/decisions/src/stages/wait_times.ts
+++ b/packages/decisions/src/stages/wait_times.ts
@@ -9,6 +9,12 @@
   readonly slotWaitShare: number;
   /** Multiple of the usual time to the first event that a wait must leave. */
   readonly firstEventMargin: number;
+  /**
+   * Multiple of the target latency for which a request may wait in all: with
+   * targets of 0.5 s less than the shortest retry delay, and callers leave a
+   * stream without an event after four targets or 2 s.
+   */
+  readonly lateTargets: number;
   /** Share of the target latency for which a request waits for any path. */
   readonly pathWaitShare: number;
   /** Shortest retry delay; no repair of a lost range takes less. */
@@ -27,6 +33,7 @@
 export const defaultWaitOptions: WaitOptions = {
   slotWaitShare: 0.4,
   firstEventMargin: 1.5,
+  lateTargets: 2,
   pathWaitShare: 0.12,
   minRetryMilliseconds: 1500,
   retrySpreadMilliseconds: 5000,
@@ -51,6 +58,17 @@
   return Math.max(least, targetMilliseconds - needed);
 }
 
+/**
+ * Computes the milliseconds that a request may wait although it will be late: its
+ * caller is served sooner than if it were sent away and came back.
+ */
+export function computeLateWait(
+  targetMilliseconds: number,
+  {lateTargets, minRetryMilliseconds}: WaitOptions = defaultWaitOptions,
+): number {
+  return Math.min(targetMilliseconds * lateTargets, minRetryMilliseconds);
+}
+
 /** Computes the milliseconds after which a refused caller should retry. */
 export function computeRetryDelay(
   leftMilliseconds: number,
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -3,7 +3,10 @@
   computeReservedShare,
   createWaitQueue,
   isExempt,
+  getWaitEnd,
+  maxLevels,
   predictWait,
+  recordLate,
   recordPlaced,
   recordRefused,
   removeWaiter,
@@ -69,10 +72,34 @@
     if (this.isPausing(service, waiter)) {
       return this.refuse(service, queue, waiter);
     }
-    const peers = this.waiters?.findPeerWaits(service, waiter.level ?? 0);
-    const wait = predictWait(queue, waiter, now, peers);
-    if (waiter.isResumed || now + wait <= waiter.waitUntil) return;
+    if (waiter.isResumed || this.canWait(service, queue, waiter)) return;
     if (this.isHeldBack(service, waiter)) return;
+    this.refuseOrDefer(service, queue, waiter);
+  }
+
+  /** Tells whether a request is predicted to get a place while it may wait. */
+  private canWait(
+    service: string,
+    queue: WaitQueue<PathWaiter>,
+    waiter: PathWaiter,
+  ): boolean {
+    const now = this.getNow();
+    const level = waiter.isLate === true ? maxLevels : (waiter.level ?? 0);
+    const peers = this.waiters?.findPeerWaits(service, level);
+    const wait = predictWait(queue, waiter, now, peers);
+    return now + wait <= getWaitEnd(waiter);
+  }
+
+  /** Lets a request wait on behind all others if a place is predicted for it. */
+  private refuseOrDefer(
+    service: string,
+    queue: WaitQueue<PathWaiter>,
+    waiter: PathWaiter,
+  ): void {
+    const isDeferred =
+      recordLate(queue, waiter, this.getNow()) &&
+      this.paths.hasUsable(service, waiter.model);
+    if (isDeferred && this.canWait(service, queue, waiter)) return;
     this.refuse(service, queue, waiter);
   }
 
@@ -183,13 +210,14 @@
 
   private expireWaiters(service: string, queue: WaitQueue<PathWaiter>): void {
     const now = this.getNow();
-    const expired = queue.waiters.filter(
-      waiter =>
-        isPast(waiter.waitUntil, now) ||
-        this.isPausing(service, waiter) ||
-        this.isQuarantined(service, waiter),
-    );
-    for (const waiter of expired) this.refuse(service, queue, waiter);
+    for (const waiter of [...queue.waiters]) {
+      const isUnserved =
+        this.isPausing(service, waiter) || this.isQuarantined(service, waiter);
+      if (isUnserved) this.refuse(service, queue, waiter);
+      else if (isPast(getWaitEnd(waiter), now)) {
+        this.refuseOrDefer(service, queue, waiter);
+      }
+    }
   }
 
   private refuse(
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -13,6 +13,8 @@
   /** Whether its caller has had part of the answer. */
   readonly isResumed: boolean;
   readonly waitUntil: Deadline;
+  /** Until when it may wait for what those that are in time leave. */
+  readonly lateUntil?: Deadline | undefined;
   /** The path whose answer another one is to confirm; undefined for none. */
   readonly answered?: StagePath | undefined;
 }
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,6 +1,7 @@
 import {
   addAttempt,
   applyProgress,
+  computeLateWait,
   computeMoveDelay,
   computeQueueTimeout,
   createAttemptPair,
@@ -229,7 +230,9 @@
    */
   private async waitForPlace(): Promise<PathReservation | undefined> {
     const waitUntil = this.computeWaitEnd();
-    const reservation = await this.places.wait(this.makeWait(waitUntil));
+    const lateUntil = this.computeLateEnd();
+    const wait = {...this.makeWait(waitUntil), lateUntil};
+    const reservation = await this.places.wait(wait);
     if (reservation === undefined && !this.isAbandoned) {
       this.log.logGivenUp(RetryDenial.Place);
     }
@@ -252,6 +255,17 @@
     return this.lastEventAt + timeout;
   }
 
+  /**
+   * Computes until when a new stream may wait once it is late, if the figures of
+   * its engine tell what a place is worth.
+   */
+  private computeLateEnd(): Deadline | undefined {
+    if (this.model.figures === undefined || this.hasSentEvents)
+      return undefined;
+    const {targetLatencyMilliseconds: target} = this.context.route;
+    return this.lastEventAt + computeLateWait(target);
+  }
+
   /** Tells whether the stream is paused because the caller reads too slowly. */
   private isPaused(reservation: PathReservation): boolean {
     const isCurrent = this.running.current?.reservation === reservation;
