fix(links): kept connections break attempts, and answers without an id are nobody's

A request on a kept connection is now sent once, and what follows is decided by its attempts. Only first attempts use one, and only where another attempt and endpoint are left. Requests without an id, or with one that the connection has had, get a new connection; on a reused one an answer without an id is refused. A waiting request whose time has passed gets no place after a stall of the process.

--- a/packages/gateway/__tests__/raw_endpoint.ts
+++ b/packages/gateway/__tests__/raw_endpoint.ts
@@ -70,9 +70,9 @@
     });
   }
 
-  makeKeeper() {
+  makeKeeper(request?: string) {
     const {address, bornAt} = this;
-    return this.kept.makeKeeper({id: 'e1', address, bornAt});
+    return this.kept.makeKeeper({id: 'e1', address, bornAt}, request);
   }
 
   readCount(name: string): number {
--- a/packages/gateway/src/links/kept_connections.ts
+++ b/packages/gateway/src/links/kept_connections.ts
@@ -13,6 +13,8 @@
 
 /** Idle connections to one endpoint; it accepts a limited number from all VMs. */
 const maxIdlePerEndpoint = 2;
+/** Requests on one connection, whose ids are remembered as long as it is kept. */
+const maxUses = 64;
 /** Idle connections of a VM; each takes a descriptor. */
 const maxIdle = 128;
 
@@ -65,15 +67,25 @@
   private readonly idle = new Map<string, Idle[]>();
   /** All of them, the latest used last. */
   private readonly all = new Set<Idle>();
+  /** Ids of the requests that each connection has had. */
+  private readonly used = new WeakMap<object, Set<string>>();
   private isClosed = false;
 
   constructor(private readonly context: KeptContext) {}
 
-  /** Makes what takes and keeps connections to an incarnation of an endpoint. */
-  makeKeeper(target: KeptTarget): ConnectionKeeper {
+  /**
+   * Makes what takes and keeps connections to an incarnation of an endpoint.
+   * @param request the id that its caller gave the request, and that its answer
+   *   carries; a connection that has had a request with it is not taken, since the
+   *   earlier answer may come again. Undefined for an id that is used once.
+   */
+  makeKeeper(target: KeptTarget, request?: string): ConnectionKeeper {
     return {
-      take: () => this.take(target),
-      accept: (connection, end) => this.accept(target, connection, end),
+      take: () => this.take(target, request),
+      accept: (connection, end) => {
+        if (request !== undefined) this.recordUse(connection, request);
+        this.accept(target, connection, end);
+      },
       recordFailed: () => this.context.metrics.count(Counter.DroppedFailed),
     };
   }
@@ -102,11 +114,23 @@
     for (const idle of [...this.all]) this.drop(idle, DropReason.Unwanted);
   }
 
-  private take({
-    id,
-    address,
-    bornAt,
-  }: KeptTarget): EndpointConnection | undefined {
+  private recordUse({socket}: EndpointConnection, request: string): void {
+    const ids = this.used.get(socket) ?? new Set();
+    this.used.set(socket, ids.add(request));
+  }
+
+  private hasUsed(socket: object, request: string): boolean {
+    return this.used.get(socket)?.has(request) === true;
+  }
+
+  private countUses({socket}: EndpointConnection): number {
+    return this.used.get(socket)?.size ?? 0;
+  }
+
+  private take(
+    {id, address, bornAt}: KeptTarget,
+    request: string | undefined,
+  ): EndpointConnection | undefined {
     const now = this.context.getNow();
     const endpoint = this.context.findEndpoint(id);
     for (;;) {
@@ -120,6 +144,9 @@
         this.drop(idle, reason);
         continue;
       }
+      const {socket} = idle.connection;
+      const isUsed = request !== undefined && this.hasUsed(socket, request);
+      if (isUsed) return undefined;
       this.remove(idle);
       this.context.metrics.count(Counter.ConnectionsReused);
       return idle.connection;
@@ -158,14 +185,16 @@
 
   private findReason(
     target: KeptTarget,
-    {socket, relay}: EndpointConnection,
+    connection: EndpointConnection,
     end: AnswerEnd,
   ): DropReason | undefined {
+    const {socket, relay} = connection;
     // Connections through a peer occupy that peer as well.
     if (this.isClosed || relay !== undefined) return DropReason.Unwanted;
     const reason = findEndReason(end);
     if (reason !== undefined) return reason;
     if (socket.destroyed || socket.readableEnded) return DropReason.Closed;
+    if (this.countUses(connection) >= maxUses) return DropReason.Excess;
     const now = this.context.getNow();
     const fresh = {...target, until: Infinity};
     return findDropReason(fresh, this.context.findEndpoint(target.id), now);
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -27,7 +27,6 @@
   PromptTokensSaved = 'prompt_tokens_saved_total',
   ConnectionsOpened = 'connections_opened_total',
   ConnectionsReused = 'connections_reused_total',
-  Repeated = 'requests_repeated_total',
   DroppedClosed = 'connections_dropped_closed_total',
   DroppedExtraBytes = 'connections_dropped_extra_bytes_total',
   DroppedExpired = 'connections_dropped_expired_total',
@@ -93,8 +92,6 @@
   [Counter.ConnectionsOpened]:
     'Connections to endpoints that this VM opened for requests and calls.',
   [Counter.ConnectionsReused]: 'Uses of kept connections to endpoints.',
-  [Counter.Repeated]:
-    'Requests sent again to the same endpoint, since their kept connection failed; each takes a retry of the budget.',
   [Counter.DroppedClosed]:
     'Connections dropped since the endpoint ended them or their answer said so.',
   [Counter.DroppedExtraBytes]:
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -3,18 +3,16 @@
   UnframedVerdict,
   verifyUnframedEnd,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
 import type {ConnectionKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
 import {openSettled} from '../links/open_settled.js';
-import {Counter} from '../log/metrics.js';
 import type {AnswerSource} from '../fleet/source_check.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
 import type {EndpointRequest} from './endpoint_request.js';
-import {KeptUpstream} from './kept_upstream.js';
 import {
   Upstream,
   type UnframedEnd,
@@ -79,43 +77,23 @@
     getRelay,
   );
   const keeper =
-    opening === Opening.Kept && bornAt !== undefined
-      ? server.kept?.makeKeeper({id, address, bornAt})
-      : undefined;
-  const openNew = (sent: UpstreamListener) => {
-    const purpose = `request ${context.request.attemptId}`;
-    const open: OpenConnection = handle =>
-      server.links.open({id, address, purpose}, handle);
-    const isSettled = opening === Opening.Settled;
-    const openConnection: OpenConnection = isSettled
-      ? handle => openSettled(open, handle)
-      : open;
-    const request = makeRequest(context, target, forwarding, keeper);
-    return new Upstream({...request, openConnection}, server.codec, sent);
-  };
+    opening === Opening.Kept ? makeKeeper(context, target) : undefined;
   const kept = keeper?.take();
-  const upstream =
-    kept === undefined
-      ? openNew(upstreamListener)
-      : new KeptUpstream(
-          {
-            openKept: sent => {
-              const request = makeRequest(context, target, forwarding, keeper);
-              const openConnection: OpenConnection = handle => {
-                handle(Result.ok(kept));
-                return () => undefined;
-              };
-              const options = {...request, openConnection};
-              return new Upstream(options, server.codec, sent);
-            },
-            openNew,
-            takeRepeat: isWritten => {
-              keeper?.recordFailed();
-              return takeRepeat(context, {id, bornAt}, isWritten);
-            },
-          },
-          upstreamListener,
-        );
+  const purpose = `request ${context.request.attemptId}`;
+  const openNew: OpenConnection = handle =>
+    server.links.open({id, address, purpose}, handle);
+  const openConnection: OpenConnection = handle => {
+    if (opening === Opening.Settled) return openSettled(openNew, handle);
+    if (kept === undefined) return openNew(handle);
+    handle(Result.ok(kept));
+    return () => undefined;
+  };
+  const request = makeRequest(context, target, forwarding, keeper);
+  const upstream = new Upstream(
+    {...request, openConnection},
+    server.codec,
+    upstreamListener,
+  );
   if (listener.handleSilence !== undefined) {
     startLinkWatch(server.links, id, upstream, listener.handleSilence);
   }
@@ -123,20 +101,19 @@
 }
 
 /**
- * Tells whether a request may be sent again after its kept connection failed. It
- * takes a retry of the budget if the endpoint may have received some of it.
+ * Makes what takes and keeps the connection of a request. One without an id of its
+ * own gets a new connection, since a late copy of an earlier answer could not be told
+ * from its own; so does one that could not be tried again.
  */
-function takeRepeat(
-  {server, service, deadline}: RequestContext,
-  {id, bornAt}: KnownTarget,
-  isWritten: boolean,
-): boolean {
-  if (isPast(deadline, server.getNow())) return false;
-  if (!isWritten) return true;
-  if (!server.budgets.takeRetry(service.name)) return false;
-  server.metrics.count(Counter.Repeated);
-  if (bornAt !== undefined) server.endpoints.limits.takeCredit({id, bornAt});
-  return true;
+function makeKeeper(
+  {server, request, route}: RequestContext,
+  {id, address}: UpstreamTarget,
+): ConnectionKeeper | undefined {
+  const {attemptId} = request;
+  const bornAt = server.endpoints.find(id)?.bornAt;
+  if (bornAt === undefined || attemptId === '') return undefined;
+  if (route.maxAttempts < 2) return undefined;
+  return server.kept?.makeKeeper({id, address, bornAt}, attemptId);
 }
 
 function makeRequest(
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -136,6 +136,8 @@
       if (isMover && movers >= maxFailures) continue;
       // One that was placed may have ended the wait of another.
       if (!queue.waiters.includes(waiter)) continue;
+      // After a stall of the process, its caller may have left unnoticed.
+      if (isPast(getWaitEnd(waiter), this.getNow())) continue;
       if (this.takePlace(service, queue, waiter, demands)) continue;
       if (isMover) movers += 1;
       else failures += 1;
@@ -211,6 +213,7 @@
   private expireWaiters(service: string, queue: WaitQueue<PathWaiter>): void {
     const now = this.getNow();
     for (const waiter of [...queue.waiters]) {
+      if (!queue.waiters.includes(waiter)) continue;
       const isUnserved =
         this.isPausing(service, waiter) || this.isQuarantined(service, waiter);
       if (isUnserved) this.refuse(service, queue, waiter);
--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -37,6 +37,8 @@
     private readonly context: RequestContext,
     readonly endpoint: EndpointState,
     private readonly owner: AttemptOwner,
+    /** Whether the request was sent before. */
+    private readonly isFurther: boolean,
   ) {
     this.sentAt = context.server.getNow();
     this.buffer = new AnswerBuffer(context, answer =>
@@ -46,6 +48,19 @@
     this.watch = new AttemptWatch(context);
   }
 
+  /**
+   * Chooses the connection. A kept one may end as the request comes, so it is for
+   * the first attempt only, where another endpoint can take the request then.
+   */
+  private chooseOpening(): Opening {
+    const {server, service, route} = this.context;
+    const isKept =
+      route.kind === RouteKind.Safe &&
+      !this.isFurther &&
+      server.endpoints.list(service.name).length > 1;
+    return isKept ? Opening.Kept : Opening.New;
+  }
+
   /** Sends the request. */
   start(): void {
     const {context, endpoint} = this;
@@ -64,7 +79,7 @@
         handleChunk: chunk => this.buffer.accept(this.answer!, chunk, upstream),
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
       },
-      context.route.kind === RouteKind.Safe ? Opening.Kept : Opening.New,
+      this.chooseOpening(),
     );
     this.upstream = upstream;
   }
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -206,7 +206,7 @@
       recordRetry(this.context, endpoint.entry.id, earlier);
     }
     this.tried.add(endpoint.entry.id);
-    const attempt = new PlainAttempt(this.context, endpoint, this);
+    const attempt = new PlainAttempt(this.context, endpoint, this, earlier > 0);
     this.running.push(attempt);
     attempt.start();
     this.startCheck();
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -104,8 +104,8 @@
   private readonly connectTimer: NodeJS.Timeout;
   private message: http.IncomingMessage | undefined;
   private connection: EndpointConnection | undefined;
-  /** Bytes that came and were written on the connection for earlier requests. */
-  private earlierBytes = {read: 0, written: 0};
+  /** Bytes that came on the connection for earlier requests. */
+  private earlierBytes = 0;
   /** Whether an answer with the id of this request has begun. */
   private hasAnswer = false;
   /** Whether bytes came after the answer. */
@@ -193,25 +193,11 @@
     return this.message !== undefined && this.hasLength(this.message);
   }
 
-  /** Tells whether an answer with the id of this request has begun. */
-  hasOwnAnswer(): boolean {
-    return this.hasAnswer;
-  }
-
-  /** Tells whether the endpoint may have received some of the request. */
-  isWritten(): boolean {
-    const {connection, earlierBytes} = this;
-    if (connection === undefined) return false;
-    const {bytesWritten = Infinity} = connection.socket;
-    return bytesWritten > earlierBytes.written;
-  }
-
   private acceptConnection(connection: EndpointConnection): void {
     this.connection = connection;
     clearTimeout(this.connectTimer);
     const {socket} = connection;
-    const {bytesRead, bytesWritten = 0} = socket;
-    this.earlierBytes = {read: bytesRead, written: bytesWritten};
+    this.earlierBytes = socket.bytesRead;
     const handleEnd = () => {
       if (this.message !== undefined && !this.hasLength(this.message)) {
         this.verifyEnd(connection);
@@ -356,19 +342,21 @@
 
   private computeHeadExcess(): IntakeExcess | undefined {
     const {maxItem} = kindLimits[IntakeKind.Head];
-    const {read} = this.earlierBytes;
-    const bytesRead = (this.request.socket?.bytesRead ?? 0) - read;
+    const bytesRead = (this.request.socket?.bytesRead ?? 0) - this.earlierBytes;
     return checkItem(IntakeKind.Head, Math.max(maxItem + 1, bytesRead));
   }
 
   /**
-   * Tells whether an answer on a connection with several requests is that to
+   * Tells whether an answer on a connection with several requests may be that to
    * another one, sent late or twice.
    */
   private isOfAnother({attemptId}: EndpointAnswer): boolean {
-    const {keeper, attemptId: ownId} = this.options;
-    if (keeper === undefined || this.earlierBytes.read === 0) return false;
-    return attemptId !== undefined && attemptId !== ownId;
+    return this.isReused() && attemptId !== this.options.attemptId;
+  }
+
+  /** Tells whether the connection has had an answer to an earlier request. */
+  private isReused(): boolean {
+    return this.options.keeper !== undefined && this.earlierBytes > 0;
   }
 
   /** Tells whether a fault is that of bytes after the answer, which is whole. */
@@ -407,6 +395,7 @@
 
   private close(end: UpstreamEnd, detail: string): void {
     if (this.hasEnded) return;
+    if (this.isReused() && !this.hasAnswer) this.options.keeper?.recordFailed();
     this.cancel();
     this.listener.handleEnd(end, detail);
   }
