--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -32,6 +32,7 @@
   type OpenRequest,
 } from './open_requests.js';
 import {PlainRequestHandler} from './plain_request_handler.js';
+import {hasLeft} from './has_left.js';
 import {readBody} from './read_body.js';
 import type {RequestContext, ServerContext} from './request_context.js';
 import {listTraits, RequestHash} from './request_hash.js';
@@ -218,7 +219,8 @@
     if (body.isErr) return refuse(describeBodyFailure(body.error));
     const left = deadline - this.context.getNow();
     await this.openRequests.waitForTurn(open, left);
-    if (message.socket.destroyed || response.writableEnded) return;
+    if (await hasLeft(message.socket)) return;
+    if (response.writableEnded) return;
     if (!this.openRequests.hasTurn(open)) return refuse(behindAnswer);
     const stopFailure = this.checkStop(open, route, deadline);
     if (stopFailure !== undefined) return refuse(stopFailure);
