refactor(gateway): what the keep-alive pool left behind, and values computed twice

EndpointRequest and the bytes written on a connection served a second sending that is gone; Upstream is used directly again. The start of a request's endpoint is looked up once, the slots of paths are counted when the paths are found and not for each waiting request, the waits of peers are summed by describeDemands, and the milliseconds of a second come from shared. Behaviour and tests are unchanged.

--- a/packages/decisions/src/links/kept_connection.ts
+++ b/packages/decisions/src/links/kept_connection.ts
@@ -1,4 +1,8 @@
-import type {Deadline, Instant} from '@zinniaspindle/shared';
+import {
+  millisecondsPerSecond,
+  type Deadline,
+  type Instant,
+} from '@zinniaspindle/shared';
 
 /** Why a connection to an endpoint is not kept, or not kept any longer. */
 export enum DropReason {
@@ -49,7 +53,6 @@
   readonly until: Deadline;
 }
 
-const millisecondsPerSecond = 1000;
 /**
  * Time before the endpoint's own time-out at which a connection is dropped: longer
  * than a round trip and a pause of a slow VM.
--- a/packages/decisions/src/ranks/reserve_room.ts
+++ b/packages/decisions/src/ranks/reserve_room.ts
@@ -1,4 +1,8 @@
-import type {Deadline, Instant} from '@zinniaspindle/shared';
+import {
+  millisecondsPerSecond,
+  type Deadline,
+  type Instant,
+} from '@zinniaspindle/shared';
 import type {RankDemand} from './rank_demand.js';
 
 /** How much capacity is left free for requests of higher ranks. */
@@ -25,8 +29,6 @@
   leastServed: 0.4,
 };
 
-const millisecondsPerSecond = 1000;
-
 /**
  * Computes the share of the slots that requests of a level leave free for those
  * of higher levels: for the ones that wait in the fleet, and for the ones that
--- a/packages/decisions/src/ranks/return_time.ts
+++ b/packages/decisions/src/ranks/return_time.ts
@@ -1,4 +1,4 @@
-import type {Random} from '@zinniaspindle/shared';
+import {millisecondsPerSecond, type Random} from '@zinniaspindle/shared';
 import {
   computeRetryDelay,
   defaultWaitOptions,
@@ -16,7 +16,6 @@
  * refused without knowledge of each other.
  */
 const minSpreadMilliseconds = 2000;
-const millisecondsPerSecond = 1000;
 
 /**
  * Computes the milliseconds after which a refused caller should retry: after
--- a/packages/gateway/src/fleet/path_pacing.ts
+++ b/packages/gateway/src/fleet/path_pacing.ts
@@ -4,16 +4,16 @@
   createGapRecord,
   defaultStallOptions,
   isForgotten,
+  isStalled,
+  minStallMilliseconds,
   predictPath,
   recordPathGap,
   type EngineFigures,
   type GapRecord,
   type PathTimes,
+  type PathWatch,
   type ReportedPace,
   type StagePath,
-  isStalled,
-  minStallMilliseconds,
-  type PathWatch,
   type StallOptions,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
@@ -140,9 +140,8 @@
     });
     const record = this.gaps.get(path.key);
     const findPace = (id: string) => this.findPace(id, figures);
-    paced.slowness = computeSlowness(path, record, findPace, {
-      ...{now, isUsed: this.isUsed(path)},
-    });
+    const query = {now, isUsed: this.isUsed(path)};
+    paced.slowness = computeSlowness(path, record, findPace, query);
     this.logSlowness(path.key, paced);
     return paced;
   }
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -59,6 +59,8 @@
   readonly model: ServiceModel;
   readonly until: Instant;
   readonly paths: readonly StagePath[];
+  /** Slots of all paths; those that begin at one endpoint share its slots. */
+  readonly slots: number;
   /**
    * When the first endpoint returns from its pause with which there is a path;
    * undefined while there are paths, and if pauses are not why there are none.
@@ -129,13 +131,7 @@
 
   /** Counts the slots of all paths. */
   countSlots(service: string, model: ServiceModel): number {
-    const slots = new Map<string, number>();
-    for (const path of this.list(service, model)) {
-      slots.set(path.parts[0]!.endpoint.id, path.slots);
-    }
-    let sum = 0;
-    for (const count of slots.values()) sum += count;
-    return sum;
+    return this.findAll(service, model).slots;
   }
 
   /**
@@ -170,6 +166,7 @@
         pausing[0]?.until ?? Infinity,
       ),
       paths,
+      slots: countSlots(paths),
       returnAt:
         paths.length > 0 ? undefined : findReturn(pausing, stages, model),
     };
@@ -417,6 +414,14 @@
   return undefined;
 }
 
+function countSlots(paths: readonly StagePath[]): number {
+  const slots = new Map<string, number>();
+  for (const path of paths) slots.set(path.parts[0]!.endpoint.id, path.slots);
+  let sum = 0;
+  for (const count of slots.values()) sum += count;
+  return sum;
+}
+
 function computeUsualTokens(model: ServiceModel): number {
   const {meanPromptTokens, meanAnswerTokens} = model;
   if (meanPromptTokens === undefined) return Infinity;
--- a/packages/gateway/src/fleet/waiter_table.ts
+++ b/packages/gateway/src/fleet/waiter_table.ts
@@ -1,5 +1,6 @@
 import {
   computeRequestRank,
+  describeDemands,
   findLevel,
   hashText,
   listRanks,
@@ -192,13 +193,10 @@
   findPeerWaits(service: string, level: number): PeerWaits | undefined {
     const demands = this.findPeers(service);
     if (demands === undefined) return undefined;
-    const waits = {ahead: 0, placed: 0, refused: 0};
-    for (const [index, {waiting, placed, refused}] of demands.entries()) {
-      if (index <= level) waits.ahead += waiting;
-      waits.placed += placed;
-      waits.refused += refused;
-    }
-    return waits;
+    const {higher, equal, placed} = describeDemands(demands, level);
+    let refused = 0;
+    for (const demand of demands) refused += demand.refused;
+    return {ahead: higher + equal, placed, refused};
   }
 
   private findPeers(service: string): readonly RankDemand[] | undefined {
--- a/packages/gateway/src/links/open_connection.ts
+++ b/packages/gateway/src/links/open_connection.ts
@@ -15,10 +15,7 @@
 
 /** A connection to an endpoint that is established. */
 export interface EndpointConnection {
-  readonly socket: Duplex & {
-    readonly bytesRead: number;
-    readonly bytesWritten?: number;
-  };
+  readonly socket: Duplex & {readonly bytesRead: number};
   readonly endProof: EndProof;
   /** The peer VM through which it goes; undefined for none. */
   readonly relay: string | undefined;
--- a/packages/gateway/src/requests/answer_buffer.ts
+++ b/packages/gateway/src/requests/answer_buffer.ts
@@ -5,7 +5,7 @@
 import {EventSplitter} from './event_splitter.js';
 import type {RequestContext} from './request_context.js';
 import {writeHead} from './send_answer.js';
-import type {EndpointRequest} from './endpoint_request.js';
+import type {Upstream} from './upstream.js';
 
 /**
  * Buffers an answer until it is complete, so that a failed attempt can be
@@ -37,7 +37,7 @@
   accept(
     answer: EndpointAnswer,
     chunk: Buffer,
-    upstream: EndpointRequest,
+    upstream: Upstream,
   ): IntakeExcess | undefined {
     if (!answer.hasSeal) return this.add(IntakeKind.ErrorBody, chunk);
     if (this.context.route.kind === RouteKind.Streaming) {
@@ -61,7 +61,7 @@
   private acceptStream(
     answer: EndpointAnswer,
     chunk: Buffer,
-    upstream: EndpointRequest,
+    upstream: Upstream,
   ): IntakeExcess | undefined {
     const isStream = isSuccess(answer.status);
     const bytes = isStream ? this.events.accept(chunk)?.bytes : chunk;
@@ -72,7 +72,7 @@
   private sendOn(
     answer: EndpointAnswer,
     bytes: Buffer,
-    upstream: EndpointRequest,
+    upstream: Upstream,
   ): void {
     if (!this.isForwarding) {
       writeHead(this.context, answer, undefined);
@@ -101,7 +101,7 @@
     return this.body.add(kind, chunk);
   }
 
-  private write(chunk: Buffer, upstream: EndpointRequest): void {
+  private write(chunk: Buffer, upstream: Upstream): void {
     const {response} = this.context;
     if (response.write(chunk)) return;
     if (this.isWaiting) return;
--- a/packages/gateway/src/requests/link_watch.ts
+++ b/packages/gateway/src/requests/link_watch.ts
@@ -1,5 +1,5 @@
 import type {EndpointLinks} from '../links/endpoint_links.js';
-import type {EndpointRequest} from './endpoint_request.js';
+import type {Upstream} from './upstream.js';
 
 /** A connection of a lost link on which nothing comes for this time is silent. */
 const silenceMilliseconds = 300;
@@ -11,7 +11,7 @@
 export function startLinkWatch(
   links: EndpointLinks,
   id: string,
-  upstream: EndpointRequest,
+  upstream: Upstream,
   handleSilence: () => void,
 ): void {
   let timer: NodeJS.Timeout | undefined;
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -12,7 +12,6 @@
 import type {AnswerSource} from '../fleet/source_check.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
-import type {EndpointRequest} from './endpoint_request.js';
 import {
   Upstream,
   type UnframedEnd,
@@ -26,9 +25,8 @@
   readonly address: string;
 }
 
-/** An endpoint, and when it started as far as known. */
-interface KnownTarget {
-  readonly id: string;
+/** That endpoint, and when it started as far as known. */
+interface KnownTarget extends UpstreamTarget {
   readonly bornAt: Instant | undefined;
 }
 
@@ -61,21 +59,14 @@
 /** Sends a caller's request to an endpoint. */
 export function openUpstream(
   context: RequestContext,
-  target: UpstreamTarget,
+  {id, address}: UpstreamTarget,
   forwarding: UpstreamForwarding,
   listener: AttemptListener,
   opening = Opening.New,
-): EndpointRequest {
+): Upstream {
   const {server} = context;
-  const {id, address} = target;
-  const bornAt = server.endpoints.find(id)?.bornAt;
-  const getRelay = () => upstream.getRelay();
-  const upstreamListener = makeListener(
-    context,
-    {id, bornAt},
-    listener,
-    getRelay,
-  );
+  const target = {id, address, bornAt: server.endpoints.find(id)?.bornAt};
+  const getRelay = (): string | undefined => upstream.getRelay();
   const keeper =
     opening === Opening.Kept ? makeKeeper(context, target) : undefined;
   const kept = keeper?.take();
@@ -89,10 +80,10 @@
     return () => undefined;
   };
   const request = makeRequest(context, target, forwarding, keeper);
-  const upstream = new Upstream(
+  const upstream: Upstream = new Upstream(
     {...request, openConnection},
     server.codec,
-    upstreamListener,
+    makeListener(context, target, listener, getRelay),
   );
   if (listener.handleSilence !== undefined) {
     startLinkWatch(server.links, id, upstream, listener.handleSilence);
@@ -107,10 +98,9 @@
  */
 function makeKeeper(
   {server, request, route}: RequestContext,
-  {id, address}: UpstreamTarget,
+  {id, address, bornAt}: KnownTarget,
 ): ConnectionKeeper | undefined {
   const {attemptId} = request;
-  const bornAt = server.endpoints.find(id)?.bornAt;
   if (bornAt === undefined || attemptId === '') return undefined;
   if (route.maxAttempts < 2) return undefined;
   return server.kept?.makeKeeper({id, address, bornAt}, attemptId);
@@ -118,7 +108,7 @@
 
 function makeRequest(
   context: RequestContext,
-  {id, address}: UpstreamTarget,
+  {id, address, bornAt}: KnownTarget,
   forwarding: UpstreamForwarding,
   keeper: ConnectionKeeper | undefined,
 ): UpstreamRequest {
@@ -133,7 +123,6 @@
     keepsConnection: keeper !== undefined,
   });
   const {path, attemptId} = request;
-  const bornAt = server.endpoints.find(id)?.bornAt;
   return {
     ...{address, method, path, headers, body, attemptId, deadline, keeper},
     verifyEnd: end => {
@@ -146,14 +135,15 @@
 /** Makes what applies the facts of an answer to its endpoint, and passes it on. */
 function makeListener(
   context: RequestContext,
-  {id, bornAt}: KnownTarget,
+  target: KnownTarget,
   listener: AttemptListener,
   getRelay: () => string | undefined,
 ): UpstreamListener {
   const {server, request} = context;
+  const {id, bornAt} = target;
   return {
     handleHead: answer => {
-      acceptNotice(context, {id, bornAt}, answer);
+      acceptNotice(context, target, answer);
       const relay = getRelay();
       const {pauseMilliseconds: milliseconds} = answer;
       if (relay === undefined || milliseconds === undefined) return;
--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -13,8 +13,7 @@
 import {AttemptWatch} from './attempt_watch.js';
 import {Opening, openUpstream} from './open_upstream.js';
 import type {RequestContext} from './request_context.js';
-import type {EndpointRequest} from './endpoint_request.js';
-import {UpstreamEnd} from './upstream.js';
+import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** The request that an attempt is made for. */
 export interface AttemptOwner {
@@ -31,7 +30,7 @@
   readonly log: AttemptLog;
   readonly watch: AttemptWatch;
   answer: EndpointAnswer | undefined;
-  private upstream: EndpointRequest | undefined;
+  private upstream: Upstream | undefined;
 
   constructor(
     private readonly context: RequestContext,
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -4,7 +4,12 @@
   describeDemands,
   type Quarantine,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
+import {
+  GatewayEvent,
+  isPast,
+  millisecondsPerSecond,
+  type Deadline,
+} from '@zinniaspindle/shared';
 import {Counter, Latency} from '../log/metrics.js';
 import {
   RouteKind,
@@ -127,7 +132,10 @@
   server.writeEvent(GatewayEvent.RequestOutranked, {
     ...{request: request.attemptId, route: route.name, rank: level},
     ...{ranks: waiters.countLevels(), higher, equal, placed},
-    waitMs: placed === 0 ? -1 : Math.round(((higher + equal) * 1000) / placed),
+    waitMs:
+      placed === 0
+        ? -1
+        : Math.round(((higher + equal) * millisecondsPerSecond) / placed),
     waitedMs: Math.round(getNow() - context.receivedAt),
     retryMs: Math.round(after),
   });
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -14,8 +14,7 @@
 import type {RequestContext} from './request_context.js';
 import {StreamBody, type CompleteEvents} from './stream_body.js';
 import type {StreamEnds} from './stream_ends.js';
-import type {EndpointRequest} from './endpoint_request.js';
-import {UpstreamEnd} from './upstream.js';
+import {UpstreamEnd, type Upstream} from './upstream.js';
 
 /** Urgency of a resumed stream: it paused already and goes before new ones. */
 const resumedUrgency = 1;
@@ -65,7 +64,7 @@
   answer: EndpointAnswer | undefined;
   readonly watch: AttemptWatch;
   private readonly body: StreamBody;
-  private readonly upstream: EndpointRequest;
+  private readonly upstream: Upstream;
   private readonly queueTimer: NodeJS.Timeout;
   private hasEnded = false;
 
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -28,7 +28,6 @@
   RawHeaders,
 } from '../ports/index.js';
 import {isSuccess} from './answer_status.js';
-import type {EndpointRequest} from './endpoint_request.js';
 import {findHeadFault} from './find_head_fault.js';
 
 /**
@@ -99,7 +98,7 @@
  * keeper it is the only one ever, so that bytes of another answer cannot be mistaken
  * for this one.
  */
-export class Upstream implements EndpointRequest {
+export class Upstream {
   private readonly request: http.ClientRequest;
   private readonly connectTimer: NodeJS.Timeout;
   private message: http.IncomingMessage | undefined;
@@ -156,6 +155,9 @@
     });
   }
 
+  /**
+   * Cancels the request by closing its connection; the listener is not called.
+   */
   cancel(): void {
     this.hasEnded = true;
     clearTimeout(this.connectTimer);
@@ -164,14 +166,20 @@
     this.runCloseHandlers();
   }
 
+  /** Calls a function when the request ends or is cancelled. */
   addCloseHandler(handleClose: () => void): void {
     this.closeHandlers.push(handleClose);
   }
 
+  /** The peer VM through which the connection goes; undefined for none. */
   getRelay(): string | undefined {
     return this.connection?.relay;
   }
 
+  /**
+   * Counts the bytes that have come on a connection of this VM itself; undefined
+   * without one.
+   */
   countDirectBytes(): number | undefined {
     const {connection} = this;
     if (connection === undefined || connection.relay !== undefined) {
@@ -180,15 +188,18 @@
     return connection.socket.bytesRead;
   }
 
+  /** Pauses reading the answer, for backpressure. */
   stopReading(): void {
     this.message?.pause();
   }
 
+  /** Resumes reading the answer. */
   resumeReading(): void {
     this.lastBytesAt = performance.now();
     this.message?.resume();
   }
 
+  /** Tells whether the answer states where it ends, by a length or chunks. */
   isFramed(): boolean {
     return this.message !== undefined && this.hasLength(this.message);
   }
