--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,5 +1,6 @@
 /** The decisions of the router, as state machines without I/O. */
 export * from './directory/directory.js';
+export * from './directory/pick_entries.js';
 export * from './drain/drain.js';
 export * from './drain/stop_plan.js';
 export * from './hashing/rendezvous.js';
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -26,6 +26,7 @@
     peerAddress: isAddress,
     callerAddress: isAddress,
     linkMegabits: isAmount,
+    cores: value => value === undefined || isAmount(value),
     known: Array.isArray,
   },
   // Heartbeats are rows, which have their own decoder.
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -38,6 +38,8 @@
   readonly callerAddress: string;
   /** Bandwidth of its link, in Mbit/s. */
   readonly linkMegabits: number;
+  /** Processor time that it gets a second, in cores; older builds send none. */
+  readonly cores?: number | undefined;
   /** Peer addresses of the VMs known to it. */
   readonly known: readonly string[];
 }
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -47,6 +47,8 @@
   readonly peerAddress: string;
   readonly callerAddress: string;
   readonly linkMegabits: number;
+  /** Processor time that it gets a second, in cores; undefined if unknown. */
+  readonly cores?: number | undefined;
   readonly rankWeight: number;
   phase: PeerPhase;
   isOwner: boolean;
@@ -280,6 +282,7 @@
       peerAddress: hello.peerAddress,
       callerAddress: hello.callerAddress,
       linkMegabits: hello.linkMegabits,
+      cores: hello.cores,
       rankWeight: computeRankWeight(hello.vm),
       phase: PeerPhase.Starting,
       isOwner: false,
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -6,6 +6,8 @@
   readonly dataCentre: string;
   /** Bandwidth of the VM's network link, in Mbit/s. */
   readonly linkMegabits: number;
+  /** Processor time that the VM gets a second, in cores; undefined if unknown. */
+  readonly cores?: number | undefined;
   /** Memory of the VM, in MB; undefined for that of a usual VM. */
   readonly memoryMegabytes?: number | undefined;
   readonly listen: {
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -300,6 +300,7 @@
 function describeOwn({
   vm,
   linkMegabits,
+  cores,
   listen: {peers, callers},
 }: GatewaySettings): Omit<Hello, 'kind' | 'known'> {
   return {
@@ -308,6 +309,7 @@
     peerAddress: formatAddress(peers),
     callerAddress: formatAddress(callers),
     linkMegabits,
+    cores,
   };
 }
 
@@ -387,10 +389,13 @@
     findStopPlan,
     computeRefusingShare: () => computeRefusingShare(mesh.listPresent()),
   });
-  const ownAddress = formatAddress(settings.listen.callers);
+  const own = {
+    address: formatAddress(settings.listen.callers),
+    cores: settings.cores,
+  };
   const directory = new DirectoryServer(ports.directory, {
     listAddresses: () =>
-      listCallerAddresses(ownAddress, getPhase(), mesh.listPresent()),
+      listCallerAddresses(own, getPhase(), mesh.listPresent(), Math.random),
     isReady: () => getPhase() === PeerPhase.Ready,
     renderMetrics: () => metrics.render(),
   });
--- a/packages/gateway/src/root/list_addresses.ts
+++ b/packages/gateway/src/root/list_addresses.ts
@@ -1,11 +1,15 @@
-import {pickRanked} from '@zinniaspindle/decisions';
+import {
+  defaultEntryOptions,
+  pickEntries,
+  pickRanked,
+  type EntryVm,
+} from '@zinniaspindle/decisions';
+import type {Random} from '@zinniaspindle/shared';
 import {PeerPhase} from '../peers/messages.js';
 import type {Peer} from '../peers/peer_mesh.js';
 
-type KnownVm = Pick<Peer, 'callerAddress' | 'phase' | 'isReachable'>;
+type KnownVm = Pick<Peer, 'callerAddress' | 'phase' | 'isReachable' | 'cores'>;
 
-/** Callers use at most this many addresses of an answer. */
-const maxAddresses = 64;
 /**
  * A VM that can reach a smaller share of its ready peers is probably isolated
  * itself.
@@ -26,27 +30,34 @@
 
 /**
  * Lists the addresses that callers may connect to: those of the ready VMs that
- * are reachable. A VM that is probably isolated lists all ready VMs that it
- * knows, since callers may still reach them. While no VM is ready, those that are
- * leaving are listed, which still serve what they can finish.
+ * are reachable, the faster ones more often. A VM that is probably isolated lists
+ * all ready VMs that it knows, since callers may still reach them. While no VM is
+ * ready, those that are leaving are listed, which still serve what they can finish.
  */
 export function listCallerAddresses(
-  ownAddress: string,
+  own: EntryVm,
   ownPhase: PeerPhase,
   known: readonly KnownVm[],
+  random: Random,
 ): string[] {
   const ready = known.filter(({phase}) => phase === PeerPhase.Ready);
   const reachable = ready.filter(({isReachable}) => isReachable);
   const isIsolated = reachable.length < ready.length * isolationShare;
   const listed = isIsolated ? ready : reachable;
-  const addresses = listed.map(({callerAddress}) => callerAddress);
-  if (ownPhase === PeerPhase.Ready) addresses.unshift(ownAddress);
-  if (addresses.length === 0) {
-    addresses.push(...listLeaving(ownAddress, ownPhase, known));
-  }
-  if (addresses.length <= maxAddresses) return addresses;
+  const vms = listed.map(toEntry);
+  if (ownPhase === PeerPhase.Ready) vms.unshift(own);
+  if (vms.length === 0) return listLeaving(own.address, ownPhase, known);
+  const picked = pickEntries(vms, random);
+  if (picked !== undefined) return picked;
+  const addresses = vms.map(({address}) => address);
+  const {maxEntries} = defaultEntryOptions;
+  if (addresses.length <= maxEntries) return addresses;
   // Each VM lists a different subset, so that callers spread over all VMs.
-  return pickRanked(ownAddress, addresses, maxAddresses);
+  return pickRanked(own.address, addresses, maxEntries);
+}
+
+function toEntry({callerAddress: address, cores}: KnownVm): EntryVm {
+  return {address, cores};
 }
 
 function listLeaving(
