--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -88,6 +88,7 @@
 export * from './routing/index.js';
 export * from './bound/index.js';
 export * from './admission/index.js';
+export * from './ranks/index.js';
 export * from './recovery/index.js';
 export * from './retries/index.js';
 export * from './placement/index.js';
--- /dev/null
+++ b/packages/decisions/src/ranks/reserve_room.ts
@@ -0,0 +1,62 @@
+import type {Deadline, Instant} from '@zinniaspindle/shared';
+import type {RankDemand} from './rank_demand.js';
+
+/** How much capacity is left free for requests of higher ranks. */
+export interface ReserveOptions {
+  /** Bounds what wrong or late figures of peers can cost. */
+  readonly maxShare: number;
+  /** For the arrivals of this time room is left free. */
+  readonly aheadMilliseconds: number;
+  /** Share of its longest wait after which a request may use the room. */
+  readonly exemptShare: number;
+}
+
+/** The settings used where a deployment gives none. */
+export const defaultReserveOptions: ReserveOptions = {
+  maxShare: 0.2,
+  aheadMilliseconds: 500,
+  exemptShare: 0.5,
+};
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Computes the share of the slots that requests of a level leave free for those
+ * of higher levels: for the ones that wait in the fleet, and for the ones that
+ * will come before enough slots come free.
+ * @param demands of the whole fleet, by level
+ * @param slots of all paths
+ */
+export function computeReservedShare(
+  level: number,
+  demands: readonly RankDemand[],
+  slots: number,
+  options: ReserveOptions = defaultReserveOptions,
+): number {
+  const seconds = options.aheadMilliseconds / millisecondsPerSecond;
+  let waiting = 0;
+  let arrivals = 0;
+  let freed = 0;
+  for (const [index, demand] of demands.entries()) {
+    // At full load, slots are granted as fast as they come free.
+    freed += demand.placed;
+    if (index >= level) continue;
+    waiting += demand.waiting;
+    arrivals += demand.arrivals;
+  }
+  const wanted = waiting + Math.max(0, (arrivals - freed) * seconds);
+  if (wanted === 0 || slots <= 0) return 0;
+  return Math.min(options.maxShare, wanted / slots);
+}
+
+/**
+ * Tells whether a request has waited for so long that it leaves no room free, so
+ * that no rank starves.
+ */
+export function isExempt(
+  {receivedAt, waitUntil}: {receivedAt: Instant; waitUntil: Deadline},
+  now: Instant,
+  options: ReserveOptions = defaultReserveOptions,
+): boolean {
+  return now - receivedAt > (waitUntil - receivedAt) * options.exemptShare;
+}
--- a/packages/decisions/src/stages/pick_path.ts
+++ b/packages/decisions/src/stages/pick_path.ts
@@ -23,6 +23,8 @@
   readonly localBonus: number;
   /** Width of the random term that keeps VMs from all picking the same path. */
   readonly jitter: number;
+  /** Share of the capacity that the request leaves free for higher ranks. */
+  readonly reservedShare?: number;
 }
 
 /** The settings used where a deployment gives none. */
@@ -129,9 +131,10 @@
 function computeFullShare(
   tokens: number,
   usualTokens: number,
-  {largeRatio, largeFullShare, fullShare}: PickOptions,
+  {largeRatio, largeFullShare, fullShare, reservedShare = 0}: PickOptions,
 ): number {
-  return tokens >= usualTokens * largeRatio ? largeFullShare : fullShare;
+  const share = tokens >= usualTokens * largeRatio ? largeFullShare : fullShare;
+  return share - reservedShare;
 }
 
 /** Computes the time of a pass, in milliseconds, above which a path is much slower than others. */
--- a/packages/decisions/src/stages/wait_queue.ts
+++ b/packages/decisions/src/stages/wait_queue.ts
@@ -1,11 +1,10 @@
 import type {Deadline, Instant} from '@zinniaspindle/shared';
+import {compareRanks, type RequestRank} from '../ranks/request_rank.js';
 
 /** A request that waits for a place on a path. */
-export interface Waiter {
+export interface Waiter extends RequestRank {
   /** A stream that was cut and goes on; its caller has had part of the answer. */
   readonly isResumed: boolean;
-  /** 0 is the highest priority. */
-  readonly priority: number;
   readonly receivedAt: Instant;
   /** It is refused at this instant if it has no place. */
   readonly waitUntil: Deadline;
@@ -26,6 +25,16 @@
   crowdedSince: Instant | undefined;
 }
 
+/** What peers have reported of the requests of one service. */
+export interface PeerWaits {
+  /** Their requests that go before a new one of the rank in question. */
+  readonly ahead: number;
+  /** Requests of all ranks that got places in the last second. */
+  readonly placed: number;
+  /** Requests of all ranks that were refused in the last second. */
+  readonly refused: number;
+}
+
 /** Places given in this time tell how fast the queue moves. */
 const rateMilliseconds = 1000;
 /** A queue that is crowded for less time says little of how fast it moves. */
@@ -40,7 +49,7 @@
 
 /**
  * Adds a request behind those that go before it: cut streams first, then by
- * priority, then by age.
+ * rank, then by age.
  */
 export function addWaiter<Item extends Waiter>(
   queue: WaitQueue<Item>,
@@ -79,25 +88,38 @@
  * Predicts how long a request waits behind those that go before it, from the
  * places given in the last second; 0 while too little is known. A request that
  * cannot be served in time is refused at once instead of at the end of its wait.
+ * @param peers what peers have reported; undefined without news. In a large
+ *   fleet, a VM has too few requests to tell how fast slots come free.
  */
 export function predictWait(
   queue: WaitQueue<Waiter>,
   item: Waiter,
   now: Instant,
+  peers?: PeerWaits,
 ): number {
-  const {waiters, placedAt, refusedAt, crowdedSince} = queue;
+  const {placedAt, refusedAt, crowdedSince} = queue;
   if (crowdedSince === undefined) return 0;
-  const observed = Math.min(rateMilliseconds, now - crowdedSince);
-  if (observed < patienceMilliseconds) return 0;
+  const crowded = Math.min(rateMilliseconds, now - crowdedSince);
   expireOld(placedAt, now);
   expireOld(refusedAt, now);
-  if (placedAt.length + refusedAt.length < minObserved) return 0;
-  if (placedAt.length === 0) return Infinity;
+  const placed = placedAt.length + (peers?.placed ?? 0);
+  const refused = refusedAt.length + (peers?.refused ?? 0);
+  // Peers that have requests waiting or refused are as crowded as this VM.
+  const isFleetCrowded = peers !== undefined && peers.ahead + peers.refused > 0;
+  if (crowded < patienceMilliseconds && !isFleetCrowded) return 0;
+  if (placed + refused < minObserved) return 0;
+  if (placed === 0) return Infinity;
+  const ahead = countAhead(queue, item);
+  if (peers === undefined) return (ahead * crowded) / placed;
+  return ((ahead + peers.ahead) * rateMilliseconds) / placed;
+}
+
+function countAhead({waiters}: WaitQueue<Waiter>, item: Waiter): number {
   let ahead = 0;
   for (const waiter of waiters) {
     if (compareWaiters(waiter, item) <= 0) ahead += 1;
   }
-  return (ahead * observed) / placedAt.length;
+  return ahead;
 }
 
 function expireOld(instants: Instant[], now: Instant): void {
@@ -108,5 +130,5 @@
 
 function compareWaiters(a: Waiter, b: Waiter): number {
   if (a.isResumed !== b.isResumed) return a.isResumed ? -1 : 1;
-  return a.priority - b.priority || a.receivedAt - b.receivedAt;
+  return compareRanks(a, b) || a.receivedAt - b.receivedAt;
 }
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -4,6 +4,7 @@
   countAvailableCrossings,
   createCrossingBudget,
   createPathWatch,
+  defaultPickOptions,
   defaultStallOptions,
   findPaths,
   isTimedOut,
@@ -113,6 +114,17 @@
     return this.findAll(service, model).paths;
   }
 
+  /** Counts the slots of all paths. */
+  countSlots(service: string, model: ServiceModel): number {
+    const slots = new Map<string, number>();
+    for (const path of this.list(service, model)) {
+      slots.set(path.parts[0]!.endpoint.id, path.slots);
+    }
+    let sum = 0;
+    for (const count of slots.values()) sum += count;
+    return sum;
+  }
+
   /**
    * Finds when a path accepts requests again; undefined unless there is none
    * only because the endpoints at which paths begin are pausing.
@@ -171,12 +183,14 @@
   /**
    * Picks a path for a request, other than the one that it leaves; undefined
    * when none can take it.
+   * @param reservedShare share of the capacity that it leaves free
    */
   pick(
     service: string,
     model: ServiceModel,
     tokens: number,
     left?: StagePath,
+    reservedShare = 0,
   ): StagePath | undefined {
     const usable = this.listUsable(service, model).filter(path =>
       this.hasCredit(path),
@@ -189,6 +203,7 @@
       this.dataCentre,
       Math.random,
       computeUsualTokens(model),
+      {...defaultPickOptions, reservedShare},
     );
   }
 
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -33,8 +33,17 @@
   EventGap = 'event_gap_milliseconds',
 }
 
+/** Values by rank, with the level as the label `rank`; 0 comes first. */
+export enum RankMetric {
+  Waiting = 'rank_waiting',
+  Placed = 'rank_placed_total',
+  Refused = 'rank_refused_total',
+}
+
 /** Descriptions of the metrics; the source of docs/METRICS.md. */
-export const gatewayMetricTexts: Readonly<Record<Counter | Latency, string>> = {
+export const gatewayMetricTexts: Readonly<
+  Record<Counter | Latency | RankMetric, string>
+> = {
   [Counter.Requests]: 'Requests whose headers were received.',
   [Counter.Answered]: 'Requests answered with the answer of an endpoint.',
   [Counter.Refused]: 'Requests refused with 429 or 503 without having run.',
@@ -71,6 +80,11 @@
   [Latency.FirstEvent]:
     'Time from the receipt of a request to the first event of its stream.',
   [Latency.EventGap]: 'Time between two consecutive events of a stream.',
+  [RankMetric.Waiting]:
+    'Streams that wait for a path at this VM, by rank (label `rank`, 0 to 7).',
+  [RankMetric.Placed]: 'Times that streams got a place on a path, by rank.',
+  [RankMetric.Refused]:
+    'Times that streams got no place on a path in time, by rank.',
 };
 
 const prefix = 'zinniaspindle_gateway_';
@@ -115,12 +129,25 @@
 export class Metrics {
   private readonly counters = new Map<Counter, number>();
   private readonly latencies = new Map<Latency, Histogram>();
+  /** By metric and level, of which there are few. */
+  private readonly ranks = new Map<string, number>();
 
   /** Adds one to a counter. */
   count(counter: Counter): void {
     this.counters.set(counter, (this.counters.get(counter) ?? 0) + 1);
   }
 
+  /** Adds one to a counter of a rank. */
+  countRank(metric: RankMetric, level: number): void {
+    const key = formatRank(metric, level);
+    this.ranks.set(key, (this.ranks.get(key) ?? 0) + 1);
+  }
+
+  /** Sets a value of a rank. */
+  setRank(metric: RankMetric, level: number, value: number): void {
+    this.ranks.set(formatRank(metric, level), value);
+  }
+
   /** Records a latency; values above a minute count as a minute. */
   record(latency: Latency, milliseconds: number): void {
     let histogram = this.latencies.get(latency);
@@ -155,6 +182,9 @@
       const value = this.counters.get(counter) ?? 0;
       lines.push(`${prefix}${counter} ${value}`);
     }
+    for (const [key, value] of this.ranks) {
+      lines.push(`${prefix}${key} ${value}`);
+    }
     for (const [latency, histogram] of this.latencies) {
       const name = `${prefix}${latency}`;
       for (const percentile of percentiles) {
@@ -166,3 +196,7 @@
     return `${lines.join('\n')}\n`;
   }
 }
+
+function formatRank(metric: RankMetric, level: number): string {
+  return `${metric}{rank="${level}"}`;
+}
--- a/packages/gateway/src/peers/heartbeat_codec.ts
+++ b/packages/gateway/src/peers/heartbeat_codec.ts
@@ -1,4 +1,9 @@
-import {parseEra, type StoreEra} from '@zinniaspindle/decisions';
+import {
+  parseDemandRows,
+  parseEra,
+  type DemandRow,
+  type StoreEra,
+} from '@zinniaspindle/decisions';
 import type {LoadRow} from '../fleet/load_tracker.js';
 import {Topic} from '../ports/index.js';
 import {isAge, isCount, isInstant, isLoadRow} from './message_checks.js';
@@ -26,8 +31,10 @@
    * -1 if unknown. Older builds neither send nor read it.
    */
   eras?: readonly number[],
-  /** Left out if there are none. */
+  /** Left out if there are none, and no demands. */
   quarantines?: readonly unknown[],
+  /** Left out if there are none. */
+  demands?: readonly DemandRow[],
 ];
 
 const unknownEra = -1;
@@ -36,7 +43,7 @@
 
 /** Encodes a heartbeat. */
 export function encodeHeartbeat(heartbeat: Heartbeat): HeartbeatRow {
-  const {quarantines} = heartbeat;
+  const {quarantines, demands = []} = heartbeat;
   const ages: number[] = [];
   for (const {topic, next, ageMilliseconds} of heartbeat.topics) {
     ages.push(topics.indexOf(topic), next, ageMilliseconds);
@@ -52,6 +59,7 @@
       era => era ?? unknownEra,
     ),
   ] as const;
+  if (demands.length > 0) return [...row, quarantines, demands];
   return quarantines.length > 0 ? [...row, quarantines] : row;
 }
 
@@ -70,6 +78,7 @@
   const [storeEra, ...eras] = decodeEras(rest[0]);
   const topics = decodeAges(ages, eras);
   const quarantines: readonly unknown[] = Array.isArray(rest[1]) ? rest[1] : [];
+  const demands = parseDemandRows(rest[2]);
   return {
     kind,
     phase,
@@ -81,6 +90,7 @@
     loads: loads.filter(isLoadRow),
     storeEra,
     quarantines,
+    ...(demands.length > 0 ? {demands} : {}),
   };
 }
 
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -1,4 +1,8 @@
-import {FailureCause, type StoreEra} from '@zinniaspindle/decisions';
+import {
+  FailureCause,
+  type DemandRow,
+  type StoreEra,
+} from '@zinniaspindle/decisions';
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {EndpointFacts} from '../fleet/endpoint_state.js';
 import type {LoadRow} from '../fleet/load_tracker.js';
@@ -72,6 +76,11 @@
   readonly storeEra: StoreEra;
   /** Rows that the receiver parses; older builds send none. */
   readonly quarantines: readonly unknown[];
+  /**
+   * The sender's requests for paths by service and rank; undefined if there are
+   * none, or one rank. Older builds neither send nor read them.
+   */
+  readonly demands?: readonly DemandRow[];
 }
 
 /** A record as sent between VMs; a null value deletes its key. */
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -14,6 +14,7 @@
   type Instant,
 } from '@zinniaspindle/shared';
 import type {LoadTracker} from '../fleet/load_tracker.js';
+import type {WaiterTable} from '../fleet/waiter_table.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {RefusalLog} from '../log/refusal_log.js';
 import {openServer} from '../open_server.js';
@@ -86,6 +87,8 @@
       socket: net.Socket,
       request: RelayRequest,
     ) => void = socket => socket.destroy(),
+    /** What peers report of their waiting requests. */
+    private readonly waiters?: Pick<WaiterTable, 'setPeer' | 'removePeer'>,
   ) {
     this.refusals = new RefusalLog(writeEvent, getNow);
   }
@@ -161,6 +164,7 @@
       if (peer.isReachable && silentMs > silenceTimeoutMs) {
         peer.isReachable = false;
         this.loads.removePeer(vm);
+        this.waiters?.removePeer(vm);
         this.writeEvent(GatewayEvent.PeerLost, {peer: vm, silentMs});
       }
       if (silentMs > retentionMilliseconds) this.peers.delete(vm);
@@ -305,6 +309,7 @@
     peer.isOwner = heartbeat.isOwner;
     peer.canRead = heartbeat.canRead;
     this.loads.setPeer(peer.vm, heartbeat.loads);
+    this.waiters?.setPeer(peer.vm, heartbeat.demands ?? []);
   }
 }
 
--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -1,16 +1,20 @@
 import {
   addWaiter,
+  computeReservedShare,
   createWaitQueue,
+  isExempt,
   predictWait,
   recordPlaced,
   recordRefused,
   removeWaiter,
+  type RankDemand,
   type StagePath,
   type Waiter,
   type WaitQueue,
 } from '@zinniaspindle/decisions';
 import {isPast, type Instant} from '@zinniaspindle/shared';
 import type {PathTable} from '../fleet/path_table.js';
+import type {WaiterTable} from '../fleet/waiter_table.js';
 import type {PartQuarantine} from '../quarantine/part_quarantine.js';
 import type {ServiceModel} from '../ports/index.js';
 
@@ -21,6 +25,8 @@
   readonly request: string;
   /** Digests of the request and ids of the parts of its prompt. */
   readonly traits: readonly string[];
+  /** Its level among the ranks of the configuration, 0 if there is one. */
+  readonly level?: number | undefined;
   /** The path of the attempt that it keeps until it has a place elsewhere. */
   readonly left?: StagePath | undefined;
   /** The path whose answer another one is to confirm. */
@@ -43,6 +49,8 @@
     private readonly paths: PathTable,
     private readonly quarantine: Pick<PartQuarantine, 'find' | 'recordSent'>,
     private readonly getNow: () => Instant,
+    /** The requests that wait in the fleet; undefined if ranks are of no account. */
+    private readonly waiters?: WaiterTable,
   ) {}
 
   /**
@@ -55,17 +63,27 @@
     const queue = this.getQueue(service);
     if (this.isQuarantined(service, waiter)) return waiter.resolve(undefined);
     addWaiter(queue, waiter, now);
+    if (isCounted(waiter)) this.waiters?.recordArrival(service, waiter);
     this.runQueue(service, queue);
     if (!queue.waiters.includes(waiter)) return;
-    if (this.isPausing(service, waiter)) return this.refuse(queue, waiter);
-    const wait = predictWait(queue, waiter, now);
+    if (this.isPausing(service, waiter)) {
+      return this.refuse(service, queue, waiter);
+    }
+    const peers = this.waiters?.findPeerWaits(service, waiter.level ?? 0);
+    const wait = predictWait(queue, waiter, now, peers);
     if (waiter.isResumed || now + wait <= waiter.waitUntil) return;
-    this.refuse(queue, waiter);
+    if (this.isHeldBack(service, waiter)) return;
+    this.refuse(service, queue, waiter);
   }
 
   /** Removes a request whose caller has disconnected. */
   cancel(service: string, waiter: PathWaiter): void {
-    removeWaiter(this.getQueue(service), waiter);
+    const queue = this.getQueue(service);
+    const isWaiting = queue.waiters.includes(waiter);
+    removeWaiter(queue, waiter);
+    if (isWaiting && isCounted(waiter)) {
+      this.waiters?.recordLeft(service, waiter);
+    }
   }
 
   /** Gives free places to the first requests, and refuses the expired ones. */
@@ -83,13 +101,14 @@
   private runQueue(service: string, queue: WaitQueue<PathWaiter>): void {
     let failures = 0;
     let movers = 0;
+    const demands = this.waiters?.findFleet(service);
     for (const waiter of [...queue.waiters]) {
       // A path that streams leave may have room for the others.
       const isMover = waiter.left !== undefined;
       if (isMover && movers >= maxFailures) continue;
       // One that was placed may have ended the wait of another.
       if (!queue.waiters.includes(waiter)) continue;
-      if (this.takePlace(service, queue, waiter)) continue;
+      if (this.takePlace(service, queue, waiter, demands)) continue;
       if (isMover) movers += 1;
       else failures += 1;
       if (failures >= maxFailures) return;
@@ -100,18 +119,53 @@
     service: string,
     queue: WaitQueue<PathWaiter>,
     waiter: PathWaiter,
+    demands: readonly RankDemand[] | undefined,
   ): boolean {
-    const {model, tokens, left, answered, request, traits} = waiter;
+    const {request, traits} = waiter;
     if (this.isQuarantined(service, waiter)) return false;
-    const path = this.paths.pick(service, model, tokens, left ?? answered);
+    const reserved = this.computeReserved(service, waiter, demands);
+    const path = this.pick(service, waiter, reserved);
     if (path === undefined) return false;
     removeWaiter(queue, waiter);
+    if (isCounted(waiter)) this.waiters?.recordPlaced(service, waiter);
     recordPlaced(queue, this.getNow());
     this.quarantine.recordSent(service, traits, request);
     waiter.resolve(path);
     return true;
   }
 
+  private pick(
+    service: string,
+    {model, tokens, left, answered}: PathWaiter,
+    reservedShare: number,
+  ): StagePath | undefined {
+    const other = left ?? answered;
+    return this.paths.pick(service, model, tokens, other, reservedShare);
+  }
+
+  /** Computes the share of the capacity that a request leaves free. */
+  private computeReserved(
+    service: string,
+    waiter: PathWaiter,
+    demands: readonly RankDemand[] | undefined,
+  ): number {
+    const {isResumed, level = 0, model} = waiter;
+    if (demands === undefined || isResumed || level === 0) return 0;
+    if (isExempt(waiter, this.getNow())) return 0;
+    const slots = this.paths.countSlots(service, model);
+    return computeReservedShare(level, demands, slots);
+  }
+
+  /**
+   * Tells whether a request has no place only because of the room that it
+   * leaves free, which it may use later on.
+   */
+  private isHeldBack(service: string, waiter: PathWaiter): boolean {
+    const demands = this.waiters?.findFleet(service);
+    const reserved = this.computeReserved(service, waiter, demands);
+    return reserved > 0 && this.pick(service, waiter, 0) !== undefined;
+  }
+
   /**
    * Tells whether a request must be refused because of pauses. A started stream
    * waits on: its caller cannot be told to return.
@@ -133,12 +187,19 @@
         this.isPausing(service, waiter) ||
         this.isQuarantined(service, waiter),
     );
-    for (const waiter of expired) this.refuse(queue, waiter);
+    for (const waiter of expired) this.refuse(service, queue, waiter);
   }
 
-  private refuse(queue: WaitQueue<PathWaiter>, waiter: PathWaiter): void {
+  private refuse(
+    service: string,
+    queue: WaitQueue<PathWaiter>,
+    waiter: PathWaiter,
+  ): void {
     removeWaiter(queue, waiter);
-    if (waiter.left === undefined) recordRefused(queue, this.getNow());
+    if (isCounted(waiter)) {
+      recordRefused(queue, this.getNow());
+      this.waiters?.recordRefused(service, waiter);
+    }
     waiter.resolve(undefined);
   }
 
@@ -151,3 +212,8 @@
     return queue;
   }
 }
+
+/** Tells whether a request has no place yet; one that moves has one. */
+function isCounted({left}: PathWaiter): boolean {
+  return left === undefined;
+}
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -5,6 +5,7 @@
 import type {EndCheck} from '../fleet/end_check.js';
 import type {EndWatch} from '../fleet/end_watch.js';
 import type {PathTable} from '../fleet/path_table.js';
+import type {WaiterTable} from '../fleet/waiter_table.js';
 import type {SourceCheck} from '../fleet/source_check.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {EndpointLinks} from '../links/endpoint_links.js';
@@ -38,6 +39,7 @@
   readonly quarantine: PartQuarantine;
   readonly paths: PathTable;
   readonly queue: PathQueue;
+  readonly waiters: WaiterTable;
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
   /** Tells a peer that an endpoint asked for a pause on a connection through it. */
--- a/packages/gateway/src/requests/send_answer.ts
+++ b/packages/gateway/src/requests/send_answer.ts
@@ -1,6 +1,7 @@
 import {
-  computeRetryDelay,
   computeReturnDelay,
+  computeReturnTime,
+  describeDemands,
   type Quarantine,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Deadline} from '@zinniaspindle/shared';
@@ -100,12 +101,37 @@
     refuseForPause(context, returnAt);
     return;
   }
-  const {server, deadline, refuse} = context;
   const reason = wasRefused
     ? FailureReason.EndpointsBusy
     : FailureReason.NoEndpoint;
-  const after = computeRetryDelay(deadline - server.getNow(), Math.random);
-  refuse({status: 503, reason, retryAfterMilliseconds: after});
+  const after = computeReturn(context);
+  context.refuse({status: 503, reason, retryAfterMilliseconds: after});
+}
+
+/**
+ * Computes when the caller of a stream without a place should retry, and logs
+ * which requests went before it where there are several ranks.
+ */
+function computeReturn(context: RequestContext): number {
+  const {server, service, account, route, deadline, request} = context;
+  const {waiters, paths, getNow} = server;
+  const {model} = service;
+  const {level} = waiters.findRank(account, route);
+  // Without paths, the time of a repair counts and not that of a burst.
+  const hasPaths = model !== undefined && paths.hasUsable(service.name, model);
+  const demands = hasPaths ? waiters.findFleet(service.name) : undefined;
+  const left = deadline - getNow();
+  const after = computeReturnTime(level, demands, left, Math.random);
+  if (demands === undefined) return after;
+  const {higher, equal, placed} = describeDemands(demands, level);
+  server.writeEvent(GatewayEvent.RequestOutranked, {
+    ...{request: request.attemptId, route: route.name, rank: level},
+    ...{ranks: waiters.countLevels(), higher, equal, placed},
+    waitMs: placed === 0 ? -1 : Math.round(((higher + equal) * 1000) / placed),
+    waitedMs: Math.round(getNow() - context.receivedAt),
+    retryMs: Math.round(after),
+  });
+  return after;
 }
 
 /**
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -1,4 +1,8 @@
-import {EndVerdict, type IntakeExcess} from '@zinniaspindle/decisions';
+import {
+  computeUrgency,
+  EndVerdict,
+  type IntakeExcess,
+} from '@zinniaspindle/decisions';
 import type {EndpointEntry, EndpointAnswer} from '../ports/index.js';
 import type {PathReservation} from '../fleet/path_table.js';
 import {isPast} from '@zinniaspindle/shared';
@@ -12,7 +16,7 @@
 import type {StreamEnds} from './stream_ends.js';
 import {UpstreamEnd, type Upstream} from './upstream.js';
 
-/** Urgency of a resumed stream: it paused already and goes before new ones, whose urgency is 5. */
+/** Urgency of a resumed stream: it paused already and goes before new ones. */
 const resumedUrgency = 1;
 /** A request still queued at an endpoint after this time is sent to another one. */
 const firstEventMilliseconds = 900;
@@ -71,7 +75,7 @@
     private readonly listener: StreamListener,
   ) {
     const {parts} = reservation.path;
-    const {lastEventId, isResumed} = start;
+    const {lastEventId} = start;
     this.body = new StreamBody(context.server.intake);
     this.watch = new AttemptWatch(context);
     this.watch.recordStart(this.getFirst().id);
@@ -82,7 +86,7 @@
     this.upstream = openUpstream(
       context,
       this.getFirst(),
-      {urgency: isResumed ? resumedUrgency : undefined, parts, lastEventId},
+      {urgency: this.computeUrgency(), parts, lastEventId},
       {
         handleAnswer: answer => this.acceptAnswer(answer),
         handleChunk: chunk => this.acceptChunk(chunk),
@@ -93,6 +97,13 @@
     );
   }
 
+  private computeUrgency(): number | undefined {
+    if (this.start.isResumed) return resumedUrgency;
+    const {server, account, route} = this.context;
+    const {level} = server.waiters.findRank(account, route);
+    return computeUrgency(level, server.waiters.countLevels());
+  }
+
   /**
    * Tells whether it must be certain that the endpoint keeps the connection:
    * another attempt was sent before, or the endpoint reset connections lately.
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -69,11 +69,11 @@
   }
 
   private makeWaiter(wait: PlaceWait): Omit<PathWaiter, 'resolve'> {
-    const {route, receivedAt, request, traits} = this.context;
+    const {account, route, receivedAt, request, traits} = this.context;
     const {tokens, model} = this;
     return {
       ...wait,
-      priority: route.priority,
+      ...this.context.server.waiters.findRank(account, route),
       receivedAt,
       model,
       tokens,
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -275,7 +275,8 @@
 
   private sendHeartbeat(): void {
     this.lastHeartbeatAt = getMonotonic();
-    const {mesh, ownership, peerHandler, loads, eras, quarantine} = this.parts;
+    const {mesh, ownership, peerHandler, loads, eras, quarantine, waiters} =
+      this.parts;
     mesh.sendAll({
       kind: PeerMessageKind.Heartbeat,
       phase: this.phase,
@@ -286,6 +287,7 @@
       loads: loads.listOwn(),
       storeEra: eras.known,
       quarantines: quarantine.listRows(),
+      demands: waiters.listRows(),
     });
   }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -11,9 +11,9 @@
 import {canBeFirst} from '../fleet/endpoint_state.js';
 import {EndCheck} from '../fleet/end_check.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
-import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
+import {WaiterTable} from '../fleet/waiter_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
 import {SourceCheck} from '../fleet/source_check.js';
 import {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
@@ -31,7 +31,6 @@
   PeerMessageKind,
   PeerPhase,
   makeLeavingMessage,
-  makeLimitedMessage,
   makePausedMessage,
   type Hello,
   type OrderMessage,
@@ -51,6 +50,7 @@
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
 import {AnswersByRoute} from '../requests/answers_by_route.js';
+import {buildLimits} from './build_limits.js';
 import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
@@ -97,6 +97,7 @@
   readonly storeReplica: StoreReplica;
   readonly followers: readonly TopicFollower[];
   readonly mesh: PeerMesh;
+  readonly waiters: WaiterTable;
   readonly peerHandler: PeerHandler;
 }
 
@@ -137,7 +138,7 @@
   const fleet = buildFleet(context, getParts);
   const sync = buildSync(context, fleet, getParts);
   const orders = buildOrders(context, fleet, sync);
-  const serving = buildServing(context, fleet, sync.mesh);
+  const serving = buildServing(context, fleet, sync);
   const parts: GatewayParts = {...fleet, ...sync, ...orders, ...serving};
   return parts;
 }
@@ -213,28 +214,13 @@
   };
 }
 
-function buildLimits(
-  log: EventLog,
-  getNow: () => Instant,
-  getMesh: () => PeerMesh,
-): LimitTable {
-  return new LimitTable(log.write, getNow, Math.random, {
-    countVms: () => getMesh().listStaying().length + 1,
-    sendLimit: ({id, bornAt}, limit) => {
-      const perSecond = limit ?? null;
-      const sentAt = Date.now();
-      const message = makeLimitedMessage({id, bornAt, perSecond, sentAt});
-      getMesh().sendAll(message);
-    },
-  });
-}
-
 function buildSync(
   context: GatewayContext,
   fleet: FleetParts,
   getParts: () => GatewayParts,
 ): SyncParts {
   const {settings, ports, log, getNow, schedule} = context;
+  const waiters = buildWaiters(getNow, fleet, getParts);
   const storeReplica = new StoreReplica(
     ports.records,
     fleet.endpoints,
@@ -242,7 +228,10 @@
     settings.bounds.drainMilliseconds,
     log.write,
     getNow,
-    configuration => getParts().callers.applyConfiguration(configuration),
+    configuration => {
+      waiters.applyConfiguration(configuration);
+      getParts().callers.applyConfiguration(configuration);
+    },
   );
   const eras = new EraWatch(log.write);
   const peerHandler = new PeerHandler(
@@ -266,6 +255,7 @@
     log.write,
     getNow,
     (socket, request) => fleet.relays.accept(socket, request),
+    waiters,
   );
   const access = createStoreAccess();
   const topics = [Topic.Configuration, Topic.Endpoints] as const;
@@ -293,7 +283,16 @@
         getNow,
       ),
   );
-  return {eras, storeReplica, followers, mesh, peerHandler};
+  return {eras, storeReplica, followers, mesh, waiters, peerHandler};
+}
+
+function buildWaiters(
+  getNow: () => Instant,
+  {metrics}: FleetParts,
+  getParts: () => GatewayParts,
+): WaiterTable {
+  const countPeers = () => getParts().mesh.listStaying().length;
+  return new WaiterTable(getNow, countPeers, metrics);
 }
 
 /** Describes this VM for its peers. */
@@ -352,12 +351,12 @@
 function buildServing(
   {settings, ports, log, getNow, getPhase, findStopPlan}: GatewayContext,
   fleet: FleetParts,
-  mesh: PeerMesh,
+  {mesh, waiters}: SyncParts,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const {metrics, endpoints, ends, endCheck, sourceCheck, quarantine} = fleet;
   const {paths, prober, links} = fleet;
   const countVms = () => mesh.listStaying().length + 1;
-  const queue = new PathQueue(paths, quarantine, getNow);
+  const queue = new PathQueue(paths, quarantine, getNow, waiters);
   const {memoryMegabytes = defaultMemoryMegabytes} = settings;
   const intake = new Intake(deriveIntakeLimits(memoryMegabytes), () =>
     countPlaces(endpoints.list()),
@@ -372,6 +371,7 @@
     quarantine,
     paths,
     queue,
+    waiters,
     prober,
     links,
     sendPause: (vm, paused) => {
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -48,6 +48,7 @@
   LinkRestored = 7220,
   ConnectionRelayed = 7221,
   EndpointMisfit = 7222,
+  RequestOutranked = 7240,
   PeerFound = 7301,
   PeerLost = 7302,
   PeerLeaving = 7303,
@@ -157,6 +158,8 @@
     'a connection of a peer to endpoint {endpoint} is passed on, for {purpose}',
   [GatewayEvent.EndpointMisfit]:
     'endpoint {endpoint} gets no requests and no orders: {reason}',
+  [GatewayEvent.RequestOutranked]:
+    'request {request} of route {route} and rank {rank} of {ranks} gets no place after {waitedMs} ms: {higher} requests of higher ranks and {equal} of its own wait in the fleet, {placed} got places in the last second; predicted wait {waitMs} ms, retry after {retryMs} ms',
   [GatewayEvent.PeerFound]: 'peer VM {peer} discovered at {address}',
   [GatewayEvent.PeerLost]: 'peer VM {peer} has been silent for {silentMs} ms',
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
