--- a/packages/gateway/src/requests/path_queue.ts
+++ b/packages/gateway/src/requests/path_queue.ts
@@ -21,6 +21,8 @@
   readonly request: string;
   /** Digests of the request and ids of the parts of its prompt. */
   readonly traits: readonly string[];
+  /** Predicts the prompt tokens that need no prefill on a path. */
+  readonly countSavedTokens?: ((path: StagePath) => number) | undefined;
   /** The path of the attempt that it keeps until it has a place elsewhere. */
   readonly left?: StagePath | undefined;
   /** The path whose answer another one is to confirm. */
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -5,6 +5,7 @@
 import type {EndCheck} from '../fleet/end_check.js';
 import type {EndWatch} from '../fleet/end_watch.js';
 import type {PathTable} from '../fleet/path_table.js';
+import type {PromptTable} from '../fleet/prompt_table.js';
 import type {SourceCheck} from '../fleet/source_check.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {EndpointLinks} from '../links/endpoint_links.js';
@@ -37,6 +38,7 @@
   readonly stallMilliseconds: number;
   readonly quarantine: PartQuarantine;
   readonly paths: PathTable;
+  readonly prompts: PromptTable;
   readonly queue: PathQueue;
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
--- a/packages/gateway/src/requests/stream_places.ts
+++ b/packages/gateway/src/requests/stream_places.ts
@@ -2,6 +2,7 @@
 import type {Deadline} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import type {PathReservation} from '../fleet/path_table.js';
+import type {PromptSend, PromptUse} from '../fleet/prompt_table.js';
 import type {ServiceModel} from '../ports/index.js';
 import type {PathWaiter} from './path_queue.js';
 import {predictTokens} from './predict_tokens.js';
@@ -31,13 +32,19 @@
   /** Its place in the queue while it has one that it wants to leave. */
   private mover: PathWaiter | undefined;
   private readonly tokens: number;
+  /** Its prompt; undefined if endpoints keep nothing of it. */
+  private readonly prompt: PromptUse | undefined;
+  /** The sends that have got no event. */
+  private readonly promptSends = new Map<PathReservation, PromptSend>();
 
   constructor(
     private readonly context: RequestContext,
     private readonly model: ServiceModel,
     private readonly listener: PlaceListener,
   ) {
-    this.tokens = predictTokens(context.request, model);
+    const {server, service, request} = context;
+    this.tokens = predictTokens(request, model);
+    this.prompt = server.prompts.open(service.name, model, request);
   }
 
   /** Waits for a place; undefined if none came free in time. */
@@ -57,6 +64,8 @@
 
   private reserve(path: StagePath): PathReservation {
     const {listener} = this;
+    // The load of the path does not yet include the request.
+    const send = this.prompt?.recordSend(path);
     const place: PathReservation = this.context.server.paths.reserve(
       path,
       this.tokens,
@@ -65,9 +74,16 @@
         isPaused: () => listener.isPaused(place),
       },
     );
+    if (send !== undefined) this.promptSends.set(place, send);
     return place;
   }
 
+  /** Records that the attempt on a place has got events. */
+  recordEvents(place: PathReservation): void {
+    this.promptSends.get(place)?.recordFirstEvent();
+    this.promptSends.delete(place);
+  }
+
   private makeWaiter(wait: PlaceWait): Omit<PathWaiter, 'resolve'> {
     const {route, receivedAt, request, traits} = this.context;
     const {tokens, model} = this;
@@ -79,6 +95,7 @@
       tokens,
       request: request.attemptId,
       traits,
+      countSavedTokens: this.prompt?.countSaved,
     };
   }
 
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -341,6 +341,7 @@
     if (attempt !== earlier) {
       this.log.recordStart(attempt.reservation.path.key);
     }
+    this.places.recordEvents(attempt.reservation);
     this.recordEvent();
     this.ends.recordEvents();
     if (!this.hasSentEvents) {
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -14,6 +14,7 @@
 import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
+import {PromptTable} from '../fleet/prompt_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
 import {SourceCheck} from '../fleet/source_check.js';
 import {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
@@ -371,6 +372,7 @@
     stallMilliseconds: settings.bounds.stallMilliseconds,
     quarantine,
     paths,
+    prompts: new PromptTable(endpoints, fleet.loads, metrics, getNow),
     queue,
     prober,
     links,
