--- a/packages/gateway/src/fleet/path_pacing.ts
+++ b/packages/gateway/src/fleet/path_pacing.ts
@@ -11,6 +11,9 @@
   type PathTimes,
   type ReportedPace,
   type StagePath,
+  isStalled,
+  minStallMilliseconds,
+  type PathWatch,
   type StallOptions,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
@@ -53,6 +56,7 @@
     private readonly getNow: () => Instant,
     /** Whether this VM has streams on a path. */
     private readonly isUsed: (path: StagePath) => boolean,
+    private readonly handleSlow: () => void,
   ) {}
 
   /** Adds a path of a model; without figures its times are not predicted. */
@@ -83,21 +87,22 @@
   }
 
   /**
-   * Computes the timeouts of a path; undefined for the default ones, where times
-   * are not predicted.
+   * Tells whether a path is to be probed. Timeouts may be shorter than the
+   * greatest interval of the checks; then a check after a longer one does not
+   * count, as the events may not have been read yet.
    */
-  findStallOptions(path: StagePath): StallOptions | undefined {
+  isStalled(path: StagePath, watch: PathWatch, sinceCheck: number): boolean {
+    const now = this.getNow();
+    // Most paths need no prediction for this.
+    if (now < watch.noProbeUntil) return false;
+    if (now - watch.progressAt <= minStallMilliseconds) return false;
     const paced = this.find(path);
-    if (paced === undefined) return undefined;
-    const {times, slowness, figures} = paced;
-    return computeStallOptions(
-      {
-        gapMilliseconds: times.gapMilliseconds * slowness,
-        firstEventMilliseconds: times.firstEventMilliseconds * slowness,
-      },
-      figures.stride,
-      defaultStallOptions,
-    );
+    if (paced === undefined) return isStalled(watch, now);
+    const options = computeOptions(paced);
+    const shortest = options.multiStreamMilliseconds;
+    const isShort = shortest < defaultStallOptions.multiStreamMilliseconds;
+    if (isShort && sinceCheck > shortest) return false;
+    return isStalled(watch, now, options);
   }
 
   /** Takes up at once that this VM has a stream more on a path. */
@@ -154,6 +159,7 @@
   private logSlowness(key: string, {times, slowness}: PacedPath): void {
     if (slowness >= slowFrom && !this.slow.has(key)) {
       this.slow.add(key);
+      this.handleSlow();
       this.writeEvent(GatewayEvent.PathSlow, {
         path: key,
         times: Math.round(slowness * 10) / 10,
@@ -167,3 +173,11 @@
     this.writeEvent(GatewayEvent.PathUsual, {path: key});
   }
 }
+
+function computeOptions({times, slowness, figures}: PacedPath): StallOptions {
+  const slowed = {
+    gapMilliseconds: times.gapMilliseconds * slowness,
+    firstEventMilliseconds: times.firstEventMilliseconds * slowness,
+  };
+  return computeStallOptions(slowed, figures.stride);
+}
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -7,8 +7,6 @@
   defaultStallOptions,
   findPaths,
   isTimedOut,
-  isStalled,
-  minStallMilliseconds,
   pickPath,
   pickSpreadPath,
   takeCrossings,
@@ -109,6 +107,8 @@
     private readonly writeEvent: WriteEvent,
     private readonly getNow: () => Instant,
     private readonly getFleet: () => FleetPlace = () => soleVm,
+    /** Called when a path begins to run far slower than predicted. */
+    handleSlow: () => void = () => undefined,
   ) {
     this.crossingBudget = createCrossingBudget(getNow());
     this.checkedAt = getNow();
@@ -118,6 +118,7 @@
       writeEvent,
       getNow,
       ({key}) => (this.watched.get(key)?.streams.size ?? 0) > 0,
+      handleSlow,
     );
   }
 
@@ -306,32 +307,13 @@
         continue;
       }
       if (hasOnlyPaused(streams.values())) watch.progressAt = now;
-      if (!this.isStalled(path, watch, sinceCheck)) continue;
+      if (!this.pacing.isStalled(path, watch, sinceCheck)) continue;
       watch.checkedAt = now;
       stalled.push(path);
     }
     return stalled;
   }
 
-  /**
-   * Tells whether a path is to be probed. Timeouts may be shorter than the
-   * greatest interval of the checks; then a check after a longer one does not
-   * count, as the events may not have been read yet.
-   */
-  private isStalled(
-    path: StagePath,
-    watch: PathWatch,
-    sinceCheck: number,
-  ): boolean {
-    const now = this.getNow();
-    if (now < watch.noProbeUntil) return false;
-    if (now - watch.progressAt <= minStallMilliseconds) return false;
-    const options = this.pacing.findStallOptions(path);
-    if (options === undefined) return isStalled(watch, now);
-    const isRead = sinceCheck <= options.multiStreamMilliseconds;
-    return isRead && isStalled(watch, now, options);
-  }
-
   /** Suspends probes of a path whose endpoints have all answered. */
   recordAnswers(path: StagePath, vms: number): void {
     const until = this.getNow() + computeProbePause(vms);
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -14,6 +14,7 @@
   Retries = 'requests_retried_total',
   Resumed = 'streams_resumed_total',
   Stalls = 'paths_stalled_total',
+  SlowPaths = 'paths_slow_total',
   StoreCalls = 'store_calls_total',
   StoreFailures = 'store_failures_total',
   Orders = 'orders_total',
@@ -51,6 +52,8 @@
   [Counter.Retries]: 'Retries of requests before the start of their answer.',
   [Counter.Resumed]: 'Streams resumed on another path after their last event.',
   [Counter.Stalls]: 'Checks of the endpoints of a silent path.',
+  [Counter.SlowPaths]:
+    'Times that a path began to run at least three times slower than predicted.',
   [Counter.StoreCalls]: 'Calls to the store.',
   [Counter.StoreFailures]: 'Failed calls to the store.',
   [Counter.Orders]: 'Orders sent to endpoints.',
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -24,7 +24,7 @@
 import {EndpointLinks} from '../links/endpoint_links.js';
 import {RelayServer} from '../links/relay_server.js';
 import type {EventLog} from '../log/event_log.js';
-import {Metrics} from '../log/metrics.js';
+import {Counter, Metrics} from '../log/metrics.js';
 import {OrderRunner} from '../orders/order_runner.js';
 import {Ownership} from '../orders/ownership.js';
 import {
@@ -161,6 +161,7 @@
     log.write,
     getNow,
     () => ({vms: getParts().mesh.countLive() + 1, rank: getRank()}),
+    () => metrics.count(Counter.SlowPaths),
   );
   const countVms = () => getParts().mesh.countLive() + 1;
   const quarantine = buildQuarantine(
@@ -204,11 +205,10 @@
   );
   const relays = new RelayServer(endpoints, links, metrics, log.write);
   const {handleEnded} = listeners;
-  const checked = {calls, links, handleEnded, metrics, getNow};
   return {
     ...{metrics, endpoints, loads, paths, prober, links, relays},
     endCheck: new EndCheck(endpoints, calls, handleEnded, metrics, links),
-    sourceCheck: new SourceCheck(checked),
+    sourceCheck: new SourceCheck({calls, links, handleEnded, metrics, getNow}),
     ...quarantine,
   };
 }
