--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -16,6 +16,7 @@
 } from '@zinniaspindle/shared';
 import type {Result} from 'true-myth';
 import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {KeptConnections} from '../links/kept_connections.js';
 import {makeOpener} from '../links/make_opener.js';
 import type {WriteEvent} from '../log/event_log.js';
 import {Counter, type Metrics} from '../log/metrics.js';
@@ -112,6 +113,8 @@
     private readonly writeEvent: WriteEvent = () => undefined,
     /** Opens connections; undefined to connect to the addresses. */
     readonly links?: Pick<EndpointLinks, 'open'>,
+    /** Keeps connections of reports; undefined to open one for each. */
+    private readonly kept?: Pick<KeptConnections, 'makeKeeper'>,
   ) {}
 
   /**
@@ -317,6 +320,7 @@
       address,
       handleNotice,
       makeOpener(this.links, state, source),
+      this.kept?.makeKeeper({id, address, bornAt: asked.bornAt}),
     );
     if (this.table.find(id) !== state) return undefined;
     if (report.isErr) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,11 @@
   type HandleConnection,
   type OpenConnection,
 } from './links/open_connection.js';
+export {
+  KeptConnections,
+  type ConnectionKeeper,
+} from './links/kept_connections.js';
+export {describeAnswerEnd} from './links/answer_end.js';
 export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
 export {Counter, gatewayMetricTexts, Latency, Metrics} from './log/metrics.js';
 export {Gateway} from './root/gateway.js';
--- a/packages/gateway/src/links/endpoint_links.ts
+++ b/packages/gateway/src/links/endpoint_links.ts
@@ -96,6 +96,11 @@
     };
   }
 
+  /** Records that an endpoint answered this VM on a kept connection. */
+  recordAnswered(): void {
+    this.reachedAt = this.getNow();
+  }
+
   /** Tries the links that are cut. */
   runTrials(findAddress: (id: string) => string | undefined): void {
     const now = this.getNow();
@@ -236,6 +241,7 @@
   }
 
   private recordReached(link: LinkState): void {
+    this.metrics.count(Counter.ConnectionsOpened);
     this.reachedAt = this.getNow();
     recordReached(link);
   }
--- /dev/null
+++ b/packages/gateway/src/links/kept_connections.ts
@@ -0,0 +1,200 @@
+import {
+  computeIdleMilliseconds,
+  DropReason,
+  findDropReason,
+  findEndReason,
+  type AnswerEnd,
+  type IdleConnection,
+  type KeptEndpoint,
+} from '@zinniaspindle/decisions';
+import type {Instant} from '@zinniaspindle/shared';
+import {Counter, type Metrics} from '../log/metrics.js';
+import type {EndpointConnection} from './open_connection.js';
+
+/** Idle connections to one endpoint; it accepts a limited number from all VMs. */
+const maxIdlePerEndpoint = 2;
+/** Idle connections of a VM; each takes a descriptor. */
+const maxIdle = 128;
+
+const dropCounters: Readonly<Record<DropReason, Counter>> = {
+  [DropReason.Closed]: Counter.DroppedClosed,
+  [DropReason.ExtraBytes]: Counter.DroppedExtraBytes,
+  [DropReason.Expired]: Counter.DroppedExpired,
+  [DropReason.Replaced]: Counter.DroppedReplaced,
+  [DropReason.Unwanted]: Counter.DroppedUnwanted,
+  [DropReason.Excess]: Counter.DroppedExcess,
+  [DropReason.Failed]: Counter.DroppedFailed,
+};
+
+/** The incarnation of an endpoint that connections are kept for. */
+export interface KeptTarget {
+  readonly id: string;
+  readonly address: string;
+  readonly bornAt: Instant;
+}
+
+/** Takes and keeps the connections to one incarnation of an endpoint. */
+export interface ConnectionKeeper {
+  /** Takes an idle connection, if there is one, for a single request. */
+  take(): EndpointConnection | undefined;
+  /** Keeps a connection whose answer is complete, or closes it. */
+  accept(connection: EndpointConnection, end: AnswerEnd): void;
+  /** Counts that a request on a kept connection got no usable answer. */
+  recordFailed(): void;
+}
+
+/** What kept connections depend on. */
+export interface KeptContext {
+  /** Finds an endpoint as it is known now. */
+  readonly findEndpoint: (id: string) => KeptEndpoint | undefined;
+  /** Called when an endpoint has answered on a connection of this VM. */
+  readonly recordReached: () => void;
+  readonly metrics: Metrics;
+  readonly getNow: () => Instant;
+}
+
+interface Idle extends IdleConnection {
+  readonly id: string;
+  readonly connection: EndpointConnection;
+  readonly removeListeners: () => void;
+}
+
+/** The idle connections to endpoints, for requests that may run more than once. */
+export class KeptConnections {
+  /** By endpoint, the latest used last. */
+  private readonly idle = new Map<string, Idle[]>();
+  /** All of them, the latest used last. */
+  private readonly all = new Set<Idle>();
+  private isClosed = false;
+
+  constructor(private readonly context: KeptContext) {}
+
+  /** Makes what takes and keeps connections to an incarnation of an endpoint. */
+  makeKeeper(target: KeptTarget): ConnectionKeeper {
+    return {
+      take: () => this.take(target),
+      accept: (connection, end) => this.accept(target, connection, end),
+      recordFailed: () => this.context.metrics.count(Counter.DroppedFailed),
+    };
+  }
+
+  /** Counts the idle connections, which are as many descriptors. */
+  count(): number {
+    return this.all.size;
+  }
+
+  /** Closes the idle connections that there is a reason to drop. */
+  dropStale(): void {
+    const now = this.context.getNow();
+    for (const idle of [...this.all]) {
+      const reason = findDropReason(
+        idle,
+        this.context.findEndpoint(idle.id),
+        now,
+      );
+      if (reason !== undefined) this.drop(idle, reason);
+    }
+  }
+
+  /** Closes all idle connections and keeps no further ones. */
+  close(): void {
+    this.isClosed = true;
+    for (const idle of [...this.all]) this.drop(idle, DropReason.Unwanted);
+  }
+
+  private take({
+    id,
+    address,
+    bornAt,
+  }: KeptTarget): EndpointConnection | undefined {
+    const now = this.context.getNow();
+    const endpoint = this.context.findEndpoint(id);
+    for (;;) {
+      const idle = this.idle.get(id)?.at(-1);
+      if (idle === undefined) return undefined;
+      const isTarget = idle.address === address && idle.bornAt === bornAt;
+      const reason = isTarget
+        ? findDropReason(idle, endpoint, now)
+        : DropReason.Replaced;
+      if (reason !== undefined) {
+        this.drop(idle, reason);
+        continue;
+      }
+      this.remove(idle);
+      this.context.metrics.count(Counter.ConnectionsReused);
+      return idle.connection;
+    }
+  }
+
+  private accept(
+    target: KeptTarget,
+    connection: EndpointConnection,
+    end: AnswerEnd,
+  ): void {
+    const {socket, relay} = connection;
+    if (relay === undefined) this.context.recordReached();
+    const reason = this.findReason(target, connection, end);
+    if (reason !== undefined) {
+      if (relay === undefined) this.context.metrics.count(dropCounters[reason]);
+      socket.destroy();
+      return;
+    }
+    const milliseconds = computeIdleMilliseconds(end.keepAlive);
+    const until = this.context.getNow() + milliseconds;
+    const handleBytes = () => this.drop(idle, DropReason.ExtraBytes);
+    const handleEnd = () => this.drop(idle, DropReason.Closed);
+    socket.on('data', handleBytes);
+    socket.on('end', handleEnd);
+    socket.on('close', handleEnd);
+    const removeListeners = () => {
+      socket.off('data', handleBytes);
+      socket.off('end', handleEnd);
+      socket.off('close', handleEnd);
+    };
+    const idle: Idle = {...target, until, connection, removeListeners};
+    socket.resume();
+    this.add(idle);
+  }
+
+  private findReason(
+    target: KeptTarget,
+    {socket, relay}: EndpointConnection,
+    end: AnswerEnd,
+  ): DropReason | undefined {
+    // Connections through a peer occupy that peer as well.
+    if (this.isClosed || relay !== undefined) return DropReason.Unwanted;
+    const reason = findEndReason(end);
+    if (reason !== undefined) return reason;
+    if (socket.destroyed || socket.readableEnded) return DropReason.Closed;
+    const now = this.context.getNow();
+    const fresh = {...target, until: Infinity};
+    return findDropReason(fresh, this.context.findEndpoint(target.id), now);
+  }
+
+  private add(idle: Idle): void {
+    const {id} = idle;
+    const own = this.idle.get(id) ?? [];
+    this.idle.set(id, own);
+    own.push(idle);
+    this.all.add(idle);
+    if (own.length > maxIdlePerEndpoint) this.drop(own[0]!, DropReason.Excess);
+    if (this.all.size <= maxIdle) return;
+    const [oldest] = this.all;
+    this.drop(oldest!, DropReason.Excess);
+  }
+
+  private drop(idle: Idle, reason: DropReason): void {
+    if (!this.all.has(idle)) return;
+    this.remove(idle);
+    this.context.metrics.count(dropCounters[reason]);
+    idle.connection.socket.destroy();
+  }
+
+  private remove(idle: Idle): void {
+    idle.removeListeners();
+    this.all.delete(idle);
+    const own = this.idle.get(idle.id)!;
+    own.splice(own.indexOf(idle), 1);
+    if (own.length === 0) this.idle.delete(idle.id);
+  }
+}
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -22,6 +22,15 @@
   Quarantines = 'quarantines_total',
   Relayed = 'connections_relayed_total',
   RelayedForPeers = 'connections_relayed_for_peers_total',
+  ConnectionsOpened = 'connections_opened_total',
+  ConnectionsReused = 'connections_reused_total',
+  DroppedClosed = 'connections_dropped_closed_total',
+  DroppedExtraBytes = 'connections_dropped_extra_bytes_total',
+  DroppedExpired = 'connections_dropped_expired_total',
+  DroppedReplaced = 'connections_dropped_replaced_total',
+  DroppedUnwanted = 'connections_dropped_unwanted_total',
+  DroppedExcess = 'connections_dropped_excess_total',
+  DroppedFailed = 'connections_dropped_failed_total',
 }
 
 /** Latency histograms, in milliseconds. */
@@ -62,6 +71,23 @@
   [Counter.Relayed]:
     'Connections to endpoints that went through a peer, since those of this VM failed.',
   [Counter.RelayedForPeers]: 'Connections of peers passed on to endpoints.',
+  [Counter.ConnectionsOpened]:
+    'Connections to endpoints that this VM opened for requests and calls.',
+  [Counter.ConnectionsReused]: 'Uses of kept connections to endpoints.',
+  [Counter.DroppedClosed]:
+    'Connections dropped since the endpoint ended them or their answer said so.',
+  [Counter.DroppedExtraBytes]:
+    'Connections dropped since bytes came that belong to no request.',
+  [Counter.DroppedExpired]:
+    'Kept connections dropped shortly before their endpoint would close them.',
+  [Counter.DroppedReplaced]:
+    'Kept connections dropped since their endpoint restarted, moved or was removed.',
+  [Counter.DroppedUnwanted]:
+    'Connections dropped since their endpoint leaves, pauses, is suspected or not reached, or the VM stops.',
+  [Counter.DroppedExcess]:
+    'Kept connections dropped since more were idle than may be.',
+  [Counter.DroppedFailed]:
+    'Kept connections on which a request got no usable answer.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -1,6 +1,7 @@
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {Result, Unit} from 'true-myth';
 import type {EndpointError} from './errors.js';
+import type {ConnectionKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
 import type {HandleNotice} from './exchange.js';
 
@@ -81,10 +82,16 @@
     address: string,
     openConnection?: OpenConnection,
   ): Promise<Result<Unit, EndpointError>>;
+  /**
+   * Fetches a report. With a keeper, it goes over a kept connection first, if
+   * there is one; what fails on that is repeated at once on a new connection, and
+   * only the result of the latter counts.
+   */
   fetchReport(
     address: string,
     handleNotice: HandleNotice,
     openConnection?: OpenConnection,
+    keeper?: ConnectionKeeper,
   ): Promise<Result<EndpointReport, EndpointError>>;
   sendOrder(
     order: RangeOrder,
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -22,6 +22,8 @@
    * running fleet reads the store at once.
    */
   readonly isFirstStart: boolean;
+  /** Whether connections to endpoints are kept for further requests. */
+  readonly keepsConnections?: boolean | undefined;
   readonly bounds: {
     /** Time between SIGTERM and the kill of the process. */
     readonly graceMilliseconds: number;
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -12,6 +12,7 @@
   type IntakeExcess,
 } from '@zinniaspindle/decisions';
 import type {Deadline, Instant} from '@zinniaspindle/shared';
+import {hasStatedEnd} from '../links/answer_end.js';
 import {checkEnd} from '../links/check_end.js';
 import {
   EndProof,
@@ -332,12 +333,7 @@
   }
 
   /** Tells whether the head of an answer determines where its body ends. */
-  private hasLength({headers, statusCode}: http.IncomingMessage): boolean {
-    if (this.options.method === 'HEAD') return true;
-    if (statusCode === 204 || statusCode === 304) return true;
-    return (
-      headers['content-length'] !== undefined ||
-      headers['transfer-encoding'] !== undefined
-    );
+  private hasLength(message: http.IncomingMessage): boolean {
+    return hasStatedEnd(message, this.options.method);
   }
 }
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -52,6 +52,8 @@
 const orderMilliseconds = 100;
 const publishMilliseconds = 1000;
 const quarantineMilliseconds = 100;
+/** Shorter than the margin to the time-outs of endpoints for idle connections. */
+const sweepMilliseconds = 100;
 
 /**
  * An entry VM: serves callers, follows the store and exchanges state with its
@@ -134,6 +136,10 @@
       orders.run(storeReplica.findConfiguration());
     });
     tasks.start('quarantine', quarantineMilliseconds, () => keeper.poll());
+    const {kept} = this.parts;
+    if (kept !== undefined) {
+      tasks.start('kept', sweepMilliseconds, () => kept.dropStale());
+    }
     tasks.start('publish', publishMilliseconds, () => this.publishAddress());
     this.runTick();
   }
@@ -172,13 +178,14 @@
     this.phase = PeerPhase.Leaving;
     this.log.write(GatewayEvent.NotReady, {reason: 'shutting down'});
     this.sendHeartbeat();
-    const {ownership, callers, relays, mesh, directory} = this.parts;
+    const {ownership, callers, relays, kept, mesh, directory} = this.parts;
     void this.ports.store.appendRecord(
       Topic.Vms,
       this.getPeerAddress(),
       undefined,
     );
     void ownership.release();
+    kept?.close();
     const countRelayed = () => relays.count();
     const {log} = this;
     await stopGracefully(
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -11,7 +11,6 @@
 import {canBeFirst} from '../fleet/endpoint_state.js';
 import {EndCheck} from '../fleet/end_check.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
-import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
@@ -21,7 +20,8 @@
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
 import {countPlaces, Intake} from '../intake/intake.js';
-import {EndpointLinks} from '../links/endpoint_links.js';
+import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {KeptConnections} from '../links/kept_connections.js';
 import {RelayServer} from '../links/relay_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Metrics} from '../log/metrics.js';
@@ -31,13 +31,12 @@
   PeerMessageKind,
   PeerPhase,
   makeLeavingMessage,
-  makeLimitedMessage,
   makePausedMessage,
   type Hello,
   type OrderMessage,
 } from '../peers/messages.js';
 import {PeerHandler} from '../peers/peer_handler.js';
-import {PeerMesh, type Peer} from '../peers/peer_mesh.js';
+import {PeerMesh} from '../peers/peer_mesh.js';
 import {
   Topic,
   type DirectoryCodec,
@@ -51,6 +50,8 @@
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
 import {AnswersByRoute} from '../requests/answers_by_route.js';
+import {buildLimits} from './build_limits.js';
+import {buildLinks} from './build_links.js';
 import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
@@ -87,6 +88,8 @@
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
   readonly relays: RelayServer;
+  /** The idle connections to endpoints; undefined if none are kept. */
+  readonly kept: KeptConnections | undefined;
   readonly endCheck: EndCheck;
   readonly sourceCheck: SourceCheck;
 }
@@ -185,11 +188,10 @@
     },
   };
   const calls = ports.endpoints;
-  const links = new EndpointLinks(
-    () => getParts().mesh.listLive().filter(isRelay),
-    metrics,
-    log.write,
-    getNow,
+  const {links, kept} = buildLinks(
+    {settings, log, getNow},
+    {endpoints, metrics},
+    () => getParts().mesh,
   );
   const prober = new EndpointProber(
     endpoints,
@@ -201,34 +203,19 @@
     getNow,
     log.write,
     links,
+    kept,
   );
   const relays = new RelayServer(endpoints, links, metrics, log.write);
   const {handleEnded} = listeners;
   const checked = {calls, links, handleEnded, metrics, getNow};
   return {
-    ...{metrics, endpoints, loads, paths, prober, links, relays},
+    ...{metrics, endpoints, loads, paths, prober, links, relays, kept},
     endCheck: new EndCheck(endpoints, calls, handleEnded, metrics, links),
     sourceCheck: new SourceCheck(checked),
     ...quarantine,
   };
 }
 
-function buildLimits(
-  log: EventLog,
-  getNow: () => Instant,
-  getMesh: () => PeerMesh,
-): LimitTable {
-  return new LimitTable(log.write, getNow, Math.random, {
-    countVms: () => getMesh().listStaying().length + 1,
-    sendLimit: ({id, bornAt}, limit) => {
-      const perSecond = limit ?? null;
-      const sentAt = Date.now();
-      const message = makeLimitedMessage({id, bornAt, perSecond, sentAt});
-      getMesh().sendAll(message);
-    },
-  });
-}
-
 function buildSync(
   context: GatewayContext,
   fleet: FleetParts,
@@ -397,11 +384,6 @@
   return {callers, directory, queue};
 }
 
-/** Tells whether a peer can pass connections on. */
-function isRelay({phase}: Peer): boolean {
-  return phase === PeerPhase.Ready;
-}
-
 function applyOrder(
   {endpoints, paths}: FleetParts,
   order: Omit<OrderMessage, 'kind'>,
