--- a/platform/__tests__/raw_endpoint.ts
+++ b/packages/gateway/__tests__/raw_endpoint.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import net, {type AddressInfo} from 'node:net';
-import {KeptConnections, Metrics} from '@zinniaspindle/gateway';
+import {KeptConnections} from '../src/links/kept_connections.js';
+import {Metrics} from '../src/log/metrics.js';
 
 /** A request as it arrived. */
 export interface RawRequest {
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -42,6 +42,8 @@
   readonly parts: readonly PathPart[] | undefined;
   readonly lastEventId: string | undefined;
   readonly bodyBytes: number;
+  /** Whether the connection may serve further requests; else it is closed. */
+  readonly keepsConnection?: boolean;
 }
 
 /** What an endpoint states about itself in the headers of any answer. */
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -3,17 +3,24 @@
   UnframedVerdict,
   verifyUnframedEnd,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {GatewayEvent, isPast, type Instant} from '@zinniaspindle/shared';
+import {Result} from 'true-myth';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
-import type {
-  CancelConnection,
-  HandleConnection,
-  OpenConnection,
-} from '../links/open_connection.js';
+import type {ConnectionKeeper} from '../links/kept_connections.js';
+import type {OpenConnection} from '../links/open_connection.js';
+import {openSettled} from '../links/open_settled.js';
+import {Counter} from '../log/metrics.js';
 import type {AnswerSource} from '../fleet/source_check.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
-import {Upstream, type UnframedEnd, type UpstreamListener} from './upstream.js';
+import type {EndpointRequest} from './endpoint_request.js';
+import {KeptUpstream} from './kept_upstream.js';
+import {
+  Upstream,
+  type UnframedEnd,
+  type UpstreamListener,
+  type UpstreamRequest,
+} from './upstream.js';
 
 /** The endpoint that a request is sent to. */
 export interface UpstreamTarget {
@@ -21,6 +28,18 @@
   readonly address: string;
 }
 
+/** An endpoint, and when it started as far as known. */
+interface KnownTarget {
+  readonly id: string;
+  readonly bornAt: Instant | undefined;
+}
+
+/** What a request is sent with, beside what its caller sent. */
+type UpstreamForwarding = Pick<
+  ForwardingContext,
+  'urgency' | 'parts' | 'lastEventId'
+>;
+
 /** Receives the answer of an attempt. */
 export type AttemptListener = UpstreamListener & {
   readonly handleSilence?: () => void;
@@ -31,20 +50,101 @@
   readonly isOfPath: boolean;
 }
 
+/** How the connection of a request is opened. */
+export enum Opening {
+  /** A new connection. */
+  New = 'new',
+  /** A new connection that the endpoint has not reset at once. */
+  Settled = 'settled',
+  /** A kept connection, if there is one; for requests that may run again. */
+  Kept = 'kept',
+}
+
+/** Sends a caller's request to an endpoint. */
+export function openUpstream(
+  context: RequestContext,
+  target: UpstreamTarget,
+  forwarding: UpstreamForwarding,
+  listener: AttemptListener,
+  opening = Opening.New,
+): EndpointRequest {
+  const {server} = context;
+  const {id, address} = target;
+  const bornAt = server.endpoints.find(id)?.bornAt;
+  const getRelay = () => upstream.getRelay();
+  const upstreamListener = makeListener(
+    context,
+    {id, bornAt},
+    listener,
+    getRelay,
+  );
+  const keeper =
+    opening === Opening.Kept && bornAt !== undefined
+      ? server.kept?.makeKeeper({id, address, bornAt})
+      : undefined;
+  const openNew = (sent: UpstreamListener) => {
+    const purpose = `request ${context.request.attemptId}`;
+    const open: OpenConnection = handle =>
+      server.links.open({id, address, purpose}, handle);
+    const isSettled = opening === Opening.Settled;
+    const openConnection: OpenConnection = isSettled
+      ? handle => openSettled(open, handle)
+      : open;
+    const request = makeRequest(context, target, forwarding, keeper);
+    return new Upstream({...request, openConnection}, server.codec, sent);
+  };
+  const kept = keeper?.take();
+  const upstream =
+    kept === undefined
+      ? openNew(upstreamListener)
+      : new KeptUpstream(
+          {
+            openKept: sent => {
+              const request = makeRequest(context, target, forwarding, keeper);
+              const openConnection: OpenConnection = handle => {
+                handle(Result.ok(kept));
+                return () => undefined;
+              };
+              const options = {...request, openConnection};
+              return new Upstream(options, server.codec, sent);
+            },
+            openNew,
+            takeRepeat: isWritten => {
+              keeper?.recordFailed();
+              return takeRepeat(context, {id, bornAt}, isWritten);
+            },
+          },
+          upstreamListener,
+        );
+  if (listener.handleSilence !== undefined) {
+    startLinkWatch(server.links, id, upstream, listener.handleSilence);
+  }
+  return upstream;
+}
+
 /**
- * Sends a caller's request to an endpoint.
- * @param openAs opens the connection, by the way to the endpoint that it gets
+ * Tells whether a request may be sent again after its kept connection failed. It
+ * takes a retry of the budget if the endpoint may have received some of it.
  */
-export function openUpstream(
+function takeRepeat(
+  {server, service, deadline}: RequestContext,
+  {id, bornAt}: KnownTarget,
+  isWritten: boolean,
+): boolean {
+  if (isPast(deadline, server.getNow())) return false;
+  if (!isWritten) return true;
+  if (!server.budgets.takeRetry(service.name)) return false;
+  server.metrics.count(Counter.Repeated);
+  if (bornAt !== undefined) server.endpoints.limits.takeCredit({id, bornAt});
+  return true;
+}
+
+function makeRequest(
   context: RequestContext,
   {id, address}: UpstreamTarget,
-  forwarding: Pick<ForwardingContext, 'urgency' | 'parts' | 'lastEventId'>,
-  listener: AttemptListener,
-  openAs: (
-    open: OpenConnection,
-    handle: HandleConnection,
-  ) => CancelConnection = (open, handle) => open(handle),
-): Upstream {
+  forwarding: UpstreamForwarding,
+  keeper: ConnectionKeeper | undefined,
+): UpstreamRequest {
   const {server, request, account, method, body, deadline} = context;
   const headers = server.codec.encodeUpstreamHeaders(request, {
     ...forwarding,
@@ -53,47 +153,47 @@
     now: server.getNow(),
     accountName: account?.name,
     bodyBytes: body.length,
+    keepsConnection: keeper !== undefined,
   });
   const {path, attemptId} = request;
   const bornAt = server.endpoints.find(id)?.bornAt;
-  const handleHead = (answer: EndpointAnswer) => {
-    acceptNotice(context, {id, bornAt}, answer);
-    const relay = upstream.getRelay();
-    const {pauseMilliseconds: milliseconds} = answer;
-    if (relay === undefined || milliseconds === undefined) return;
-    // The endpoint wants nothing of the VM that its connection came from.
-    if (bornAt !== undefined) {
-      server.sendPause(relay, {id, bornAt, milliseconds});
-    }
+  return {
+    ...{address, method, path, headers, body, attemptId, deadline, keeper},
+    verifyEnd: end => {
+      const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
+      return verifyEnd(context, source, end);
+    },
   };
-  const purpose = `request ${attemptId}`;
-  const upstream = new Upstream(
-    {
-      ...{address, method, path, headers, body, attemptId, deadline},
-      openConnection: handle =>
-        openAs(done => server.links.open({id, address, purpose}, done), handle),
-      verifyEnd: end => {
-        const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
-        return verifyEnd(context, source, end);
-      },
+}
+
+/** Makes what applies the facts of an answer to its endpoint, and passes it on. */
+function makeListener(
+  context: RequestContext,
+  {id, bornAt}: KnownTarget,
+  listener: AttemptListener,
+  getRelay: () => string | undefined,
+): UpstreamListener {
+  const {server, request} = context;
+  return {
+    handleHead: answer => {
+      acceptNotice(context, {id, bornAt}, answer);
+      const relay = getRelay();
+      const {pauseMilliseconds: milliseconds} = answer;
+      if (relay === undefined || milliseconds === undefined) return;
+      // The endpoint wants nothing of the VM that its connection came from.
+      if (bornAt !== undefined) {
+        server.sendPause(relay, {id, bornAt, milliseconds});
+      }
     },
-    server.codec,
-    {
-      handleHead,
-      handleAnswer: answer => listener.handleAnswer(answer),
-      handleChunk: chunk => listener.handleChunk(chunk),
-      handleExcess: excess => {
-        const source = `request ${attemptId}`;
-        server.prober.recordOverrun(id, excess, source);
-      },
-      handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
-      handleEnd: (end, detail) => listener.handleEnd(end, detail),
+    handleAnswer: answer => listener.handleAnswer(answer),
+    handleChunk: chunk => listener.handleChunk(chunk),
+    handleExcess: excess => {
+      const source = `request ${request.attemptId}`;
+      server.prober.recordOverrun(id, excess, source);
     },
-  );
-  if (listener.handleSilence !== undefined) {
-    startLinkWatch(server.links, id, upstream, listener.handleSilence);
-  }
-  return upstream;
+    handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
+    handleEnd: (end, detail) => listener.handleEnd(end, detail),
+  };
 }
 
 /** Verifies the end of an answer that has neither a length nor chunks. */
@@ -129,7 +229,7 @@
  */
 function acceptNotice(
   {server: {endpoints}, request}: RequestContext,
-  target: {readonly id: string; readonly bornAt: Instant | undefined},
+  target: KnownTarget,
   answer: EndpointAnswer,
 ): void {
   const id = answer.endpointId ?? target.id;
--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -11,9 +11,10 @@
 import {AnswerBuffer} from './answer_buffer.js';
 import {AttemptEnder, AttemptLog} from './attempt_log.js';
 import {AttemptWatch} from './attempt_watch.js';
-import {openUpstream} from './open_upstream.js';
+import {Opening, openUpstream} from './open_upstream.js';
 import type {RequestContext} from './request_context.js';
-import {UpstreamEnd, type Upstream} from './upstream.js';
+import type {EndpointRequest} from './endpoint_request.js';
+import {UpstreamEnd} from './upstream.js';
 
 /** The request that an attempt is made for. */
 export interface AttemptOwner {
@@ -30,7 +31,7 @@
   readonly log: AttemptLog;
   readonly watch: AttemptWatch;
   answer: EndpointAnswer | undefined;
-  private upstream: Upstream | undefined;
+  private upstream: EndpointRequest | undefined;
 
   constructor(
     private readonly context: RequestContext,
@@ -63,6 +64,7 @@
         handleChunk: chunk => this.buffer.accept(this.answer!, chunk, upstream),
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
       },
+      context.route.kind === RouteKind.Safe ? Opening.Kept : Opening.New,
     );
     this.upstream = upstream;
   }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -8,6 +8,7 @@
 import type {SourceCheck} from '../fleet/source_check.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {KeptConnections} from '../links/kept_connections.js';
 import type {PausedEndpoint} from '../peers/messages.js';
 import type {PartQuarantine} from '../quarantine/part_quarantine.js';
 import type {Intake} from '../intake/intake.js';
@@ -40,6 +41,8 @@
   readonly queue: PathQueue;
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
+  /** Keeps connections to endpoints; undefined if each request opens one. */
+  readonly kept: KeptConnections | undefined;
   /** Tells a peer that an endpoint asked for a pause on a connection through it. */
   readonly sendPause: (vm: string, paused: PausedEndpoint) => void;
   readonly budgets: RetryBudgets;
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -3,14 +3,14 @@
 import type {PathReservation} from '../fleet/path_table.js';
 import {isPast} from '@zinniaspindle/shared';
 import {recordReset} from '../fleet/endpoint_state.js';
-import {openSettled} from '../links/open_settled.js';
 import {AttemptWatch} from './attempt_watch.js';
 import {checkRefusal} from './check_refusal.js';
-import {openUpstream} from './open_upstream.js';
+import {Opening, openUpstream} from './open_upstream.js';
 import type {RequestContext} from './request_context.js';
 import {StreamBody, type CompleteEvents} from './stream_body.js';
 import type {StreamEnds} from './stream_ends.js';
-import {UpstreamEnd, type Upstream} from './upstream.js';
+import type {EndpointRequest} from './endpoint_request.js';
+import {UpstreamEnd} from './upstream.js';
 
 /** Urgency of a resumed stream: it paused already and goes before new ones, whose urgency is 5. */
 const resumedUrgency = 1;
@@ -60,7 +60,7 @@
   answer: EndpointAnswer | undefined;
   readonly watch: AttemptWatch;
   private readonly body: StreamBody;
-  private readonly upstream: Upstream;
+  private readonly upstream: EndpointRequest;
   private readonly queueTimer: NodeJS.Timeout;
   private hasEnded = false;
 
@@ -89,10 +89,15 @@
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
         handleSilence: () => listener.handleSilence(this),
       },
-      this.hasToSettle() ? openSettled : undefined,
+      this.chooseOpening(),
     );
   }
 
+  private chooseOpening(): Opening {
+    if (this.hasToSettle()) return Opening.Settled;
+    return this.context.route.isResumable ? Opening.Kept : Opening.New;
+  }
+
   /**
    * Tells whether it must be certain that the endpoint keeps the connection:
    * another attempt was sent before, or the endpoint reset connections lately.
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -12,8 +12,9 @@
   type IntakeExcess,
 } from '@zinniaspindle/decisions';
 import type {Deadline, Instant} from '@zinniaspindle/shared';
-import {hasStatedEnd} from '../links/answer_end.js';
+import {describeAnswerEnd, hasStatedEnd} from '../links/answer_end.js';
 import {checkEnd} from '../links/check_end.js';
+import type {ConnectionKeeper} from '../links/kept_connections.js';
 import {
   EndProof,
   openDirect,
@@ -27,6 +28,7 @@
   RawHeaders,
 } from '../ports/index.js';
 import {isSuccess} from './answer_status.js';
+import type {EndpointRequest} from './endpoint_request.js';
 import {findHeadFault} from './find_head_fault.js';
 
 /**
@@ -61,6 +63,8 @@
   readonly deadline: Deadline;
   /** Opens the connection; undefined to connect to the address. */
   readonly openConnection?: OpenConnection;
+  /** Keeps the connection after a complete answer; undefined to close it. */
+  readonly keeper?: ConnectionKeeper | undefined;
   /**
    * Verifies the regular end of a connection with an answer that has neither a
    * length nor chunks.
@@ -91,14 +95,21 @@
 }
 
 /**
- * A request to an endpoint on a connection of its own, so that bytes of another
- * answer cannot be mistaken for this one.
+ * A request to an endpoint, the only one on its connection at that time. Without a
+ * keeper it is the only one ever, so that bytes of another answer cannot be mistaken
+ * for this one.
  */
-export class Upstream {
+export class Upstream implements EndpointRequest {
   private readonly request: http.ClientRequest;
   private readonly connectTimer: NodeJS.Timeout;
   private message: http.IncomingMessage | undefined;
   private connection: EndpointConnection | undefined;
+  /** Bytes that came and were written on the connection for earlier requests. */
+  private earlierBytes = {read: 0, written: 0};
+  /** Whether an answer with the id of this request has begun. */
+  private hasAnswer = false;
+  /** Whether bytes came after the answer. */
+  private hasExtraBytes = false;
   private readonly cancelConnection: CancelConnection;
   private readonly closeHandlers: (() => void)[] = [];
   private hasEnded = false;
@@ -125,6 +136,8 @@
       headers: options.headers as unknown as http.OutgoingHttpHeaders,
       maxHeaderSize: kindLimits[IntakeKind.Head].maxItem,
     });
+    // Without an agent, node:http ends the connection with the answer.
+    if (options.keeper !== undefined) this.request.shouldKeepAlive = true;
     const remaining = options.deadline - performance.now();
     const wait = Math.max(1, Math.min(connectTimeoutMilliseconds, remaining));
     this.connectTimer = setTimeout(() => {
@@ -143,31 +156,22 @@
     });
   }
 
-  /**
-   * Cancels the request by closing its connection; the listener is not called.
-   */
   cancel(): void {
     this.hasEnded = true;
     clearTimeout(this.connectTimer);
     this.cancelConnection();
     this.request.destroy();
-    for (const handleClose of this.closeHandlers.splice(0)) handleClose();
+    this.runCloseHandlers();
   }
 
-  /** Calls a function when the request ends or is cancelled. */
   addCloseHandler(handleClose: () => void): void {
     this.closeHandlers.push(handleClose);
   }
 
-  /** The peer VM through which the connection goes; undefined for none. */
   getRelay(): string | undefined {
     return this.connection?.relay;
   }
 
-  /**
-   * Counts the bytes that have come on a connection of this VM itself; undefined
-   * without one.
-   */
   countDirectBytes(): number | undefined {
     const {connection} = this;
     if (connection === undefined || connection.relay !== undefined) {
@@ -176,29 +180,53 @@
     return connection.socket.bytesRead;
   }
 
-  /** Pauses reading the answer, for backpressure. */
   stopReading(): void {
     this.message?.pause();
   }
 
-  /** Resumes reading the answer. */
   resumeReading(): void {
     this.lastBytesAt = performance.now();
     this.message?.resume();
   }
 
-  /** Tells whether the answer states where it ends, by a length or chunks. */
   isFramed(): boolean {
     return this.message !== undefined && this.hasLength(this.message);
   }
 
+  /** Tells whether an answer with the id of this request has begun. */
+  hasOwnAnswer(): boolean {
+    return this.hasAnswer;
+  }
+
+  /** Tells whether the endpoint may have received some of the request. */
+  isWritten(): boolean {
+    const {connection, earlierBytes} = this;
+    if (connection === undefined) return false;
+    const {bytesWritten = Infinity} = connection.socket;
+    return bytesWritten > earlierBytes.written;
+  }
+
   private acceptConnection(connection: EndpointConnection): void {
     this.connection = connection;
     clearTimeout(this.connectTimer);
-    connection.socket.on('end', () => {
+    const {socket} = connection;
+    const {bytesRead, bytesWritten = 0} = socket;
+    this.earlierBytes = {read: bytesRead, written: bytesWritten};
+    const handleEnd = () => {
       if (this.message !== undefined && !this.hasLength(this.message)) {
         this.verifyEnd(connection);
       }
+    };
+    socket.on('end', handleEnd);
+    if (this.options.keeper === undefined) return;
+    // Before that of the parser, which the last bytes of the answer complete.
+    const handleBytes = () => {
+      if (this.message?.complete === true) this.hasExtraBytes = true;
+    };
+    socket.on('data', handleBytes);
+    socket.once('free', () => {
+      socket.off('end', handleEnd);
+      socket.off('data', handleBytes);
     });
   }
 
@@ -245,6 +273,7 @@
       this.checkExcess(checkItem(IntakeKind.InterimHeads, interimHeads));
     });
     request.on('error', error => {
+      if (this.isBeyondAnswer()) return;
       if ((error as NodeJS.ErrnoException).code === headOverflowCode) {
         this.checkExcess(this.computeHeadExcess());
       }
@@ -265,6 +294,11 @@
     this.message = message;
     if (!this.hasLength(message)) this.recordBytes(message.socket);
     const answer = this.codec.decodeAnswer(message);
+    if (this.isOfAnother(answer)) {
+      const detail = `answer has the id "${answer.attemptId}" of another request`;
+      return this.close(UpstreamEnd.Broken, detail);
+    }
+    this.hasAnswer = true;
     const fault = findHeadFault(answer);
     if (fault !== undefined) return this.close(UpstreamEnd.Broken, fault);
     this.listener.handleHead?.(answer);
@@ -297,7 +331,7 @@
       if (!this.hasLength(message)) {
         this.hasReadAll = true;
         this.closeIfWhole();
-      } else if (message.complete) this.close(UpstreamEnd.Complete, 'complete');
+      } else if (message.complete) this.resolveComplete(message, answer);
       else this.close(UpstreamEnd.Broken, 'answer was cut off');
     });
     message.on('close', () => {
@@ -322,10 +356,55 @@
 
   private computeHeadExcess(): IntakeExcess | undefined {
     const {maxItem} = kindLimits[IntakeKind.Head];
-    const bytesRead = this.request.socket?.bytesRead ?? 0;
+    const {read} = this.earlierBytes;
+    const bytesRead = (this.request.socket?.bytesRead ?? 0) - read;
     return checkItem(IntakeKind.Head, Math.max(maxItem + 1, bytesRead));
   }
 
+  /**
+   * Tells whether an answer on a connection with several requests is that to
+   * another one, sent late or twice.
+   */
+  private isOfAnother({attemptId}: EndpointAnswer): boolean {
+    const {keeper, attemptId: ownId} = this.options;
+    if (keeper === undefined || this.earlierBytes.read === 0) return false;
+    return attemptId !== undefined && attemptId !== ownId;
+  }
+
+  /** Tells whether a fault is that of bytes after the answer, which is whole. */
+  private isBeyondAnswer(): boolean {
+    const {keeper} = this.options;
+    if (keeper === undefined || this.message?.complete !== true) return false;
+    this.hasExtraBytes = true;
+    return true;
+  }
+
+  /** Ends the request after its complete answer, and keeps the connection. */
+  private resolveComplete(
+    message: http.IncomingMessage,
+    answer: EndpointAnswer,
+  ): void {
+    const {request, connection, options} = this;
+    const {keeper, method} = options;
+    // The request counts as destroyed once it has given up its connection.
+    const isFreed = request.destroyed && request.shouldKeepAlive;
+    if (this.hasEnded || keeper === undefined || !isFreed) {
+      return this.close(UpstreamEnd.Complete, 'complete');
+    }
+    this.hasEnded = true;
+    connection?.socket.once('free', () => {
+      const {hasExtraBytes} = this;
+      const end = describeAnswerEnd(message, method, answer, hasExtraBytes);
+      keeper.accept(connection, end);
+    });
+    this.runCloseHandlers();
+    this.listener.handleEnd(UpstreamEnd.Complete, 'complete');
+  }
+
+  private runCloseHandlers(): void {
+    for (const handleClose of this.closeHandlers.splice(0)) handleClose();
+  }
+
   private close(end: UpstreamEnd, detail: string): void {
     if (this.hasEnded) return;
     this.cancel();
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -342,7 +342,7 @@
   mesh: PeerMesh,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const {metrics, endpoints, ends, endCheck, sourceCheck, quarantine} = fleet;
-  const {paths, prober, links} = fleet;
+  const {paths, prober, links, kept} = fleet;
   const countVms = () => mesh.listStaying().length + 1;
   const queue = new PathQueue(paths, quarantine, getNow);
   const {memoryMegabytes = defaultMemoryMegabytes} = settings;
@@ -361,6 +361,7 @@
     queue,
     prober,
     links,
+    kept,
     sendPause: (vm, paused) => {
       const peer = mesh.listLive().find(one => one.vm === vm);
       if (peer !== undefined) mesh.sendTo(peer, makePausedMessage(paused));
