--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -1,9 +1,7 @@
 import {
   addAttempt,
   applyProgress,
-  computeLateWait,
   computeMoveDelay,
-  computeQueueTimeout,
   createAttemptPair,
   findMoveDenial,
   findRetryDenial,
@@ -42,6 +40,7 @@
 } from './stream_attempt.js';
 import type {CompleteEvents} from './stream_body.js';
 import {StreamEnds} from './stream_ends.js';
+import {computeWaitEnds} from './wait_ends.js';
 import {StreamPlaces, type PlaceWait} from './stream_places.js';
 
 /** Attempts of one request that end without the request having run. */
@@ -229,43 +228,25 @@
    * answered in time, a started stream until its caller leaves or its deadline.
    */
   private async waitForPlace(): Promise<PathReservation | undefined> {
-    const waitUntil = this.computeWaitEnd();
-    const lateUntil = this.computeLateEnd();
-    const wait = {...this.makeWait(waitUntil), lateUntil};
-    const reservation = await this.places.wait(wait);
+    const reservation = await this.places.wait(this.makeFirstWait());
     if (reservation === undefined && !this.isAbandoned) {
       this.log.logGivenUp(RetryDenial.Place);
     }
     return reservation;
   }
 
+  private makeFirstWait(): PlaceWait {
+    const {context, model, lastEventAt} = this;
+    if (this.hasSentEvents) return this.makeWait(context.deadline);
+    const ends = computeWaitEnds(context, model, lastEventAt);
+    return {...this.makeWait(ends.waitUntil), ...ends};
+  }
+
   private makeWait(waitUntil: Deadline): PlaceWait {
     const {emptyPath: answered} = this.ends;
     return {isResumed: this.hasSentEvents, waitUntil, answered};
   }
 
-  private computeWaitEnd(): Deadline {
-    const {server, service, route, deadline} = this.context;
-    if (this.hasSentEvents) return deadline;
-    const timeout = computeQueueTimeout(
-      route.targetLatencyMilliseconds,
-      server.paths.hasUsable(service.name, this.model),
-      server.metrics.findMedian(Latency.FirstEvent),
-    );
-    return this.lastEventAt + timeout;
-  }
-
-  /**
-   * Computes until when a new stream may wait once it is late, if the figures of
-   * its engine tell what a place is worth.
-   */
-  private computeLateEnd(): Deadline | undefined {
-    if (this.model.figures === undefined || this.hasSentEvents)
-      return undefined;
-    const {targetLatencyMilliseconds: target} = this.context.route;
-    return this.lastEventAt + computeLateWait(target);
-  }
-
   /** Tells whether the stream is paused because the caller reads too slowly. */
   private isPaused(reservation: PathReservation): boolean {
     const isCurrent = this.running.current?.reservation === reservation;
--- a/packages/gateway/src/root/build_limits.ts
+++ b/packages/gateway/src/root/build_limits.ts
@@ -4,7 +4,7 @@
 import {makeLimitedMessage} from '../peers/messages.js';
 import type {PeerMesh} from '../peers/peer_mesh.js';
 
-/** Builds the limits of endpoints, which are sent to all peers. */
+/** Builds the limits that endpoints state, which all VMs share. */
 export function buildLimits(
   log: EventLog,
   getNow: () => Instant,
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -22,7 +22,8 @@
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
 import {countPlaces, Intake} from '../intake/intake.js';
-import {EndpointLinks} from '../links/endpoint_links.js';
+import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {KeptConnections} from '../links/kept_connections.js';
 import {RelayServer} from '../links/relay_server.js';
 import type {EventLog} from '../log/event_log.js';
 import {Counter, Metrics} from '../log/metrics.js';
@@ -33,11 +34,10 @@
   PeerPhase,
   makeLeavingMessage,
   makePausedMessage,
-  type Hello,
   type OrderMessage,
 } from '../peers/messages.js';
 import {PeerHandler} from '../peers/peer_handler.js';
-import {PeerMesh, type Peer} from '../peers/peer_mesh.js';
+import {PeerMesh} from '../peers/peer_mesh.js';
 import {
   Topic,
   type DirectoryCodec,
@@ -52,6 +52,8 @@
 import {RetryBudgets} from '../requests/retry_budgets.js';
 import {AnswersByRoute} from '../requests/answers_by_route.js';
 import {buildLimits} from './build_limits.js';
+import {buildLinks} from './build_links.js';
+import {describeOwn} from './describe_own.js';
 import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
@@ -88,6 +90,8 @@
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
   readonly relays: RelayServer;
+  /** The idle connections to endpoints; undefined if none are kept. */
+  readonly kept: KeptConnections | undefined;
   readonly endCheck: EndCheck;
   readonly sourceCheck: SourceCheck;
 }
@@ -188,11 +192,10 @@
     },
   };
   const calls = ports.endpoints;
-  const links = new EndpointLinks(
-    () => getParts().mesh.listLive().filter(isRelay),
-    metrics,
-    log.write,
-    getNow,
+  const {links, kept} = buildLinks(
+    {settings, log, getNow},
+    {endpoints, metrics},
+    () => getParts().mesh,
   );
   const prober = new EndpointProber(
     endpoints,
@@ -204,11 +207,12 @@
     getNow,
     log.write,
     links,
+    kept,
   );
   const relays = new RelayServer(endpoints, links, metrics, log.write);
   const {handleEnded} = listeners;
   return {
-    ...{metrics, endpoints, loads, paths, prober, links, relays},
+    ...{metrics, endpoints, loads, paths, prober, links, relays, kept},
     endCheck: new EndCheck(endpoints, calls, handleEnded, metrics, links),
     sourceCheck: new SourceCheck({calls, links, handleEnded, metrics, getNow}),
     ...quarantine,
@@ -296,23 +300,6 @@
   return new WaiterTable(getNow, countPeers, metrics);
 }
 
-/** Describes this VM for its peers. */
-function describeOwn({
-  vm,
-  linkMegabits,
-  cores,
-  listen: {peers, callers},
-}: GatewaySettings): Omit<Hello, 'kind' | 'known'> {
-  return {
-    vm,
-    startedAt: Date.now(),
-    peerAddress: formatAddress(peers),
-    callerAddress: formatAddress(callers),
-    linkMegabits,
-    cores,
-  };
-}
-
 function buildOrders(
   {settings, ports, log, getNow}: GatewayContext,
   fleet: FleetParts,
@@ -357,7 +344,7 @@
   {mesh, waiters}: SyncParts,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const {metrics, endpoints, ends, endCheck, sourceCheck, quarantine} = fleet;
-  const {paths, prober, links} = fleet;
+  const {paths, prober, links, kept} = fleet;
   const countVms = () => mesh.listStaying().length + 1;
   const queue = new PathQueue(paths, quarantine, getNow, waiters);
   const {memoryMegabytes = defaultMemoryMegabytes} = settings;
@@ -378,6 +365,7 @@
     waiters,
     prober,
     links,
+    kept,
     sendPause: (vm, paused) => {
       const peer = mesh.listLive().find(one => one.vm === vm);
       if (peer !== undefined) mesh.sendTo(peer, makePausedMessage(paused));
@@ -404,11 +392,6 @@
   return {callers, directory, queue};
 }
 
-/** Tells whether a peer can pass connections on. */
-function isRelay({phase}: Peer): boolean {
-  return phase === PeerPhase.Ready;
-}
-
 function applyOrder(
   {endpoints, paths}: FleetParts,
   order: Omit<OrderMessage, 'kind'>,
