--- a/packages/decisions/src/stages/wait_queue.ts
+++ b/packages/decisions/src/stages/wait_queue.ts
@@ -1,14 +1,20 @@
 import type {Deadline, Instant} from '@zinniaspindle/shared';
+import {compareRanks, type RequestRank} from '../ranks/request_rank.js';
 
 /** A request that waits for a place on a path. */
-export interface Waiter {
+export interface Waiter extends RequestRank {
   /** A stream that was cut and goes on; its caller has had part of the answer. */
   readonly isResumed: boolean;
-  /** 0 is the highest priority. */
-  readonly priority: number;
   readonly receivedAt: Instant;
-  /** It is refused at this instant if it has no place. */
+  /** Until this instant it can still be answered in time. */
   readonly waitUntil: Deadline;
+  /**
+   * Until this instant it may wait on behind all others, since a late answer
+   * comes sooner than one to a caller that is sent away; undefined if not.
+   */
+  readonly lateUntil?: Deadline | undefined;
+  /** Whether it waits on although it can no longer be answered in time. */
+  isLate?: boolean;
 }
 
 /** The requests of one service that wait at a VM, and how fast they get places. */
@@ -26,6 +32,16 @@
   crowdedSince: Instant | undefined;
 }
 
+/** What peers have reported of the requests of one service. */
+export interface PeerWaits {
+  /** Their requests that go before a new one of the rank in question. */
+  readonly ahead: number;
+  /** Requests of all ranks that got places in the last second. */
+  readonly placed: number;
+  /** Requests of all ranks that were refused in the last second. */
+  readonly refused: number;
+}
+
 /** Places given in this time tell how fast the queue moves. */
 const rateMilliseconds = 1000;
 /** A queue that is crowded for less time says little of how fast it moves. */
@@ -39,8 +55,8 @@
 }
 
 /**
- * Adds a request behind those that go before it: cut streams first, then by
- * priority, then by age.
+ * Adds a request behind those that go before it: cut streams first, those
+ * that are late last, then by rank, then by age.
  */
 export function addWaiter<Item extends Waiter>(
   queue: WaitQueue<Item>,
@@ -54,6 +70,28 @@
   queue.crowdedSince ??= now;
 }
 
+/** Finds when a request is refused if it has no place by then. */
+export function getWaitEnd({waitUntil, lateUntil, isLate}: Waiter): Deadline {
+  return isLate === true ? (lateUntil ?? waitUntil) : waitUntil;
+}
+
+/**
+ * Puts a request that can no longer be answered in time behind those that can; it
+ * gets a place that they leave. Returns false if it may not wait on.
+ */
+export function recordLate<Item extends Waiter>(
+  queue: WaitQueue<Item>,
+  item: Item,
+  now: Instant,
+): boolean {
+  const {isResumed, isLate, lateUntil = -Infinity} = item;
+  if (isResumed || isLate === true || lateUntil <= now) return false;
+  removeWaiter(queue, item);
+  item.isLate = true;
+  addWaiter(queue, item, now);
+  return true;
+}
+
 /** Removes a request that left, was placed or was refused. */
 export function removeWaiter<Item extends Waiter>(
   queue: WaitQueue<Item>,
@@ -79,25 +117,38 @@
  * Predicts how long a request waits behind those that go before it, from the
  * places given in the last second; 0 while too little is known. A request that
  * cannot be served in time is refused at once instead of at the end of its wait.
+ * @param peers what peers have reported; undefined without news. In a large
+ *   fleet, a VM has too few requests to tell how fast slots come free.
  */
 export function predictWait(
   queue: WaitQueue<Waiter>,
   item: Waiter,
   now: Instant,
+  peers?: PeerWaits,
 ): number {
-  const {waiters, placedAt, refusedAt, crowdedSince} = queue;
+  const {placedAt, refusedAt, crowdedSince} = queue;
   if (crowdedSince === undefined) return 0;
-  const observed = Math.min(rateMilliseconds, now - crowdedSince);
-  if (observed < patienceMilliseconds) return 0;
+  const crowded = Math.min(rateMilliseconds, now - crowdedSince);
   expireOld(placedAt, now);
   expireOld(refusedAt, now);
-  if (placedAt.length + refusedAt.length < minObserved) return 0;
-  if (placedAt.length === 0) return Infinity;
+  const placed = placedAt.length + (peers?.placed ?? 0);
+  const refused = refusedAt.length + (peers?.refused ?? 0);
+  // Peers that have requests waiting or refused are as crowded as this VM.
+  const isFleetCrowded = peers !== undefined && peers.ahead + peers.refused > 0;
+  if (crowded < patienceMilliseconds && !isFleetCrowded) return 0;
+  if (placed + refused < minObserved) return 0;
+  if (placed === 0) return Infinity;
+  const ahead = countAhead(queue, item);
+  if (peers === undefined) return (ahead * crowded) / placed;
+  return ((ahead + peers.ahead) * rateMilliseconds) / placed;
+}
+
+function countAhead({waiters}: WaitQueue<Waiter>, item: Waiter): number {
   let ahead = 0;
   for (const waiter of waiters) {
     if (compareWaiters(waiter, item) <= 0) ahead += 1;
   }
-  return (ahead * observed) / placedAt.length;
+  return ahead;
 }
 
 function expireOld(instants: Instant[], now: Instant): void {
@@ -108,5 +159,7 @@
 
 function compareWaiters(a: Waiter, b: Waiter): number {
   if (a.isResumed !== b.isResumed) return a.isResumed ? -1 : 1;
-  return a.priority - b.priority || a.receivedAt - b.receivedAt;
+  const isLate = a.isLate === true;
+  if (isLate !== (b.isLate === true)) return isLate ? 1 : -1;
+  return compareRanks(a, b) || a.receivedAt - b.receivedAt;
 }
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -14,6 +14,7 @@
   Retries = 'requests_retried_total',
   Resumed = 'streams_resumed_total',
   Stalls = 'paths_stalled_total',
+  SlowPaths = 'paths_slow_total',
   StoreCalls = 'store_calls_total',
   StoreFailures = 'store_failures_total',
   Orders = 'orders_total',
@@ -22,6 +23,17 @@
   Quarantines = 'quarantines_total',
   Relayed = 'connections_relayed_total',
   RelayedForPeers = 'connections_relayed_for_peers_total',
+  PromptsHeld = 'prompts_held_total',
+  PromptTokensSaved = 'prompt_tokens_saved_total',
+  ConnectionsOpened = 'connections_opened_total',
+  ConnectionsReused = 'connections_reused_total',
+  DroppedClosed = 'connections_dropped_closed_total',
+  DroppedExtraBytes = 'connections_dropped_extra_bytes_total',
+  DroppedExpired = 'connections_dropped_expired_total',
+  DroppedReplaced = 'connections_dropped_replaced_total',
+  DroppedUnwanted = 'connections_dropped_unwanted_total',
+  DroppedExcess = 'connections_dropped_excess_total',
+  DroppedFailed = 'connections_dropped_failed_total',
 }
 
 /** Latency histograms, in milliseconds. */
@@ -33,8 +45,17 @@
   EventGap = 'event_gap_milliseconds',
 }
 
+/** Values by rank, with the level as the label `rank`; 0 comes first. */
+export enum RankMetric {
+  Waiting = 'rank_waiting',
+  Placed = 'rank_placed_total',
+  Refused = 'rank_refused_total',
+}
+
 /** Descriptions of the metrics; the source of docs/METRICS.md. */
-export const gatewayMetricTexts: Readonly<Record<Counter | Latency, string>> = {
+export const gatewayMetricTexts: Readonly<
+  Record<Counter | Latency | RankMetric, string>
+> = {
   [Counter.Requests]: 'Requests whose headers were received.',
   [Counter.Answered]: 'Requests answered with the answer of an endpoint.',
   [Counter.Refused]: 'Requests refused with 429 or 503 without having run.',
@@ -51,6 +72,8 @@
   [Counter.Retries]: 'Retries of requests before the start of their answer.',
   [Counter.Resumed]: 'Streams resumed on another path after their last event.',
   [Counter.Stalls]: 'Checks of the endpoints of a silent path.',
+  [Counter.SlowPaths]:
+    'Times that a path began to run at least three times slower than predicted.',
   [Counter.StoreCalls]: 'Calls to the store.',
   [Counter.StoreFailures]: 'Failed calls to the store.',
   [Counter.Orders]: 'Orders sent to endpoints.',
@@ -62,6 +85,27 @@
   [Counter.Relayed]:
     'Connections to endpoints that went through a peer, since those of this VM failed.',
   [Counter.RelayedForPeers]: 'Connections of peers passed on to endpoints.',
+  [Counter.PromptsHeld]:
+    'Streams sent to a path that presumably held the beginning of their prompt.',
+  [Counter.PromptTokensSaved]:
+    'Prompt tokens that presumably needed no prefill for these streams.',
+  [Counter.ConnectionsOpened]:
+    'Connections to endpoints that this VM opened for requests and calls.',
+  [Counter.ConnectionsReused]: 'Uses of kept connections to endpoints.',
+  [Counter.DroppedClosed]:
+    'Connections dropped since the endpoint ended them or their answer said so.',
+  [Counter.DroppedExtraBytes]:
+    'Connections dropped since bytes came that belong to no request.',
+  [Counter.DroppedExpired]:
+    'Kept connections dropped shortly before their endpoint would close them.',
+  [Counter.DroppedReplaced]:
+    'Kept connections dropped since their endpoint restarted, moved or was removed.',
+  [Counter.DroppedUnwanted]:
+    'Connections dropped since their endpoint leaves, pauses, is suspected or not reached, or the VM stops.',
+  [Counter.DroppedExcess]:
+    'Kept connections dropped since more were idle than may be.',
+  [Counter.DroppedFailed]:
+    'Kept connections on which a request got no usable answer.',
   [Latency.Answer]:
     'Time from the receipt of a request to the end of its answer.',
   [Latency.Plain]:
@@ -71,6 +115,11 @@
   [Latency.FirstEvent]:
     'Time from the receipt of a request to the first event of its stream.',
   [Latency.EventGap]: 'Time between two consecutive events of a stream.',
+  [RankMetric.Waiting]:
+    'Streams that wait for a path at this VM, by rank (label `rank`, 0 to 7).',
+  [RankMetric.Placed]: 'Times that streams got a place on a path, by rank.',
+  [RankMetric.Refused]:
+    'Times that streams got no place on a path in time, by rank.',
 };
 
 const prefix = 'zinniaspindle_gateway_';
@@ -115,10 +164,23 @@
 export class Metrics {
   private readonly counters = new Map<Counter, number>();
   private readonly latencies = new Map<Latency, Histogram>();
+  /** By metric and level, of which there are few. */
+  private readonly ranks = new Map<string, number>();
 
-  /** Adds one to a counter. */
-  count(counter: Counter): void {
-    this.counters.set(counter, (this.counters.get(counter) ?? 0) + 1);
+  /** Adds an amount, one if none is given, to a counter. */
+  count(counter: Counter, amount = 1): void {
+    this.counters.set(counter, (this.counters.get(counter) ?? 0) + amount);
+  }
+
+  /** Adds one to a counter of a rank. */
+  countRank(metric: RankMetric, level: number): void {
+    const key = formatRank(metric, level);
+    this.ranks.set(key, (this.ranks.get(key) ?? 0) + 1);
+  }
+
+  /** Sets a value of a rank. */
+  setRank(metric: RankMetric, level: number, value: number): void {
+    this.ranks.set(formatRank(metric, level), value);
   }
 
   /** Records a latency; values above a minute count as a minute. */
@@ -155,6 +217,9 @@
       const value = this.counters.get(counter) ?? 0;
       lines.push(`${prefix}${counter} ${value}`);
     }
+    for (const [key, value] of this.ranks) {
+      lines.push(`${prefix}${key} ${value}`);
+    }
     for (const [latency, histogram] of this.latencies) {
       const name = `${prefix}${latency}`;
       for (const percentile of percentiles) {
@@ -166,3 +231,7 @@
     return `${lines.join('\n')}\n`;
   }
 }
+
+function formatRank(metric: RankMetric, level: number): string {
+  return `${metric}{rank="${level}"}`;
+}
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -4,16 +4,21 @@
   verifyUnframedEnd,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import {Result} from 'true-myth';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
-import type {
-  CancelConnection,
-  HandleConnection,
-  OpenConnection,
-} from '../links/open_connection.js';
+import type {ConnectionKeeper} from '../links/kept_connections.js';
+import type {OpenConnection} from '../links/open_connection.js';
+import {openSettled} from '../links/open_settled.js';
 import type {AnswerSource} from '../fleet/source_check.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
-import {Upstream, type UnframedEnd, type UpstreamListener} from './upstream.js';
+import type {EndpointRequest} from './endpoint_request.js';
+import {
+  Upstream,
+  type UnframedEnd,
+  type UpstreamListener,
+  type UpstreamRequest,
+} from './upstream.js';
 
 /** The endpoint that a request is sent to. */
 export interface UpstreamTarget {
@@ -21,6 +26,18 @@
   readonly address: string;
 }
 
+/** An endpoint, and when it started as far as known. */
+interface KnownTarget {
+  readonly id: string;
+  readonly bornAt: Instant | undefined;
+}
+
+/** What a request is sent with, beside what its caller sent. */
+type UpstreamForwarding = Pick<
+  ForwardingContext,
+  'urgency' | 'parts' | 'lastEventId'
+>;
+
 /** Receives the answer of an attempt. */
 export type AttemptListener = UpstreamListener & {
   readonly handleSilence?: () => void;
@@ -31,20 +48,80 @@
   readonly isOfPath: boolean;
 }
 
+/** How the connection of a request is opened. */
+export enum Opening {
+  /** A new connection. */
+  New = 'new',
+  /** A new connection that the endpoint has not reset at once. */
+  Settled = 'settled',
+  /** A kept connection, if there is one; for requests that may run again. */
+  Kept = 'kept',
+}
+
+/** Sends a caller's request to an endpoint. */
+export function openUpstream(
+  context: RequestContext,
+  target: UpstreamTarget,
+  forwarding: UpstreamForwarding,
+  listener: AttemptListener,
+  opening = Opening.New,
+): EndpointRequest {
+  const {server} = context;
+  const {id, address} = target;
+  const bornAt = server.endpoints.find(id)?.bornAt;
+  const getRelay = () => upstream.getRelay();
+  const upstreamListener = makeListener(
+    context,
+    {id, bornAt},
+    listener,
+    getRelay,
+  );
+  const keeper =
+    opening === Opening.Kept ? makeKeeper(context, target) : undefined;
+  const kept = keeper?.take();
+  const purpose = `request ${context.request.attemptId}`;
+  const openNew: OpenConnection = handle =>
+    server.links.open({id, address, purpose}, handle);
+  const openConnection: OpenConnection = handle => {
+    if (opening === Opening.Settled) return openSettled(openNew, handle);
+    if (kept === undefined) return openNew(handle);
+    handle(Result.ok(kept));
+    return () => undefined;
+  };
+  const request = makeRequest(context, target, forwarding, keeper);
+  const upstream = new Upstream(
+    {...request, openConnection},
+    server.codec,
+    upstreamListener,
+  );
+  if (listener.handleSilence !== undefined) {
+    startLinkWatch(server.links, id, upstream, listener.handleSilence);
+  }
+  return upstream;
+}
+
 /**
- * Sends a caller's request to an endpoint.
- * @param openAs opens the connection, by the way to the endpoint that it gets
+ * Makes what takes and keeps the connection of a request. One without an id of its
+ * own gets a new connection, since a late copy of an earlier answer could not be told
+ * from its own; so does one that could not be tried again.
  */
-export function openUpstream(
+function makeKeeper(
+  {server, request, route}: RequestContext,
+  {id, address}: UpstreamTarget,
+): ConnectionKeeper | undefined {
+  const {attemptId} = request;
+  const bornAt = server.endpoints.find(id)?.bornAt;
+  if (bornAt === undefined || attemptId === '') return undefined;
+  if (route.maxAttempts < 2) return undefined;
+  return server.kept?.makeKeeper({id, address, bornAt}, attemptId);
+}
+
+function makeRequest(
   context: RequestContext,
   {id, address}: UpstreamTarget,
-  forwarding: Pick<ForwardingContext, 'urgency' | 'parts' | 'lastEventId'>,
-  listener: AttemptListener,
-  openAs: (
-    open: OpenConnection,
-    handle: HandleConnection,
-  ) => CancelConnection = (open, handle) => open(handle),
-): Upstream {
+  forwarding: UpstreamForwarding,
+  keeper: ConnectionKeeper | undefined,
+): UpstreamRequest {
   const {server, request, account, method, body, deadline} = context;
   const headers = server.codec.encodeUpstreamHeaders(request, {
     ...forwarding,
@@ -53,47 +130,47 @@
     now: server.getNow(),
     accountName: account?.name,
     bodyBytes: body.length,
+    keepsConnection: keeper !== undefined,
   });
   const {path, attemptId} = request;
   const bornAt = server.endpoints.find(id)?.bornAt;
-  const handleHead = (answer: EndpointAnswer) => {
-    acceptNotice(context, {id, bornAt}, answer);
-    const relay = upstream.getRelay();
-    const {pauseMilliseconds: milliseconds} = answer;
-    if (relay === undefined || milliseconds === undefined) return;
-    // The endpoint wants nothing of the VM that its connection came from.
-    if (bornAt !== undefined) {
-      server.sendPause(relay, {id, bornAt, milliseconds});
-    }
+  return {
+    ...{address, method, path, headers, body, attemptId, deadline, keeper},
+    verifyEnd: end => {
+      const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
+      return verifyEnd(context, source, end);
+    },
   };
-  const purpose = `request ${attemptId}`;
-  const upstream = new Upstream(
-    {
-      ...{address, method, path, headers, body, attemptId, deadline},
-      openConnection: handle =>
-        openAs(done => server.links.open({id, address, purpose}, done), handle),
-      verifyEnd: end => {
-        const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
-        return verifyEnd(context, source, end);
-      },
+}
+
+/** Makes what applies the facts of an answer to its endpoint, and passes it on. */
+function makeListener(
+  context: RequestContext,
+  {id, bornAt}: KnownTarget,
+  listener: AttemptListener,
+  getRelay: () => string | undefined,
+): UpstreamListener {
+  const {server, request} = context;
+  return {
+    handleHead: answer => {
+      acceptNotice(context, {id, bornAt}, answer);
+      const relay = getRelay();
+      const {pauseMilliseconds: milliseconds} = answer;
+      if (relay === undefined || milliseconds === undefined) return;
+      // The endpoint wants nothing of the VM that its connection came from.
+      if (bornAt !== undefined) {
+        server.sendPause(relay, {id, bornAt, milliseconds});
+      }
     },
-    server.codec,
-    {
-      handleHead,
-      handleAnswer: answer => listener.handleAnswer(answer),
-      handleChunk: chunk => listener.handleChunk(chunk),
-      handleExcess: excess => {
-        const source = `request ${attemptId}`;
-        server.prober.recordOverrun(id, excess, source);
-      },
-      handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
-      handleEnd: (end, detail) => listener.handleEnd(end, detail),
+    handleAnswer: answer => listener.handleAnswer(answer),
+    handleChunk: chunk => listener.handleChunk(chunk),
+    handleExcess: excess => {
+      const source = `request ${request.attemptId}`;
+      server.prober.recordOverrun(id, excess, source);
     },
-  );
-  if (listener.handleSilence !== undefined) {
-    startLinkWatch(server.links, id, upstream, listener.handleSilence);
-  }
-  return upstream;
+    handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
+    handleEnd: (end, detail) => listener.handleEnd(end, detail),
+  };
 }
 
 /** Verifies the end of an answer that has neither a length nor chunks. */
@@ -129,7 +206,7 @@
  */
 function acceptNotice(
   {server: {endpoints}, request}: RequestContext,
-  target: {readonly id: string; readonly bornAt: Instant | undefined},
+  target: KnownTarget,
   answer: EndpointAnswer,
 ): void {
   const id = answer.endpointId ?? target.id;
--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -11,9 +11,10 @@
 import {AnswerBuffer} from './answer_buffer.js';
 import {AttemptEnder, AttemptLog} from './attempt_log.js';
 import {AttemptWatch} from './attempt_watch.js';
-import {openUpstream} from './open_upstream.js';
+import {Opening, openUpstream} from './open_upstream.js';
 import type {RequestContext} from './request_context.js';
-import {UpstreamEnd, type Upstream} from './upstream.js';
+import type {EndpointRequest} from './endpoint_request.js';
+import {UpstreamEnd} from './upstream.js';
 
 /** The request that an attempt is made for. */
 export interface AttemptOwner {
@@ -30,12 +31,14 @@
   readonly log: AttemptLog;
   readonly watch: AttemptWatch;
   answer: EndpointAnswer | undefined;
-  private upstream: Upstream | undefined;
+  private upstream: EndpointRequest | undefined;
 
   constructor(
     private readonly context: RequestContext,
     readonly endpoint: EndpointState,
     private readonly owner: AttemptOwner,
+    /** Whether the request was sent before. */
+    private readonly isFurther: boolean,
   ) {
     this.sentAt = context.server.getNow();
     this.buffer = new AnswerBuffer(context, answer =>
@@ -45,6 +48,19 @@
     this.watch = new AttemptWatch(context);
   }
 
+  /**
+   * Chooses the connection. A kept one may end as the request comes, so it is for
+   * the first attempt only, where another endpoint can take the request then.
+   */
+  private chooseOpening(): Opening {
+    const {server, service, route} = this.context;
+    const isKept =
+      route.kind === RouteKind.Safe &&
+      !this.isFurther &&
+      server.endpoints.list(service.name).length > 1;
+    return isKept ? Opening.Kept : Opening.New;
+  }
+
   /** Sends the request. */
   start(): void {
     const {context, endpoint} = this;
@@ -63,6 +79,7 @@
         handleChunk: chunk => this.buffer.accept(this.answer!, chunk, upstream),
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
       },
+      this.chooseOpening(),
     );
     this.upstream = upstream;
   }
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -5,9 +5,12 @@
 import type {EndCheck} from '../fleet/end_check.js';
 import type {EndWatch} from '../fleet/end_watch.js';
 import type {PathTable} from '../fleet/path_table.js';
+import type {WaiterTable} from '../fleet/waiter_table.js';
+import type {PromptTable} from '../fleet/prompt_table.js';
 import type {SourceCheck} from '../fleet/source_check.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
 import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {KeptConnections} from '../links/kept_connections.js';
 import type {PausedEndpoint} from '../peers/messages.js';
 import type {PartQuarantine} from '../quarantine/part_quarantine.js';
 import type {Intake} from '../intake/intake.js';
@@ -37,9 +40,13 @@
   readonly stallMilliseconds: number;
   readonly quarantine: PartQuarantine;
   readonly paths: PathTable;
+  readonly prompts: PromptTable;
   readonly queue: PathQueue;
+  readonly waiters: WaiterTable;
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
+  /** Keeps connections to endpoints; undefined if each request opens one. */
+  readonly kept: KeptConnections | undefined;
   /** Tells a peer that an endpoint asked for a pause on a connection through it. */
   readonly sendPause: (vm: string, paused: PausedEndpoint) => void;
   readonly budgets: RetryBudgets;
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -1,18 +1,23 @@
-import {EndVerdict, type IntakeExcess} from '@zinniaspindle/decisions';
+import {
+  computeUrgency,
+  EndVerdict,
+  type IntakeExcess,
+} from '@zinniaspindle/decisions';
 import type {EndpointEntry, EndpointAnswer} from '../ports/index.js';
 import type {PathReservation} from '../fleet/path_table.js';
 import {isPast} from '@zinniaspindle/shared';
 import {recordReset} from '../fleet/endpoint_state.js';
-import {openSettled} from '../links/open_settled.js';
 import {AttemptWatch} from './attempt_watch.js';
 import {checkRefusal} from './check_refusal.js';
-import {openUpstream} from './open_upstream.js';
+import {countEvents} from './count_events.js';
+import {Opening, openUpstream} from './open_upstream.js';
 import type {RequestContext} from './request_context.js';
 import {StreamBody, type CompleteEvents} from './stream_body.js';
 import type {StreamEnds} from './stream_ends.js';
-import {UpstreamEnd, type Upstream} from './upstream.js';
+import type {EndpointRequest} from './endpoint_request.js';
+import {UpstreamEnd} from './upstream.js';
 
-/** Urgency of a resumed stream: it paused already and goes before new ones, whose urgency is 5. */
+/** Urgency of a resumed stream: it paused already and goes before new ones. */
 const resumedUrgency = 1;
 /** A request still queued at an endpoint after this time is sent to another one. */
 const firstEventMilliseconds = 900;
@@ -60,7 +65,7 @@
   answer: EndpointAnswer | undefined;
   readonly watch: AttemptWatch;
   private readonly body: StreamBody;
-  private readonly upstream: Upstream;
+  private readonly upstream: EndpointRequest;
   private readonly queueTimer: NodeJS.Timeout;
   private hasEnded = false;
 
@@ -71,7 +76,7 @@
     private readonly listener: StreamListener,
   ) {
     const {parts} = reservation.path;
-    const {lastEventId, isResumed} = start;
+    const {lastEventId} = start;
     this.body = new StreamBody(context.server.intake);
     this.watch = new AttemptWatch(context);
     this.watch.recordStart(this.getFirst().id);
@@ -82,17 +87,29 @@
     this.upstream = openUpstream(
       context,
       this.getFirst(),
-      {urgency: isResumed ? resumedUrgency : undefined, parts, lastEventId},
+      {urgency: this.computeUrgency(), parts, lastEventId},
       {
         handleAnswer: answer => this.acceptAnswer(answer),
         handleChunk: chunk => this.acceptChunk(chunk),
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
         handleSilence: () => listener.handleSilence(this),
       },
-      this.hasToSettle() ? openSettled : undefined,
+      this.chooseOpening(),
     );
   }
 
+  private computeUrgency(): number | undefined {
+    if (this.start.isResumed) return resumedUrgency;
+    const {server, account, route} = this.context;
+    const {level} = server.waiters.findRank(account, route);
+    return computeUrgency(level, server.waiters.countLevels());
+  }
+
+  private chooseOpening(): Opening {
+    if (this.hasToSettle()) return Opening.Settled;
+    return this.context.route.isResumable ? Opening.Kept : Opening.New;
+  }
+
   /**
    * Tells whether it must be certain that the endpoint keeps the connection:
    * another attempt was sent before, or the endpoint reset connections lately.
@@ -123,11 +140,14 @@
 
   /** Pauses reading its answer, for backpressure. */
   stopReading(): void {
+    // The gap until it reads again is not the path's.
+    this.reservation.eventAt = undefined;
     this.upstream.stopReading();
   }
 
   /** Resumes reading its answer. */
   resumeReading(): void {
+    this.reservation.eventAt = undefined;
     this.upstream.resumeReading();
   }
 
@@ -150,7 +170,8 @@
 
   private acceptEvents(events: CompleteEvents): void {
     this.watch.handleEvent(this.reservation);
-    this.context.server.paths.recordProgress(this.reservation);
+    const count = countEvents(events.bytes);
+    this.context.server.paths.recordProgress(this.reservation, count);
     this.listener.handleEvents(this, events);
   }
 
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -2,7 +2,6 @@
   addAttempt,
   applyProgress,
   computeMoveDelay,
-  computeQueueTimeout,
   createAttemptPair,
   findMoveDenial,
   findRetryDenial,
@@ -41,6 +40,7 @@
 } from './stream_attempt.js';
 import type {CompleteEvents} from './stream_body.js';
 import {StreamEnds} from './stream_ends.js';
+import {computeWaitEnds} from './wait_ends.js';
 import {StreamPlaces, type PlaceWait} from './stream_places.js';
 
 /** Attempts of one request that end without the request having run. */
@@ -228,30 +228,25 @@
    * answered in time, a started stream until its caller leaves or its deadline.
    */
   private async waitForPlace(): Promise<PathReservation | undefined> {
-    const waitUntil = this.computeWaitEnd();
-    const reservation = await this.places.wait(this.makeWait(waitUntil));
+    const reservation = await this.places.wait(this.makeFirstWait());
     if (reservation === undefined && !this.isAbandoned) {
       this.log.logGivenUp(RetryDenial.Place);
     }
     return reservation;
   }
 
+  private makeFirstWait(): PlaceWait {
+    const {context, model, lastEventAt} = this;
+    if (this.hasSentEvents) return this.makeWait(context.deadline);
+    const ends = computeWaitEnds(context, model, lastEventAt);
+    return {...this.makeWait(ends.waitUntil), ...ends};
+  }
+
   private makeWait(waitUntil: Deadline): PlaceWait {
     const {emptyPath: answered} = this.ends;
     return {isResumed: this.hasSentEvents, waitUntil, answered};
   }
 
-  private computeWaitEnd(): Deadline {
-    const {server, service, route, deadline} = this.context;
-    if (this.hasSentEvents) return deadline;
-    const timeout = computeQueueTimeout(
-      route.targetLatencyMilliseconds,
-      server.paths.hasUsable(service.name, this.model),
-      server.metrics.findMedian(Latency.FirstEvent),
-    );
-    return this.lastEventAt + timeout;
-  }
-
   /** Tells whether the stream is paused because the caller reads too slowly. */
   private isPaused(reservation: PathReservation): boolean {
     const isCurrent = this.running.current?.reservation === reservation;
@@ -341,6 +336,7 @@
     if (attempt !== earlier) {
       this.log.recordStart(attempt.reservation.path.key);
     }
+    this.places.recordEvents(attempt.reservation);
     this.recordEvent();
     this.ends.recordEvents();
     if (!this.hasSentEvents) {
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -11,9 +11,10 @@
 import {canBeFirst} from '../fleet/endpoint_state.js';
 import {EndCheck} from '../fleet/end_check.js';
 import {EndpointTable} from '../fleet/endpoint_table.js';
-import {LimitTable} from '../fleet/limit_table.js';
 import {LoadTracker} from '../fleet/load_tracker.js';
 import {PathTable} from '../fleet/path_table.js';
+import {WaiterTable} from '../fleet/waiter_table.js';
+import {PromptTable} from '../fleet/prompt_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
 import {SourceCheck} from '../fleet/source_check.js';
 import {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
@@ -21,23 +22,22 @@
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
 import {countPlaces, Intake} from '../intake/intake.js';
-import {EndpointLinks} from '../links/endpoint_links.js';
+import type {EndpointLinks} from '../links/endpoint_links.js';
+import type {KeptConnections} from '../links/kept_connections.js';
 import {RelayServer} from '../links/relay_server.js';
 import type {EventLog} from '../log/event_log.js';
-import {Metrics} from '../log/metrics.js';
+import {Counter, Metrics} from '../log/metrics.js';
 import {OrderRunner} from '../orders/order_runner.js';
 import {Ownership} from '../orders/ownership.js';
 import {
   PeerMessageKind,
   PeerPhase,
   makeLeavingMessage,
-  makeLimitedMessage,
   makePausedMessage,
-  type Hello,
   type OrderMessage,
 } from '../peers/messages.js';
 import {PeerHandler} from '../peers/peer_handler.js';
-import {PeerMesh, type Peer} from '../peers/peer_mesh.js';
+import {PeerMesh} from '../peers/peer_mesh.js';
 import {
   Topic,
   type DirectoryCodec,
@@ -51,6 +51,9 @@
 import {PathQueue} from '../requests/path_queue.js';
 import {RetryBudgets} from '../requests/retry_budgets.js';
 import {AnswersByRoute} from '../requests/answers_by_route.js';
+import {buildLimits} from './build_limits.js';
+import {buildLinks} from './build_links.js';
+import {describeOwn} from './describe_own.js';
 import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
@@ -87,6 +90,8 @@
   readonly prober: EndpointProber;
   readonly links: EndpointLinks;
   readonly relays: RelayServer;
+  /** The idle connections to endpoints; undefined if none are kept. */
+  readonly kept: KeptConnections | undefined;
   readonly endCheck: EndCheck;
   readonly sourceCheck: SourceCheck;
 }
@@ -97,6 +102,7 @@
   readonly storeReplica: StoreReplica;
   readonly followers: readonly TopicFollower[];
   readonly mesh: PeerMesh;
+  readonly waiters: WaiterTable;
   readonly peerHandler: PeerHandler;
 }
 
@@ -137,7 +143,7 @@
   const fleet = buildFleet(context, getParts);
   const sync = buildSync(context, fleet, getParts);
   const orders = buildOrders(context, fleet, sync);
-  const serving = buildServing(context, fleet, sync.mesh);
+  const serving = buildServing(context, fleet, sync);
   const parts: GatewayParts = {...fleet, ...sync, ...orders, ...serving};
   return parts;
 }
@@ -161,6 +167,7 @@
     log.write,
     getNow,
     () => ({vms: getParts().mesh.countLive() + 1, rank: getRank()}),
+    () => metrics.count(Counter.SlowPaths),
   );
   const countVms = () => getParts().mesh.countLive() + 1;
   const quarantine = buildQuarantine(
@@ -185,11 +192,10 @@
     },
   };
   const calls = ports.endpoints;
-  const links = new EndpointLinks(
-    () => getParts().mesh.listLive().filter(isRelay),
-    metrics,
-    log.write,
-    getNow,
+  const {links, kept} = buildLinks(
+    {settings, log, getNow},
+    {endpoints, metrics},
+    () => getParts().mesh,
   );
   const prober = new EndpointProber(
     endpoints,
@@ -201,40 +207,25 @@
     getNow,
     log.write,
     links,
+    kept,
   );
   const relays = new RelayServer(endpoints, links, metrics, log.write);
   const {handleEnded} = listeners;
-  const checked = {calls, links, handleEnded, metrics, getNow};
   return {
-    ...{metrics, endpoints, loads, paths, prober, links, relays},
+    ...{metrics, endpoints, loads, paths, prober, links, relays, kept},
     endCheck: new EndCheck(endpoints, calls, handleEnded, metrics, links),
-    sourceCheck: new SourceCheck(checked),
+    sourceCheck: new SourceCheck({calls, links, handleEnded, metrics, getNow}),
     ...quarantine,
   };
 }
 
-function buildLimits(
-  log: EventLog,
-  getNow: () => Instant,
-  getMesh: () => PeerMesh,
-): LimitTable {
-  return new LimitTable(log.write, getNow, Math.random, {
-    countVms: () => getMesh().listStaying().length + 1,
-    sendLimit: ({id, bornAt}, limit) => {
-      const perSecond = limit ?? null;
-      const sentAt = Date.now();
-      const message = makeLimitedMessage({id, bornAt, perSecond, sentAt});
-      getMesh().sendAll(message);
-    },
-  });
-}
-
 function buildSync(
   context: GatewayContext,
   fleet: FleetParts,
   getParts: () => GatewayParts,
 ): SyncParts {
   const {settings, ports, log, getNow, schedule} = context;
+  const waiters = buildWaiters(getNow, fleet, getParts);
   const storeReplica = new StoreReplica(
     ports.records,
     fleet.endpoints,
@@ -242,7 +233,10 @@
     settings.bounds.drainMilliseconds,
     log.write,
     getNow,
-    configuration => getParts().callers.applyConfiguration(configuration),
+    configuration => {
+      waiters.applyConfiguration(configuration);
+      getParts().callers.applyConfiguration(configuration);
+    },
   );
   const eras = new EraWatch(log.write);
   const peerHandler = new PeerHandler(
@@ -266,6 +260,7 @@
     log.write,
     getNow,
     (socket, request) => fleet.relays.accept(socket, request),
+    waiters,
   );
   const access = createStoreAccess();
   const topics = [Topic.Configuration, Topic.Endpoints] as const;
@@ -293,24 +288,16 @@
         getNow,
       ),
   );
-  return {eras, storeReplica, followers, mesh, peerHandler};
+  return {eras, storeReplica, followers, mesh, waiters, peerHandler};
 }
 
-/** Describes this VM for its peers. */
-function describeOwn({
-  vm,
-  linkMegabits,
-  cores,
-  listen: {peers, callers},
-}: GatewaySettings): Omit<Hello, 'kind' | 'known'> {
-  return {
-    vm,
-    startedAt: Date.now(),
-    peerAddress: formatAddress(peers),
-    callerAddress: formatAddress(callers),
-    linkMegabits,
-    cores,
-  };
+function buildWaiters(
+  getNow: () => Instant,
+  {metrics}: FleetParts,
+  getParts: () => GatewayParts,
+): WaiterTable {
+  const countPeers = () => getParts().mesh.listStaying().length;
+  return new WaiterTable(getNow, countPeers, metrics);
 }
 
 function buildOrders(
@@ -354,12 +341,12 @@
 function buildServing(
   {settings, ports, log, getNow, getPhase, findStopPlan}: GatewayContext,
   fleet: FleetParts,
-  mesh: PeerMesh,
+  {mesh, waiters}: SyncParts,
 ): Pick<GatewayParts, 'callers' | 'directory' | 'queue'> {
   const {metrics, endpoints, ends, endCheck, sourceCheck, quarantine} = fleet;
-  const {paths, prober, links} = fleet;
+  const {paths, prober, links, kept} = fleet;
   const countVms = () => mesh.listStaying().length + 1;
-  const queue = new PathQueue(paths, quarantine, getNow);
+  const queue = new PathQueue(paths, quarantine, getNow, waiters);
   const {memoryMegabytes = defaultMemoryMegabytes} = settings;
   const intake = new Intake(deriveIntakeLimits(memoryMegabytes), () =>
     countPlaces(endpoints.list()),
@@ -373,9 +360,12 @@
     stallMilliseconds: settings.bounds.stallMilliseconds,
     quarantine,
     paths,
+    prompts: new PromptTable(endpoints, fleet.loads, metrics, getNow),
     queue,
+    waiters,
     prober,
     links,
+    kept,
     sendPause: (vm, paused) => {
       const peer = mesh.listLive().find(one => one.vm === vm);
       if (peer !== undefined) mesh.sendTo(peer, makePausedMessage(paused));
@@ -402,11 +392,6 @@
   return {callers, directory, queue};
 }
 
-/** Tells whether a peer can pass connections on. */
-function isRelay({phase}: Peer): boolean {
-  return phase === PeerPhase.Ready;
-}
-
 function applyOrder(
   {endpoints, paths}: FleetParts,
   order: Omit<OrderMessage, 'kind'>,
