--- a/review/8/play.ts
+++ b/review/8/play.ts
@@ -7,8 +7,10 @@
   runPlay,
   send,
   stabilityWindowMilliseconds,
+  type Play,
 } from '../lib_2/harness.js';
-import {PeerProxy} from '../lib_2/peer_proxy.js';
+import {startBehindProxies} from '../lib_2/peer_proxy.js';
+import {runPartition} from './partition.js';
 
 // The open channels between the gateways go silent for good, while new ones work.
 // Later a worker in need names its limit in its answers.
@@ -26,7 +28,7 @@
 /** The rule: in some 4 s, one and a half times what the limit allows, + 5. */
 const most = 1.5 * limitPerSecond * (windowMilliseconds / 1000) + 5;
 
-runPlay(async play => {
+async function runLimit(play: Play): Promise<never> {
   const route = {name: 'look', kind: 'safe', service: 'orders'} as const;
   await play.startStore(makeDocument(1, [route]));
   const workers: EndpointStandIn[] = [];
@@ -37,13 +39,7 @@
   }
   const needy = workers[0]!;
   play.makeVms(vmCount);
-  const proxies: PeerProxy[] = [];
-  for (const [index, vm] of play.vms.entries()) {
-    const address = `${play.makeIp(101 + index)}:8229`;
-    proxies.push(await PeerProxy.open(address, vm.controlAddress));
-  }
-  PeerProxy.setAddresses(proxies);
-  await play.startVms(proxies.slice(0, 3).map(({address}) => address));
+  const proxies = await startBehindProxies(play, () => play.storeAddress);
   const startedAt = performance.now();
   const now = () => performance.now() - startedAt;
   let sent = 0;
@@ -108,4 +104,7 @@
     `the worker that takes ${limitPerSecond} a second got ${busiest} requests ` +
     `in its busiest 4 s from ${namedBy.size} gateways; the rule allows ${most}`;
   return play.end(busiest > most ? ExitCode.Broken : ExitCode.Held, result);
-});
+}
+
+// CUT=1: instead, a gateway is later partitioned from all workers.
+runPlay(process.env['CUT'] === '1' ? runPartition : runLimit);
--- a/review/lib_2/peer_proxy.ts
+++ b/review/lib_2/peer_proxy.ts
@@ -1,5 +1,6 @@
 import net, {type Socket} from 'node:net';
 import {encodeFrame, FrameReader} from '@zinniaspindle/framing';
+import type {Play, Vm} from './harness.js';
 
 const lengthBytes = 4;
 
@@ -110,3 +111,23 @@
     });
   }
 }
+
+/**
+ * Starts the VMs of a play with a proxy in front of each control address, and waits
+ * until they are ready; gives the proxies.
+ */
+export async function startBehindProxies(
+  play: Play,
+  getStore: (vm: Vm) => string,
+): Promise<PeerProxy[]> {
+  const proxies: PeerProxy[] = [];
+  for (const [index, vm] of play.vms.entries()) {
+    const address = `${play.makeIp(101 + index)}:8229`;
+    proxies.push(await PeerProxy.open(address, vm.controlAddress));
+  }
+  PeerProxy.setAddresses(proxies);
+  const seeds = proxies.slice(0, 3).map(({address}) => address);
+  for (const vm of play.vms) vm.start(getStore(vm), seeds);
+  for (const vm of play.vms) await play.waitFor(() => vm.isReady());
+  return proxies;
+}
