fix(requests): a request that ran is never answered as not run

Cause: an endpoint may run a request and answer 408, 429 or 503 without Not-Executed. These statuses promise callers that it has not run. The check for that came when a buffered answer was complete; failures on a streaming route of a service without a model, and answers above 256 KB, were passed on before it.

Change: Upstream decides by the head of every answer (canForwardStatus), before anything goes on, whatever way the answer takes. Where the request may run once only, such an answer ends the attempt at once and the caller gets 502; safe and resumable requests get what the endpoint said, as before. A model's stream no longer waits for the body of such a failure.

--- a/packages/decisions/src/answers/answer_proof.ts
+++ b/packages/decisions/src/answers/answer_proof.ts
@@ -28,3 +28,23 @@
   if ((answer.attemptId ?? '') !== attemptId) return AnswerProof.Nothing;
   return answer.isNotRun ? AnswerProof.NotRun : AnswerProof.Run;
 }
+
+/** Statuses that promise callers that the request has not run and never will. */
+const promiseStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Tells whether a status promises that the request has not run and never will. */
+export function isPromise(status: number): boolean {
+  return promiseStatuses.has(status);
+}
+
+/**
+ * Tells whether the caller of a request that has run may get the status that its
+ * endpoint answered with. The caller of a request that may run once only would send
+ * it again after a promise.
+ */
+export function canForwardStatus(
+  status: number,
+  canRunAgain: boolean,
+): boolean {
+  return canRunAgain || !isPromise(status);
+}
--- a/packages/gateway/__tests__/cut_heads.test.ts
+++ b/packages/gateway/__tests__/cut_heads.test.ts
@@ -38,7 +38,7 @@
     let hasAnswer = false;
     const upstream = new Upstream(
       {
-        ...{address, method, path: '/', attemptId: 'r1'},
+        ...{address, method, path: '/', attemptId: 'r1', canRunAgain: true},
         headers: ['Host', 'x', 'Connection', 'close'],
         body: Buffer.alloc(0),
         deadline: performance.now() + 2000,
--- a/packages/gateway/__tests__/kept_upstream.test.ts
+++ b/packages/gateway/__tests__/kept_upstream.test.ts
@@ -70,6 +70,7 @@
       ],
       body: body ?? Buffer.alloc(0),
       attemptId: id,
+      canRunAgain: true,
       deadline: performance.now() + 2000,
       verifyEnd: () => Promise.resolve(UnframedVerdict.Whole),
       keeper,
--- a/packages/gateway/__tests__/relays.test.ts
+++ b/packages/gateway/__tests__/relays.test.ts
@@ -201,6 +201,7 @@
       {
         ...{address: closedAddress, method: 'GET', path: '/'},
         ...{headers: ['Host', 'x'], body: Buffer.alloc(0), attemptId: 'r1'},
+        canRunAgain: true,
         deadline: getNow() + 5000,
         verifyEnd: () => Promise.resolve(UnframedVerdict.Whole),
         openConnection: handle => links.open(target, handle),
--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -58,6 +58,7 @@
     headers: ['Host', 'x', 'Connection', 'close'],
     body: Buffer.alloc(0),
     attemptId: 'r1',
+    canRunAgain: true,
     deadline: performance.now() + 2000,
     verifyEnd: () => Promise.resolve(UnframedVerdict.Whole),
   };
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -10,6 +10,7 @@
 import type {OpenConnection} from '../links/open_connection.js';
 import {openSettled} from '../links/open_settled.js';
 import type {AnswerSource} from '../fleet/source_check.js';
+import {canRunAgain} from './can_run_again.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
 import {
@@ -112,7 +113,7 @@
   forwarding: UpstreamForwarding,
   keeper: ConnectionKeeper | undefined,
 ): UpstreamRequest {
-  const {server, request, account, method, body, deadline} = context;
+  const {server, request, account, method, body, deadline, route} = context;
   const headers = server.codec.encodeUpstreamHeaders(request, {
     ...forwarding,
     endpointId: id,
@@ -125,6 +126,7 @@
   const {path, attemptId} = request;
   return {
     ...{address, method, path, headers, body, attemptId, deadline, keeper},
+    canRunAgain: canRunAgain(route),
     verifyEnd: end => {
       const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
       return verifyEnd(context, source, end);
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -1,6 +1,7 @@
 import {
   AfterAttempt,
   AttemptOutcome,
+  canForwardStatus,
   chooseAfterAttempt,
   FailureCertainty,
   findParallelDenial,
@@ -14,7 +15,8 @@
 import type {EndpointState} from '../fleet/endpoint_state.js';
 import {Counter} from '../log/metrics.js';
 import {RouteKind, type EndpointAnswer} from '../ports/index.js';
-import {isNotRunStatus, isSuccess} from './answer_status.js';
+import {isSuccess} from './answer_status.js';
+import {canRunAgain} from './can_run_again.js';
 import type {RequestProgress} from './open_requests.js';
 import {PickDenial, pickEndpoint} from './pick_endpoint.js';
 import {PlainAttempt, type AttemptOwner} from './plain_attempt.js';
@@ -128,8 +130,14 @@
     if (end === UpstreamEnd.Broken) return AttemptOutcome.Broken;
     if (answer!.isNotRun) return AttemptOutcome.NotRun;
     if (answer!.status >= 500 && this.canFollow()) return AttemptOutcome.Failed;
-    const canForward = canForwardAnswer(answer!, this.context.route.kind);
-    return canForward ? AttemptOutcome.Answered : AttemptOutcome.Broken;
+    return this.canForward(answer!)
+      ? AttemptOutcome.Answered
+      : AttemptOutcome.Broken;
+  }
+
+  private canForward({status, hasSeal}: EndpointAnswer): boolean {
+    if (isSuccess(status)) return hasSeal;
+    return canForwardStatus(status, canRunAgain(this.context.route));
   }
 
   /** Tells whether an answer may follow that of an attempt that has just run. */
@@ -329,13 +337,3 @@
     sendAnswer(context, endpoint.entry.id, answer!, buffer.toBody());
   }
 }
-
-/**
- * Tells whether an endpoint's answer may be forwarded. A status that promises
- * that nothing ran must not be sent for a request that may have run.
- */
-function canForwardAnswer(answer: EndpointAnswer, kind: RouteKind): boolean {
-  const {status} = answer;
-  if (isSuccess(status)) return answer.hasSeal;
-  return kind === RouteKind.Safe || !isNotRunStatus(status);
-}
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -6,6 +6,7 @@
   findMoveDenial,
   findRetryDenial,
   hasRoom,
+  isPromise,
   listAttempts,
   recordUnanswered,
   removeAttempt,
@@ -18,7 +19,7 @@
 import {Counter, Latency} from '../log/metrics.js';
 import type {ServiceModel} from '../ports/index.js';
 import {FailureReason} from './failure.js';
-import {isNotRunStatus, isSuccess} from './answer_status.js';
+import {isSuccess} from './answer_status.js';
 import {AttemptEnder, AttemptLog} from './attempt_log.js';
 import type {AttemptWatch} from './attempt_watch.js';
 import {EndedRuns} from './ended_runs.js';
@@ -395,7 +396,7 @@
   /** Forwards the failure that ended the last attempt, if the caller may get it. */
   private sendFailure(attempt: StreamAttempt): boolean {
     const {status} = attempt.answer!;
-    if (isNotRunStatus(status) || isSuccess(status)) return false;
+    if (isPromise(status) || isSuccess(status)) return false;
     const denial = findRetryDenial(this.attempts, this.limits);
     if (this.hasSentEvents || denial === undefined) return false;
     const body = attempt.getFailureBody();
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -3,6 +3,7 @@
 import type {Duplex} from 'node:stream';
 import {
   AnswerProof,
+  canForwardStatus,
   checkItem,
   describeExcess,
   IntakeKind,
@@ -59,6 +60,8 @@
   readonly body: Buffer;
   /** The id that the answer must carry. */
   readonly attemptId: string;
+  /** Whether the request may run more than once. */
+  readonly canRunAgain: boolean;
   readonly deadline: Deadline;
   /** Opens the connection; undefined to connect to the address. */
   readonly openConnection?: OpenConnection;
@@ -312,6 +315,12 @@
       this.close(UpstreamEnd.Complete, 'not run');
       return;
     }
+    if (!canForwardStatus(answer.status, this.options.canRunAgain)) {
+      // Complete without its body, which the caller must not get.
+      this.listener.handleAnswer(answer);
+      this.close(UpstreamEnd.Complete, 'a promise after a run');
+      return;
+    }
     if (isSuccess(answer.status) && !answer.hasSeal) {
       this.listener.handleAnswer(answer);
       const detail = `answer with status ${answer.status} has no seal`;
