fix(intake): the framing of an answer is bounded

Operators of other systems reported an endpoint that sends bytes without end. Here all forms were bounded but one: zeros as the size of a chunk. The parser takes them without end and gives nothing of them, and they were read at full speed until the deadline.

--- a/packages/decisions/src/intake/intake_kinds.ts
+++ b/packages/decisions/src/intake/intake_kinds.ts
@@ -4,6 +4,8 @@
   Head = 'head',
   /** Heads of an endpoint before the one of its answer, such as status 103. */
   InterimHeads = 'informational heads',
+  /** The bytes of an answer that are no part of its body. */
+  Framing = 'framing of an answer',
   /** The body of an endpoint's answer that states a failure. */
   ErrorBody = 'error body',
   /** An event of a stream whose end has not come. */
@@ -52,6 +54,7 @@
 export const kindLimits: Readonly<Record<IntakeKind, KindLimit>> = {
   [IntakeKind.Head]: makeLimit(IntakeSource.Endpoints, 16 * kibibyte),
   [IntakeKind.InterimHeads]: makeLimit(IntakeSource.Endpoints, maxInterimHeads),
+  [IntakeKind.Framing]: makeLimit(IntakeSource.Endpoints, 256 * kibibyte),
   [IntakeKind.ErrorBody]: makeLimit(IntakeSource.Endpoints, 64 * kibibyte),
   [IntakeKind.PartialEvent]: makeLimit(IntakeSource.Endpoints, 64 * kibibyte),
   [IntakeKind.BufferedAnswer]: makeLimit(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,7 @@
 /** The gateway: an entry VM that forwards opaque requests by route. */
 export * from './ports/index.js';
+export {FramingBound} from './intake/framing_bound.js';
+export {computeHeadExcess, headOverflowCode} from './intake/head_excess.js';
 export {PendingBytes} from '@zinniaspindle/framing';
 export {
   openDirect,
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -28,6 +28,8 @@
   ExchangeCodec,
   RawHeaders,
 } from '../ports/index.js';
+import {FramingBound} from '../intake/framing_bound.js';
+import {computeHeadExcess, headOverflowCode} from '../intake/head_excess.js';
 import {isSuccess} from './answer_status.js';
 import {findHeadFault} from './find_head_fault.js';
 
@@ -36,9 +38,6 @@
  */
 const connectTimeoutMilliseconds = 500;
 
-/** The parser's error for a head that is larger than allowed. */
-const headOverflowCode = 'HPE_HEADER_OVERFLOW';
-
 /** How a request to an endpoint ended. */
 export enum UpstreamEnd {
   /** The answer is complete. */
@@ -103,6 +102,7 @@
  */
 export class Upstream {
   private readonly request: http.ClientRequest;
+  private framing: FramingBound | undefined;
   private readonly connectTimer: NodeJS.Timeout;
   private message: http.IncomingMessage | undefined;
   private connection: EndpointConnection | undefined;
@@ -267,6 +267,9 @@
 
   private handleEvents(): void {
     const {request} = this;
+    this.framing = new FramingBound(request, excess => {
+      if (this.message?.complete !== true) this.checkExcess(excess);
+    });
     let interimHeads = 0;
     request.on('information', () => {
       interimHeads += 1;
@@ -275,7 +278,8 @@
     request.on('error', error => {
       if (this.isBeyondAnswer()) return;
       if ((error as NodeJS.ErrnoException).code === headOverflowCode) {
-        this.checkExcess(this.computeHeadExcess());
+        const bytesRead = request.socket?.bytesRead ?? 0;
+        this.checkExcess(computeHeadExcess(bytesRead - this.earlierBytes));
       }
       const isSent = this.connection !== undefined;
       const end = isSent ? UpstreamEnd.Broken : UpstreamEnd.NotSent;
@@ -330,6 +334,7 @@
     }
     message.on('data', (chunk: Buffer) => {
       if (this.hasEnded) return;
+      this.framing?.addBody(chunk.length);
       this.checkExcess(this.listener.handleChunk(chunk));
     });
     message.on('error', error => this.close(UpstreamEnd.Broken, error.message));
@@ -360,12 +365,6 @@
     this.close(UpstreamEnd.Broken, describeExcess(excess));
   }
 
-  private computeHeadExcess(): IntakeExcess | undefined {
-    const {maxItem} = kindLimits[IntakeKind.Head];
-    const bytesRead = (this.request.socket?.bytesRead ?? 0) - this.earlierBytes;
-    return checkItem(IntakeKind.Head, Math.max(maxItem + 1, bytesRead));
-  }
-
   /**
    * Tells whether an answer on a connection with several requests may be that to
    * another one, sent late or twice.
