--- a/packages/decisions/src/links/lost_addresses.ts
+++ b/packages/decisions/src/links/lost_addresses.ts
@@ -14,7 +14,8 @@
 
 /** An address of a VM that was lost, or that never greeted. */
 interface LostAddress {
-  readonly retryMilliseconds: number;
+  /** Whether its build opens a new link when it is told that it is not heard. */
+  readonly readsUnheard: boolean;
   nextTryAt: Deadline;
 }
 
@@ -26,11 +27,7 @@
   return new Map();
 }
 
-/**
- * Records that the VM at an address was lost.
- * @param readsUnheard whether its build opens a new link when it is told that it is
- *     not heard
- */
+/** Records that the VM at an address was lost. */
 export function recordLostAddress(
   lost: LostAddresses,
   address: string,
@@ -38,14 +35,9 @@
   now: Instant,
 ): void {
   if (lost.has(address)) return;
-  const interval = readsUnheard
-    ? retryMilliseconds
-    : olderBuildRetryMilliseconds;
-  const first = readsUnheard
-    ? firstRetryMilliseconds
-    : olderBuildRetryMilliseconds;
-  const nextTryAt = now + first;
-  lost.set(address, {retryMilliseconds: interval, nextTryAt});
+  const nextTryAt =
+    now + (readsUnheard ? firstRetryMilliseconds : olderBuildRetryMilliseconds);
+  lost.set(address, {readsUnheard, nextTryAt});
   if (lost.size <= maxAddresses) return;
   const [oldest] = lost.keys();
   lost.delete(oldest!);
@@ -65,6 +57,9 @@
   }
   if (due === undefined) return undefined;
   const taken = lost.get(due)!;
-  taken.nextTryAt = now + taken.retryMilliseconds;
+  const interval = taken.readsUnheard
+    ? retryMilliseconds
+    : olderBuildRetryMilliseconds;
+  taken.nextTryAt = now + interval;
   return due;
 }
--- a/packages/decisions/src/quarantine/accusations.ts
+++ b/packages/decisions/src/quarantine/accusations.ts
@@ -77,7 +77,7 @@
     const nearbyEnds = countNearby(evidence, end);
     const isCompared = now - end.endedAt <= comparedMilliseconds;
     if (isCompared) addBreaks(breaks, missed.length);
-    for (const [part, attempts] of mergeByPart(missed, wanted)) {
+    for (const [part, attempts] of listByPart(missed, wanted)) {
       if (isCompared) {
         const ofPart = breaksOf.get(part) ?? createBreaks();
         breaksOf.set(part, ofPart);
@@ -161,8 +161,8 @@
   breaks.ends += 1;
 }
 
-/** Indexes attempts by their traits, or by those that are wanted. */
-function mergeByPart(
+/** Lists the attempts with each trait, or with each of those that are wanted. */
+function listByPart(
   attempts: readonly EndedAttempt[],
   wanted: ReadonlySet<string> | undefined,
 ): ReadonlyMap<string, EndedAttempt[]> {
--- a/packages/decisions/src/quarantine/find_culprit.ts
+++ b/packages/decisions/src/quarantine/find_culprit.ts
@@ -44,12 +44,7 @@
  * What ends endpoints before any answer is found by the first stage, since begun
  * answers clear sound parts soon; what ends them after the first event by the second.
  */
-const stages =
-  process.env['ST'] === 'B'
-    ? [AnswerStage.Begun]
-    : process.env['ST'] === 'L'
-      ? [AnswerStage.Lasting]
-      : [AnswerStage.Begun, AnswerStage.Lasting];
+const stages = [AnswerStage.Begun, AnswerStage.Lasting];
 /** Ends in sequence that accuse a part. */
 const minEnds = 3;
 /**
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -140,7 +140,7 @@
   [GatewayEvent.EndpointOverran]:
     'endpoint {endpoint} exceeded a bound and its connection was closed: {reason}, heard from {source}, {count} times since its first',
   [GatewayEvent.EndpointEnded]:
-    'endpoint {endpoint} has ended ({reason}); {broken} requests broke there unanswered: {requests}',
+    'endpoint {endpoint} has ended ({reason}); {broken} requests broke there early: {requests}',
   [GatewayEvent.PartsQuarantined]:
     'requests of service {service} with all of {parts} are refused from now on ({source}); {ends} endpoints ended under them: {endpoints}',
   [GatewayEvent.QuarantineLifted]:
