fix(peers): a peer that greets is connected to at once

Cause: after a cut, each VM waited up to 2.2 s for its own next try at a peer that had already greeted it, and tries at a peer that could not be reached used up the interval at which a silent link is opened again.

Change: a greeting opens the link to its sender unless it is open; only an open link that has had time to greet counts as opened again.

Tests: silent_links 13, relays 12, peer_frames 6, demand_messages 1 pass.

--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -1,4 +1,6 @@
 import net from 'node:net';
+import {performance} from 'node:perf_hooks';
+import type {Instant} from '@zinniaspindle/shared';
 import {encodeMessage} from './message_codec.js';
 import type {PeerMessage} from './messages.js';
 
@@ -7,6 +9,8 @@
  */
 const connectMilliseconds = 1500;
 const reconnectMilliseconds = 700;
+/** Time for the greeting on a new connection to reach the peer. */
+const settleMilliseconds = 500;
 /** A link with more unsent bytes is closed and opened again. */
 const maxUnsentBytes = 1024 * 1024;
 
@@ -15,6 +19,7 @@
   private socket: net.Socket | undefined;
   private retryTimer: NodeJS.Timeout | undefined;
   private isOpen = false;
+  private openedAt: Instant = -Infinity;
   private isClosed = false;
 
   constructor(
@@ -37,16 +42,24 @@
     socket.write(frame);
   }
 
-  /**
-   * Replaces the open connection by a new one; returns false if there is none, and
-   * one is being opened already.
-   */
-  openAgain(): boolean {
-    if (this.isClosed || !this.isOpen) return false;
+  /** Tells whether the connection has been open for long enough to be silent. */
+  canOpenAgain(): boolean {
+    const openFor = performance.now() - this.openedAt;
+    return !this.isClosed && this.isOpen && openFor > settleMilliseconds;
+  }
+
+  /** Replaces the open connection by a new one. */
+  openAgain(): void {
     const {socket} = this;
     this.open();
     socket?.destroy();
-    return true;
+  }
+
+  /** Connects at once unless the connection is open: the peer can be reached. */
+  openNow(): void {
+    if (this.isClosed || this.isOpen) return;
+    clearTimeout(this.retryTimer);
+    this.openAgain();
   }
 
   /** Closes the connection and stops reconnecting. */
@@ -65,6 +78,7 @@
     socket.on('connect', () => {
       clearTimeout(timer);
       this.isOpen = true;
+      this.openedAt = performance.now();
       socket.write(encodeMessage(this.makeHello()));
     });
     socket.on('data', () => undefined); // Peers reply over their own links.
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -232,9 +232,11 @@
    * nothing but the peer's messages can show.
    */
   private openLinkAgain(peer: Peer, reason: string): void {
-    if (!takeReopening(peer.reopening, this.getNow())) return;
     const {vm, peerAddress} = peer;
-    if (this.links.get(peerAddress)?.link.openAgain() !== true) return;
+    const link = this.links.get(peerAddress)?.link;
+    if (link?.canOpenAgain() !== true) return;
+    if (!takeReopening(peer.reopening, this.getNow())) return;
+    link.openAgain();
     this.writeEvent(GatewayEvent.PeerLinkReopened, {peer: vm, reason});
   }
 
@@ -360,6 +362,7 @@
       if (known.startedAt === hello.startedAt) {
         known.lastMessageAt = this.getNow();
         known.isReachable = true;
+        this.links.get(known.peerAddress)?.link.openNow();
         if (hello.isUnheard === true) {
           this.openLinkAgain(known, 'the peer hears nothing');
         }
