--- a/packages/gateway/__tests__/era_fleet.ts
+++ b/packages/gateway/__tests__/era_fleet.ts
@@ -1,5 +1,6 @@
 import {
   createDelayWindow,
+  createReopening,
   createStoreAccess,
   deriveReadSchedule,
 } from '@zinniaspindle/decisions';
@@ -302,6 +303,7 @@
     ...{vm, startedAt: 0, peerAddress: '', callerAddress: ''},
     ...{linkMegabits: 1, rankWeight: 0, phase: PeerPhase.Ready},
     ...{isOwner: false, canRead: true, delays: createDelayWindow()},
-    ...{lastMessageAt: 0, isReachable: true},
+    ...{lastMessageAt: 0, isReachable: true, readsUnheard: true},
+    reopening: createReopening(),
   };
 }
--- a/packages/gateway/__tests__/following_fleet.ts
+++ b/packages/gateway/__tests__/following_fleet.ts
@@ -1,6 +1,7 @@
 import {Result} from 'true-myth';
 import {
   createDelayWindow,
+  createReopening,
   createStoreAccess,
   deriveReadSchedule,
   type ReadSchedule,
@@ -314,6 +315,8 @@
       delays: createDelayWindow(),
       lastMessageAt: 0,
       isReachable: true,
+      readsUnheard: true,
+      reopening: createReopening(),
     };
   }
 
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -28,6 +28,7 @@
     linkMegabits: isAmount,
     cores: value => value === undefined || isAmount(value),
     known: Array.isArray,
+    isUnheard: isMissingOrBoolean,
   },
   // Heartbeats are rows, which have their own decoder.
   [PeerMessageKind.Heartbeat]: {kind: () => false},
@@ -89,7 +90,7 @@
   [PeerMessageKind.Relay]: {
     id: isText,
     purpose: isText,
-    readsFrames: value => value === undefined || typeof value === 'boolean',
+    readsFrames: isMissingOrBoolean,
   },
 };
 
@@ -142,6 +143,10 @@
   return typeof value === 'string' && value.length <= maxTextLength;
 }
 
+function isMissingOrBoolean(value: unknown): boolean {
+  return value === undefined || typeof value === 'boolean';
+}
+
 function isTopic(value: unknown): boolean {
   return topics.has(value);
 }
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -46,6 +46,11 @@
   readonly cores?: number | undefined;
   /** Peer addresses of the VMs known to it. */
   readonly known: readonly string[];
+  /**
+   * Whether it has heard nothing of the receiver for too long, whose link may have
+   * gone silent. Older builds neither send nor read it.
+   */
+  readonly isUnheard?: boolean | undefined;
 }
 
 /**
--- a/packages/gateway/src/peers/peer_link.ts
+++ b/packages/gateway/src/peers/peer_link.ts
@@ -37,6 +37,18 @@
     socket.write(frame);
   }
 
+  /**
+   * Replaces the open connection by a new one; returns false if there is none, and
+   * one is being opened already.
+   */
+  openAgain(): boolean {
+    if (this.isClosed || !this.isOpen) return false;
+    const {socket} = this;
+    this.open();
+    socket?.destroy();
+    return true;
+  }
+
   /** Closes the connection and stops reconnecting. */
   close(): void {
     this.isClosed = true;
@@ -47,6 +59,7 @@
   private open(): void {
     const socket = net.connect({host: this.host, port: this.port});
     this.socket = socket;
+    this.isOpen = false;
     socket.setNoDelay(true);
     const timer = setTimeout(() => socket.destroy(), connectMilliseconds);
     socket.on('connect', () => {
@@ -58,6 +71,7 @@
     socket.on('error', () => undefined); // 'close' follows.
     socket.on('close', () => {
       clearTimeout(timer);
+      if (this.socket !== socket) return;
       this.isOpen = false;
       if (this.isClosed) return;
       this.retryTimer = setTimeout(() => {
--- a/packages/gateway/src/peers/peer_mesh.ts
+++ b/packages/gateway/src/peers/peer_mesh.ts
@@ -1,16 +1,25 @@
 import net from 'node:net';
 import {
   createDelayWindow,
+  createLostAddresses,
+  createReopening,
   IntakeKind,
   kindLimits,
+  recordLostAddress,
+  recordPeerSilence,
+  takeDueAddress,
+  takeReopening,
   type DelayWindow,
+  type Reopening,
 } from '@zinniaspindle/decisions';
 import {FrameReader} from '@zinniaspindle/framing';
 import {
   describeError,
   GatewayEvent,
+  isPast,
   parseAddress,
   type Address,
+  type Deadline,
   type Instant,
 } from '@zinniaspindle/shared';
 import type {LoadTracker} from '../fleet/load_tracker.js';
@@ -33,12 +42,18 @@
   computeClosedMessageAt,
   computeSilenceTimeout,
 } from './heartbeat_period.js';
+import {InboundConnections} from './inbound_connections.js';
 import {PeerLink} from './peer_link.js';
 
-/** After this time without a message, a peer is removed and its link closed. */
+/**
+ * After this time without a message, a peer is removed and its link closed. Its
+ * address is tried again from then on.
+ */
 const retentionMilliseconds = 30_000;
+/** Time for a lost peer to greet after its address was tried again. */
+const retryLinkMilliseconds = 3000;
 
-/** Interval at which links that no peer uses are looked for. */
+/** Interval at which links and connections that are not used are looked for. */
 const linkCheckMilliseconds = 1000;
 
 /** What this VM knows about a peer. */
@@ -60,6 +75,15 @@
   lastMessageAt: Instant;
   /** Whether it had sent a message in time at the last check. */
   isReachable: boolean;
+  /** Whether its build opens a new link when it is told that it is not heard. */
+  readonly readsUnheard: boolean;
+  readonly reopening: Reopening;
+}
+
+/** A link, and when it is closed unless a peer has greeted from its address. */
+interface OpenLink {
+  readonly link: PeerLink;
+  readonly closeAt: Deadline;
 }
 
 /** Handles any message from a peer other than a Hello. */
@@ -70,16 +94,16 @@
  */
 export class PeerMesh {
   private readonly peers = new Map<string, Peer>();
-  private readonly links = new Map<string, PeerLink>();
-  private readonly linkOpenedAt = new Map<string, Instant>();
+  private readonly links = new Map<string, OpenLink>();
+  /** Addresses at which a VM may be reached again. */
+  private readonly lost = createLostAddresses();
   private readonly server = net.createServer(socket => this.accept(socket));
   private nextLinkCheckAt: Instant = 0;
-  /** Connections that peers opened to this VM. */
-  private readonly inbound = new Set<net.Socket>();
+  private readonly inbound: InboundConnections;
   private readonly refusals: RefusalLog;
 
   constructor(
-    private readonly own: Omit<Hello, 'kind' | 'known'>,
+    private readonly own: Omit<Hello, 'kind' | 'known' | 'isUnheard'>,
     private readonly loads: LoadTracker,
     private readonly handleMessage: HandleMessage,
     private readonly writeEvent: WriteEvent,
@@ -93,6 +117,7 @@
     private readonly waiters?: Pick<WaiterTable, 'setPeer' | 'removePeer'>,
   ) {
     this.refusals = new RefusalLog(writeEvent, getNow);
+    this.inbound = new InboundConnections(getNow);
   }
 
   /** Listens for peers and connects to the seeds. */
@@ -103,27 +128,19 @@
 
   /** Opens a link to a peer address, unless there is one. */
   addAddress(address: string): void {
-    if (address === this.own.peerAddress || this.links.has(address)) return;
-    if (!isAddress(address)) {
-      this.refuseMessage('addresses', `"${String(address).slice(0, 40)}"`);
-      return;
-    }
-    const {host, port} = parseAddress(address);
-    const link = new PeerLink(host, port, () => this.makeHello());
-    this.links.set(address, link);
-    this.linkOpenedAt.set(address, this.getNow());
+    this.openLink(address, retentionMilliseconds);
   }
 
   /** Sends a message to all peers. */
   sendAll(message: PeerMessage): void {
     if (this.links.size === 0) return;
     const frame = encodeMessage(message);
-    for (const link of this.links.values()) link.send(frame);
+    for (const {link} of this.links.values()) link.send(frame);
   }
 
   /** Sends a message to one peer. */
   sendTo(peer: Peer, message: PeerMessage): void {
-    this.links.get(peer.peerAddress)?.send(encodeMessage(message));
+    this.links.get(peer.peerAddress)?.link.send(encodeMessage(message));
   }
 
   /** Lists the peers that are reachable and not leaving. */
@@ -157,7 +174,10 @@
     );
   }
 
-  /** Marks silent peers as unreachable, and removes those silent for long. */
+  /**
+   * Marks silent peers as unreachable and opens the links to them again, removes
+   * those silent for long, and tries to reach lost ones.
+   */
   checkSilence(): void {
     const now = this.getNow();
     const silenceTimeoutMs = computeSilenceTimeout(this.peers.size);
@@ -165,35 +185,90 @@
       const silentMs = Math.round(now - peer.lastMessageAt);
       if (peer.isReachable && silentMs > silenceTimeoutMs) {
         peer.isReachable = false;
+        recordPeerSilence(peer.reopening, now);
         this.loads.removePeer(vm);
         this.waiters?.removePeer(vm);
         this.writeEvent(GatewayEvent.PeerLost, {peer: vm, silentMs});
       }
-      if (silentMs > retentionMilliseconds) this.peers.delete(vm);
+      if (silentMs > retentionMilliseconds) this.removePeer(peer);
+      else if (!peer.isReachable) {
+        this.openLinkAgain(peer, 'the peer is silent');
+      }
     }
     if (now < this.nextLinkCheckAt) return;
     this.nextLinkCheckAt = now + linkCheckMilliseconds;
+    this.closeUnusedLinks();
+    this.inbound.closeSilent();
+    const address = takeDueAddress(this.lost, now);
+    if (address !== undefined) this.openLink(address, retryLinkMilliseconds);
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.server.close();
+    this.inbound.close();
+    for (const {link} of this.links.values()) link.close();
+  }
+
+  private openLink(address: string, greetingMilliseconds: number): void {
+    if (address === this.own.peerAddress || this.links.has(address)) return;
+    if (!isAddress(address)) {
+      this.refuseMessage('addresses', `"${String(address).slice(0, 40)}"`);
+      return;
+    }
+    const {host, port} = parseAddress(address);
+    const link = new PeerLink(host, port, () => this.makeHello(address));
+    const closeAt = this.getNow() + greetingMilliseconds;
+    this.links.set(address, {link, closeAt});
+  }
+
+  private closeLink(address: string): void {
+    this.links.get(address)?.link.close();
+    this.links.delete(address);
+  }
+
+  /**
+   * Opens the link to a peer again: its connection may be silent for good, which
+   * nothing but the peer's messages can show.
+   */
+  private openLinkAgain(peer: Peer, reason: string): void {
+    if (!takeReopening(peer.reopening, this.getNow())) return;
+    const {vm, peerAddress} = peer;
+    if (this.links.get(peerAddress)?.link.openAgain() !== true) return;
+    this.writeEvent(GatewayEvent.PeerLinkReopened, {peer: vm, reason});
+  }
+
+  private removePeer({vm, peerAddress, phase, readsUnheard}: Peer): void {
+    this.peers.delete(vm);
+    if (this.findPeerAt(peerAddress) !== undefined) return;
+    this.closeLink(peerAddress);
+    if (phase === PeerPhase.Leaving) return;
+    recordLostAddress(this.lost, peerAddress, readsUnheard, this.getNow());
+  }
+
+  private closeUnusedLinks(): void {
+    const now = this.getNow();
     const inUse = new Set(
       [...this.peers.values()].map(({peerAddress}) => peerAddress),
     );
-    for (const [address, opened] of this.linkOpenedAt) {
-      if (inUse.has(address) || now - opened < retentionMilliseconds) continue;
-      this.links.get(address)?.close();
-      this.links.delete(address);
-      this.linkOpenedAt.delete(address);
+    for (const [address, {closeAt}] of this.links) {
+      if (inUse.has(address) || !isPast(closeAt, now)) continue;
+      this.closeLink(address);
+      recordLostAddress(this.lost, address, true, now);
     }
   }
 
-  /** Closes all connections. */
-  close(): void {
-    this.server.close();
-    for (const socket of this.inbound) socket.destroy();
-    for (const link of this.links.values()) link.close();
+  private findPeerAt(address: string): Peer | undefined {
+    for (const peer of this.peers.values()) {
+      if (peer.peerAddress === address) return peer;
+    }
+    return undefined;
   }
 
-  private makeHello(): Hello {
+  private makeHello(address: string): Hello {
     const known = this.listStaying().map(({peerAddress}) => peerAddress);
-    return {kind: PeerMessageKind.Hello, ...this.own, known};
+    const isUnheard = this.findPeerAt(address)?.isReachable === false;
+    return {kind: PeerMessageKind.Hello, ...this.own, known, isUnheard};
   }
 
   private accept(socket: net.Socket): void {
@@ -210,10 +285,11 @@
     };
     socket.on('error', () => undefined); // 'close' follows.
     socket.on('close', () => {
-      this.inbound.delete(socket);
-      if (peer !== undefined) this.handleClosed(peer);
+      if (peer === undefined) return;
+      if (this.inbound.remove(socket, peer.vm)) this.handleClosed(peer);
     });
     socket.on('data', chunk => {
+      this.inbound.recordRead(socket);
       const messages = reader.accept(chunk);
       if (messages.isErr) return refuse(messages.error.message);
       for (const decoded of messages.value) {
@@ -226,6 +302,7 @@
         }
         if (message.value.kind === PeerMessageKind.Relay) {
           socket.removeAllListeners('data');
+          this.inbound.release(socket);
           return this.handleRelay(socket, message.value);
         }
         try {
@@ -237,6 +314,9 @@
         if (peer === undefined) {
           return refuse('its first message is no greeting');
         }
+        if (message.value.kind === PeerMessageKind.Hello) {
+          this.inbound.recordGreeting(socket, peer.vm);
+        }
       }
     });
   }
@@ -260,8 +340,11 @@
       return this.acceptHello(message);
     }
     if (peer === undefined) return undefined;
+    const known = this.peers.get(peer.vm);
+    // A paused VM removes its peers before it reads what they have sent.
+    if (known === undefined) this.addPeer(peer);
     // Ignores a connection from an earlier run of the VM.
-    if (this.peers.get(peer.vm) !== peer) return peer;
+    else if (known !== peer) return peer;
     peer.lastMessageAt = this.getNow();
     peer.isReachable = true;
     if (message.kind === PeerMessageKind.Heartbeat) this.update(peer, message);
@@ -277,6 +360,9 @@
       if (known.startedAt === hello.startedAt) {
         known.lastMessageAt = this.getNow();
         known.isReachable = true;
+        if (hello.isUnheard === true) {
+          this.openLinkAgain(known, 'the peer hears nothing');
+        }
       }
       return known;
     }
@@ -294,11 +380,19 @@
       delays: createDelayWindow(),
       lastMessageAt: this.getNow(),
       isReachable: true,
+      readsUnheard: hello.isUnheard !== undefined,
+      reopening: createReopening(),
     };
-    this.peers.set(peer.vm, peer);
+    this.addPeer(peer);
+    return peer;
+  }
+
+  private addPeer(peer: Peer): void {
     const {vm, peerAddress: address} = peer;
+    this.peers.set(vm, peer);
+    this.lost.delete(address);
+    this.addAddress(address);
     this.writeEvent(GatewayEvent.PeerFound, {peer: vm, address});
-    return peer;
   }
 
   private update(peer: Peer, heartbeat: Heartbeat): void {
--- a/packages/gateway/src/root/describe_own.ts
+++ b/packages/gateway/src/root/describe_own.ts
@@ -8,7 +8,7 @@
   linkMegabits,
   cores,
   listen: {peers, callers},
-}: GatewaySettings): Omit<Hello, 'kind' | 'known'> {
+}: GatewaySettings): Omit<Hello, 'kind' | 'known' | 'isUnheard'> {
   return {
     vm,
     startedAt: Date.now(),
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -56,6 +56,7 @@
   PeerLeaving = 7303,
   PeerRefused = 7304,
   MessageRefused = 7305,
+  PeerLinkReopened = 7306,
   OwnershipGained = 7401,
   OwnershipLost = 7402,
   OrderSent = 7403,
@@ -171,6 +172,8 @@
   [GatewayEvent.PeerLeaving]: 'peer VM {peer} is leaving',
   [GatewayEvent.PeerRefused]: 'peer connection from {remote} closed: {detail}',
   [GatewayEvent.MessageRefused]: 'a message of {peer} was left out: {reason}',
+  [GatewayEvent.PeerLinkReopened]:
+    'the link to peer VM {peer} is opened again: {reason}',
   [GatewayEvent.OwnershipGained]:
     'this VM now owns the orders to endpoints, generation {generation}',
   [GatewayEvent.OwnershipLost]:
