--- a/packages/decisions/src/quarantine/part_evidence.ts
+++ b/packages/decisions/src/quarantine/part_evidence.ts
@@ -1,12 +1,28 @@
 import type {Instant} from '@zinniaspindle/shared';
 import {isRequestTrait} from './request_trait.js';
 
-/** An attempt that broke before its first event at an endpoint that ended. */
+/** How far an answer has come, which tells what it shows of its request. */
+export enum AnswerStage {
+  /** Its first event has come, or all of it. */
+  Begun = 'begun',
+  /** All of it has come, or events have for `lastingMilliseconds`. */
+  Lasting = 'lasting',
+}
+
+/**
+ * An endpoint that ends later than this after the first event of an answer does
+ * not end because of its request.
+ */
+export const lastingMilliseconds = 1000;
+
+/** An attempt whose answer was not lasting when its endpoint ended. */
 export interface EndedAttempt {
   readonly request: string;
   /** Its digests and the ids of the parts of its prompt that others may share. */
   readonly traits: readonly string[];
   readonly sentAt: Instant;
+  /** Whether its answer had begun. */
+  readonly hasBegun?: boolean;
 }
 
 /** The end of one incarnation of an endpoint, as all VMs saw it. */
@@ -18,19 +34,24 @@
   readonly attempts: readonly EndedAttempt[];
 }
 
+/** Instants of traits; the latest are kept. */
+interface TraitInstants {
+  readonly parts: Map<string, Instant>;
+  /** Those of whole requests, which are more and would replace the parts. */
+  readonly requests: Map<string, Instant>;
+}
+
 /**
  * What accuses and clears the parts of the prompts of one service: endpoints
- * that ended before the first event of an answer, and answers.
+ * that ended before an answer was lasting, and answers.
  */
 export interface PartEvidence {
   /** In the order in which they ended. */
   ends: EndpointEnd[];
-  /** When an answer on each part was last begun; the latest are kept. */
-  readonly answeredAt: Map<string, Instant>;
-  /** The same of whole requests, which are more and would replace the parts. */
-  readonly requestsAnsweredAt: Map<string, Instant>;
-  /** When an endpoint last ended under each part; the latest are kept. */
-  readonly endedAt: Map<string, Instant>;
+  /** When an answer on each trait last reached a stage. */
+  readonly answeredAt: Readonly<Record<AnswerStage, TraitInstants>>;
+  /** When an endpoint last ended before an answer on each trait reached a stage. */
+  readonly endedAt: Readonly<Record<AnswerStage, Map<string, Instant>>>;
   /** Answers that were begun at this VM in each second. */
   readonly answers: Map<number, number>;
 }
@@ -43,8 +64,8 @@
 const maxEnds = 64;
 /** Attempts that are kept of each end. */
 const maxAttempts = 64;
-/** Parts of one attempt that are kept; the rest accuse nothing. */
-export const maxEvidenceParts = 32;
+/** Traits of all attempts that are kept of each end; the rest accuse nothing. */
+export const maxEvidenceTraits = 4096;
 /** Parts, and digests of requests, whose answers are kept. */
 const maxAnswered = 4096;
 /** Parts and digests whose last ends are kept. */
@@ -56,13 +77,45 @@
 export function createPartEvidence(): PartEvidence {
   return {
     ends: [],
-    answeredAt: new Map(),
-    requestsAnsweredAt: new Map(),
-    endedAt: new Map(),
+    answeredAt: {
+      [AnswerStage.Begun]: createInstants(),
+      [AnswerStage.Lasting]: createInstants(),
+    },
+    endedAt: {
+      [AnswerStage.Begun]: new Map(),
+      [AnswerStage.Lasting]: new Map(),
+    },
     answers: new Map(),
   };
 }
 
+function createInstants(): TraitInstants {
+  return {parts: new Map(), requests: new Map()};
+}
+
+/** Tells whether an attempt broke before its answer reached a stage. */
+export function hasMissed(
+  {hasBegun = false}: EndedAttempt,
+  stage: AnswerStage,
+): boolean {
+  return stage === AnswerStage.Lasting || !hasBegun;
+}
+
+/** Limits the attempts of an end, so that their traits are within the bound. */
+export function pickAttempts(
+  attempts: readonly EndedAttempt[],
+): EndedAttempt[] {
+  const kept: EndedAttempt[] = [];
+  let left = maxEvidenceTraits;
+  for (const attempt of attempts) {
+    if (kept.length >= maxAttempts || left === 0) break;
+    const traits = attempt.traits.slice(0, left);
+    left -= traits.length;
+    kept.push({...attempt, traits});
+  }
+  return kept;
+}
+
 /**
  * Records attempts at an endpoint that ended. Several VMs report one end, each
  * with its own attempts.
@@ -81,18 +134,21 @@
   const endedAt = Math.min(end.endedAt, known?.endedAt ?? Infinity);
   const attempts = new Map<string, EndedAttempt>();
   for (const attempt of [...(known?.attempts ?? []), ...end.attempts]) {
-    if (attempts.size >= maxAttempts) break;
-    const traits = attempt.traits.slice(0, maxEvidenceParts);
-    attempts.set(attempt.request, {...attempt, traits});
+    attempts.set(attempt.request, attempt);
   }
-  const merged = {endpoint, endedAt, attempts: [...attempts.values()]};
+  const kept = pickAttempts([...attempts.values()]);
+  const merged = {endpoint, endedAt, attempts: kept};
   evidence.ends = [...others, merged]
     .sort((a, b) => a.endedAt - b.endedAt)
     .slice(-maxEnds);
-  for (const {traits} of end.attempts) {
-    recordLatest(evidence.endedAt, traits, endedAt);
+  for (const stage of Object.values(AnswerStage)) {
+    const instants = evidence.endedAt[stage];
+    for (const attempt of end.attempts) {
+      if (!hasMissed(attempt, stage)) continue;
+      recordLatest(instants, attempt.traits, endedAt);
+    }
+    dropOldest(instants, maxEnded);
   }
-  dropOldest(evidence.endedAt, maxEnded);
 }
 
 /** Sets the instants of some parts that have none or an earlier one. */
@@ -109,24 +165,35 @@
   }
 }
 
-/** Records that an answer on some parts was begun at an instant. */
+/** Records that an answer on some parts reached a stage at an instant. */
 export function recordAnswered(
   evidence: PartEvidence,
   parts: readonly string[],
   at: Instant,
+  stage = AnswerStage.Lasting,
+): void {
+  recordAnsweredAt(evidence.answeredAt[AnswerStage.Begun], parts, at);
+  if (stage === AnswerStage.Begun) return;
+  recordAnsweredAt(evidence.answeredAt[AnswerStage.Lasting], parts, at);
+}
+
+function recordAnsweredAt(
+  instants: TraitInstants,
+  parts: readonly string[],
+  at: Instant,
 ): void {
   for (const part of parts) {
-    recordLatest(getAnsweredAt(evidence, part), [part], at);
+    recordLatest(chooseInstants(instants, part), [part], at);
   }
-  dropOldest(evidence.answeredAt, maxAnswered);
-  dropOldest(evidence.requestsAnsweredAt, maxAnswered);
+  dropOldest(instants.parts, maxAnswered);
+  dropOldest(instants.requests, maxAnswered);
 }
 
-function getAnsweredAt(
-  {answeredAt, requestsAnsweredAt}: PartEvidence,
+function chooseInstants(
+  {parts, requests}: TraitInstants,
   part: string,
 ): Map<string, Instant> {
-  return isRequestTrait(part) ? requestsAnsweredAt : answeredAt;
+  return isRequestTrait(part) ? requests : parts;
 }
 
 function dropOldest(instants: Map<string, Instant>, maxSize: number): void {
@@ -136,12 +203,13 @@
   }
 }
 
-/** Finds when an answer on a part was last begun, as far as this VM remembers. */
+/** Finds when an answer on a part last reached a stage, as far as known. */
 export function findAnswered(
   evidence: PartEvidence,
   part: string,
+  stage: AnswerStage,
 ): Instant | undefined {
-  return getAnsweredAt(evidence, part).get(part);
+  return chooseInstants(evidence.answeredAt[stage], part).get(part);
 }
 
 /** Counts an answer that was begun at this VM. */
@@ -160,17 +228,23 @@
   return count;
 }
 
-/** Tells whether an answer on a part was begun since an instant. */
+/** Tells whether an answer on a part reached a stage since an instant. */
 export function isAnsweredSince(
   evidence: PartEvidence,
   part: string,
   since: Instant,
+  stage: AnswerStage,
 ): boolean {
-  return (findAnswered(evidence, part) ?? -Infinity) >= since;
+  return (findAnswered(evidence, part, stage) ?? -Infinity) >= since;
 }
 
-/** Tells whether an end accuses a part that was not answered on since. */
-export function isAccused(evidence: PartEvidence, part: string): boolean {
-  const endedAt = evidence.endedAt.get(part);
-  return endedAt !== undefined && !isAnsweredSince(evidence, part, endedAt);
+/** Tells whether an end accuses a part on which no answer reached a stage since. */
+export function isAccused(
+  evidence: PartEvidence,
+  part: string,
+  stage: AnswerStage,
+): boolean {
+  const endedAt = evidence.endedAt[stage].get(part);
+  if (endedAt === undefined) return false;
+  return !isAnsweredSince(evidence, part, endedAt, stage);
 }
--- a/packages/decisions/src/quarantine/quarantine.ts
+++ b/packages/decisions/src/quarantine/quarantine.ts
@@ -1,5 +1,5 @@
 import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
-import {hasAll} from './find_culprit.js';
+import {hasAll} from './accusations.js';
 
 /**
  * Traits, digests of a request or parts of prompts, whose requests are refused, or
--- a/packages/gateway/src/fleet/end_watch.ts
+++ b/packages/gateway/src/fleet/end_watch.ts
@@ -9,18 +9,17 @@
   Peer = 'a peer has found that',
 }
 
-/**
- * A request whose attempt at an endpoint broke before the first event of a
- * stream, or before its answer was complete.
- */
+/** A request whose attempt at an endpoint broke before its answer was lasting. */
 export interface BrokenAttempt {
   readonly request: string;
   /** Digests of the request and ids of the parts of its prompt. */
   readonly traits: readonly string[];
   readonly sentAt: Instant;
+  /** Whether its answer, a stream, had begun. */
+  readonly hasBegun?: boolean;
 }
 
-/** An incarnation that has ended, and what broke there before its first event. */
+/** An incarnation that has ended, and the attempts that broke there. */
 export interface EndedEndpoint {
   readonly endpoint: Incarnation;
   readonly service: string;
@@ -46,7 +45,7 @@
 const maxNamed = 8;
 
 /**
- * Matches attempts that broke before their first event with the ends of their
+ * Matches attempts that broke before their answer was lasting with the ends of their
  * endpoints. A reset alone is no end: the endpoint may have closed a connection,
  * or its path may be cut.
  */
@@ -61,7 +60,7 @@
       undefined,
   ) {}
 
-  /** Records an attempt that broke before its first event. */
+  /** Records an attempt that broke before its answer was lasting. */
   recordBreak(
     endpoint: Incarnation,
     service: string,
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -57,6 +57,7 @@
       sentAt: isInstant,
       ageMilliseconds: isAge,
       attempts: isListOf(isAttemptRow),
+      begun: value => value === undefined || isListOf(isAttemptRow)(value),
     }),
   },
   [PeerMessageKind.Refutation]: {
@@ -66,6 +67,7 @@
       service: isText,
       sentAt: isInstant,
       parts: isListOf(isPartRow),
+      isLasting: isMissingOrBoolean,
     }),
     limited: isMissingOr({
       id: isText,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -154,14 +154,20 @@
   sentAgeMilliseconds: number,
 ];
 
-/** Attempts that broke before their first event at an endpoint that ended. */
+/** Attempts that broke at an endpoint that ended. */
 export interface EndedRequests {
   readonly service: string;
   /** When the message was sent, in Unix milliseconds of the sender's clock. */
   readonly sentAt: Instant;
   /** Time since the endpoint ended. */
   readonly ageMilliseconds: number;
+  /** Those whose answer had not begun. */
   readonly attempts: readonly EndedAttemptRow[];
+  /**
+   * Those whose answer had begun and was not lasting; undefined if there are none.
+   * Older builds neither send nor read them, and would take them for the above.
+   */
+  readonly begun?: readonly EndedAttemptRow[];
 }
 
 /**
@@ -192,6 +198,8 @@
   /** When the message was sent, in Unix milliseconds of the sender's clock. */
   readonly sentAt: Instant;
   readonly parts: readonly AnsweredPartRow[];
+  /** Whether these answers are lasting; older builds neither send nor read it. */
+  readonly isLasting?: boolean;
 }
 
 /** A part that an answer was begun on, and the time since then. */
--- a/packages/gateway/src/quarantine/answer_news.ts
+++ b/packages/gateway/src/quarantine/answer_news.ts
@@ -17,19 +17,19 @@
   return voterDelayMilliseconds + others + transitMilliseconds;
 }
 
-/** Sends to the peers when answers on parts of a service were begun. */
+/** Sends to the peers when answers on parts of a service reached a stage. */
 export type SendAnswered = (
   service: string,
   answeredAt: ReadonlyMap<string, Instant>,
 ) => void;
 
 /**
- * Tells the peers of parts that answers were begun on, each once: in a large
+ * Tells the peers of parts on which answers reached a stage, each once: in a large
  * fleet many VMs see an answer on the same part, and the first one that sends
  * it silences the others.
  */
 export class AnswerNews {
-  /** When each part was answered on, by service, that is to be sent. */
+  /** When an answer on each part reached the stage, by service, if not sent. */
   private readonly pending = new Map<string, Map<string, Instant>>();
   private timer: NodeJS.Timeout | undefined;
 
@@ -39,7 +39,7 @@
     private readonly random: () => number,
   ) {}
 
-  /** Adds a part that an answer was begun on. */
+  /** Adds a part on which an answer reached the stage. */
   add(service: string, part: string, at: Instant): void {
     const pending = this.pending.get(service) ?? new Map<string, Instant>();
     this.pending.set(service, pending);
--- a/packages/gateway/src/quarantine/part_messages.ts
+++ b/packages/gateway/src/quarantine/part_messages.ts
@@ -1,4 +1,9 @@
-import {parseQuarantine} from '@zinniaspindle/decisions';
+import {
+  AnswerStage,
+  hasMissed,
+  pickAttempts,
+  parseQuarantine,
+} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {
   EndReason,
@@ -11,6 +16,7 @@
   makeEndedMessage,
   type AnsweredPartRow,
   type AnsweredParts,
+  type EndedAttemptRow,
   type EndedRequests,
   type PeerMessage,
 } from '../peers/messages.js';
@@ -33,15 +39,20 @@
       attempts,
     });
     const now = this.clocks.getNow();
+    const rows: EndedAttemptRow[] = [];
+    const begun: EndedAttemptRow[] = [];
+    for (const attempt of pickAttempts(attempts)) {
+      const {request, traits, sentAt} = attempt;
+      const isUnbegun = hasMissed(attempt, AnswerStage.Begun);
+      const row = [request, traits, Math.ceil(now - sentAt)] as const;
+      (isUnbegun ? rows : begun).push(row);
+    }
     const message = makeEndedMessage(endpoint, {
       service,
       sentAt: this.clocks.getWallClock(),
       ageMilliseconds: Math.ceil(now - endedAt),
-      attempts: attempts.map(({request, traits, sentAt}) => [
-        request,
-        traits,
-        Math.ceil(now - sentAt),
-      ]),
+      attempts: rows,
+      ...(begun.length > 0 ? {begun} : {}),
     });
     this.sendAll(message);
   }
@@ -49,25 +60,26 @@
   /** Records what a peer sent of an endpoint that has ended. */
   acceptEnded(
     endpoint: Incarnation,
-    {service, ageMilliseconds, attempts}: EndedRequests,
+    {service, ageMilliseconds, attempts, begun = []}: EndedRequests,
     writtenAt: Instant,
   ): void {
     this.ends.recordEnd(endpoint, service, EndReason.Peer);
+    const readRows = (rows: readonly EndedAttemptRow[], hasBegun: boolean) =>
+      rows.map(([request, traits, age]) => {
+        return {request, traits, sentAt: writtenAt - age, hasBegun};
+      });
     this.quarantine.recordEnd(service, {
       endpoint: getIncarnationKey(endpoint),
       endedAt: writtenAt - ageMilliseconds,
-      attempts: attempts.map(([request, traits, age]) => ({
-        request,
-        traits,
-        sentAt: writtenAt - age,
-      })),
+      attempts: [...readRows(attempts, false), ...readRows(begun, true)],
     });
   }
 
-  /** Sends when answers on some parts were begun. */
+  /** Sends when answers on some parts reached a stage. */
   sendAnswered(
     service: string,
     answeredAt: ReadonlyMap<string, Instant>,
+    stage = AnswerStage.Lasting,
   ): void {
     const {getNow, getWallClock} = this.clocks;
     const now = getNow();
@@ -75,13 +87,19 @@
     for (const [part, at] of answeredAt) {
       parts.push([part, Math.ceil(now - at)]);
     }
-    this.sendAll(makeAnsweredMessage({service, sentAt: getWallClock(), parts}));
+    const isLasting = stage === AnswerStage.Lasting;
+    const sentAt = getWallClock();
+    this.sendAll(makeAnsweredMessage({service, sentAt, parts, isLasting}));
   }
 
-  /** Records when answers on some parts were begun at a peer. */
-  acceptAnswered({service, parts}: AnsweredParts, writtenAt: Instant): void {
+  /** Records when answers on some parts reached a stage at a peer. */
+  acceptAnswered(
+    {service, parts, isLasting = false}: AnsweredParts,
+    writtenAt: Instant,
+  ): void {
+    const stage = isLasting ? AnswerStage.Lasting : AnswerStage.Begun;
     for (const [part, age] of parts) {
-      this.quarantine.acceptAnswer(service, part, writtenAt - age);
+      this.quarantine.acceptAnswer(service, part, writtenAt - age, stage);
     }
   }
 
--- a/packages/gateway/src/quarantine/part_quarantine.ts
+++ b/packages/gateway/src/quarantine/part_quarantine.ts
@@ -1,4 +1,5 @@
 import {
+  AnswerStage,
   createPartEvidence,
   createQuarantine,
   findAnswered,
@@ -6,6 +7,7 @@
   formatQuarantine,
   getQuarantineKey,
   hasAll,
+  hasMissed,
   isAccused,
   isNewerQuarantine,
   isSuspect,
@@ -64,7 +66,8 @@
      * VMs report their attempts there and answers that clear parts.
      */
     private readonly computeSettleTime: () => number,
-    private readonly news: AnswerNews,
+    /** Tells the peers of answers that reached each stage. */
+    private readonly news: Readonly<Record<AnswerStage, AnswerNews>>,
     private readonly metrics: Metrics,
     private readonly writeEvent: WriteEvent,
   ) {}
@@ -73,37 +76,75 @@
   recordEnd(service: string, end: EndpointEnd): void {
     const evidence = this.getEvidence(service);
     recordEndpointEnd(evidence, end, this.clocks.getNow());
-    for (const {traits} of end.attempts) {
-      this.sendKnown(service, traits);
+    for (const attempt of end.attempts) {
+      for (const stage of Object.values(AnswerStage)) {
+        if (hasMissed(attempt, stage)) {
+          this.sendKnown(service, attempt.traits, stage);
+        }
+      }
     }
     this.undecided.add(service);
     this.timer ??= setTimeout(() => this.decide(), this.computeSettleTime());
   }
 
-  /** Records that a request with some traits was answered at this VM. */
-  recordAnswer(service: string, parts: readonly string[]): void {
-    const evidence = this.getEvidence(service);
-    countAnswer(evidence, this.clocks.getNow());
-    if (parts.length === 0) return;
-    const news = parts.filter(
-      part => isAccused(evidence, part) || this.isQuarantined(service, part),
-    );
-    this.applyAnswer(service, parts, this.clocks.getNow());
-    this.sendKnown(service, news);
+  /** Records that an answer to a request with some traits was begun at this VM. */
+  recordBegun(service: string, traits: readonly string[]): void {
+    countAnswer(this.getEvidence(service), this.clocks.getNow());
+    this.applyOwnAnswer(service, traits, AnswerStage.Begun);
+  }
+
+  /** Records that an answer which had begun at this VM is lasting. */
+  recordLasting(service: string, traits: readonly string[]): void {
+    this.applyOwnAnswer(service, traits, AnswerStage.Lasting);
+  }
+
+  /** Records a whole answer to a request at this VM. */
+  recordAnswer(service: string, traits: readonly string[]): void {
+    countAnswer(this.getEvidence(service), this.clocks.getNow());
+    this.applyOwnAnswer(service, traits, AnswerStage.Lasting);
   }
 
-  /** Records that an answer on a part was begun at a peer. */
-  acceptAnswer(service: string, part: string, at: Instant): void {
-    this.news.remove(service, part, at);
-    this.applyAnswer(service, [part], at);
+  /** Records that an answer on a part reached a stage at a peer. */
+  acceptAnswer(
+    service: string,
+    part: string,
+    at: Instant,
+    stage: AnswerStage,
+  ): void {
+    this.news[stage].remove(service, part, at);
+    this.applyAnswer(service, [part], at, stage);
+  }
+
+  private applyOwnAnswer(
+    service: string,
+    traits: readonly string[],
+    stage: AnswerStage,
+  ): void {
+    if (traits.length === 0) return;
+    const news = traits.filter(part => this.isNews(service, part, stage));
+    this.applyAnswer(service, traits, this.clocks.getNow(), stage);
+    this.sendKnown(service, news, stage);
+  }
+
+  /**
+   * Tells whether an answer on a part concerns the peers. One that has begun on a
+   * quarantined part lifts nothing, and older builds would take it for one that does.
+   */
+  private isNews(service: string, part: string, stage: AnswerStage): boolean {
+    if (this.isQuarantined(service, part)) {
+      return stage === AnswerStage.Lasting;
+    }
+    return isAccused(this.getEvidence(service), part, stage);
   }
 
   private applyAnswer(
     service: string,
     parts: readonly string[],
     at: Instant,
+    stage: AnswerStage,
   ): void {
-    recordAnswered(this.getEvidence(service), parts, at);
+    recordAnswered(this.getEvidence(service), parts, at, stage);
+    if (stage === AnswerStage.Begun) return;
     for (const quarantine of [...this.quarantines.values()]) {
       if (quarantine.service === service) this.removeAnswered(quarantine);
     }
@@ -122,7 +163,10 @@
   /** Tells whether one further end would quarantine some of a request's traits. */
   isSuspect(service: string, traits: readonly string[]): boolean {
     const evidence = this.getEvidence(service);
-    if (!traits.some(part => isAccused(evidence, part))) return false;
+    const isAnyAccused = traits.some(part =>
+      isAccused(evidence, part, AnswerStage.Lasting),
+    );
+    if (!isAnyAccused) return false;
     return isSuspect(evidence, this.makeComparison(service), traits);
   }
 
@@ -173,7 +217,7 @@
   /** Ends the timers. */
   close(): void {
     clearTimeout(this.timer);
-    this.news.close();
+    for (const news of Object.values(this.news)) news.close();
   }
 
   private decide(): void {
@@ -224,9 +268,11 @@
     if (isLifted) return;
     const evidence = this.getEvidence(service);
     const since = this.toLocalClock(quarantine.since);
-    const left = parts.filter(part => !isAnsweredSince(evidence, part, since));
+    const left = parts.filter(
+      part => !isAnsweredSince(evidence, part, since, AnswerStage.Lasting),
+    );
     if (left.length === parts.length) return;
-    this.closeOne(quarantine, 'an answer was begun on some of them');
+    this.closeOne(quarantine, 'an answer on some of them is lasting');
     if (left.length === 0) return;
     this.addQuarantine(service, left, quarantine.since, 'parts left', []);
   }
@@ -289,12 +335,16 @@
     );
   }
 
-  /** Tells the peers when this VM knows that parts were answered on. */
-  private sendKnown(service: string, parts: readonly string[]): void {
+  /** Tells the peers when answers on parts reached a stage, as far as known. */
+  private sendKnown(
+    service: string,
+    parts: readonly string[],
+    stage: AnswerStage,
+  ): void {
     const evidence = this.getEvidence(service);
     for (const part of parts) {
-      const at = findAnswered(evidence, part);
-      if (at !== undefined) this.news.add(service, part, at);
+      const at = findAnswered(evidence, part, stage);
+      if (at !== undefined) this.news[stage].add(service, part, at);
     }
   }
 
--- a/packages/gateway/src/requests/attempt_watch.ts
+++ b/packages/gateway/src/requests/attempt_watch.ts
@@ -1,8 +1,12 @@
-import type {Instant} from '@zinniaspindle/shared';
+import {lastingMilliseconds} from '@zinniaspindle/decisions';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {Incarnation} from '../fleet/notice_table.js';
 import type {PathReservation} from '../fleet/path_table.js';
 import type {RequestContext} from './request_context.js';
 
+/** Interval at which an answer that goes on clears its traits again. */
+const clearMilliseconds = 100;
+
 /** The endpoint that an attempt was sent to. */
 interface AttemptTarget {
   readonly id: string;
@@ -14,8 +18,13 @@
 /** Follows the attempts of one request for attempts that break. */
 export class AttemptWatch {
   private target: AttemptTarget | undefined;
-  /** Whether the last attempt broke before its first event or whole answer. */
-  private hasBrokenUnstarted = false;
+  /** Whether the last attempt broke before its answer was lasting. */
+  private hasBrokenEarly = false;
+  /** When an answer that goes on is lasting; undefined before its first event. */
+  private lastingAt: Deadline | undefined;
+  /** Whether an event has come since then. */
+  private isLasting = false;
+  private nextClearAt: Deadline = -Infinity;
   /** Whether the last attempt is recorded as broken. */
   private hasRecorded = false;
 
@@ -26,7 +35,9 @@
     const {endpoints, getNow} = this.context.server;
     const bornAt = endpoints.find(id)?.bornAt;
     this.target = {id, bornAt, sentAt: getNow()};
-    this.hasBrokenUnstarted = false;
+    this.hasBrokenEarly = false;
+    this.lastingAt = undefined;
+    this.isLasting = false;
     this.hasRecorded = false;
   }
 
@@ -37,24 +48,38 @@
     return {id: target.id, bornAt: target.bornAt};
   }
 
-  /** Records an event of the attempt; the first is an answer. */
-  handleEvent({hasStarted}: PathReservation): void {
-    if (!hasStarted) this.handleAnswer();
+  /** Records an event of the attempt. */
+  handleEvent(): void {
+    const {server, traits, service} = this.context;
+    const now = server.getNow();
+    if (this.lastingAt === undefined) {
+      this.lastingAt = now + lastingMilliseconds;
+      server.quarantine.recordBegun(service.name, traits);
+    } else if (isPast(this.lastingAt, now)) {
+      this.isLasting = true;
+      if (!isPast(this.nextClearAt, now)) return;
+      this.nextClearAt = now + clearMilliseconds;
+      server.quarantine.recordLasting(service.name, traits);
+    }
   }
 
-  /** Records an answer of any status, which shows that the request is sound. */
+  /** Records a whole answer of any status, which shows that the request is sound. */
   handleAnswer(): void {
     const {server, traits, service} = this.context;
-    server.quarantine.recordAnswer(service.name, traits);
+    const {quarantine} = server;
+    if (this.lastingAt === undefined) {
+      quarantine.recordAnswer(service.name, traits);
+    } else {
+      quarantine.recordLasting(service.name, traits);
+    }
   }
 
   /** Checks the endpoints of a path on which the attempt has broken. */
-  handleBreak(reservation: PathReservation): void {
-    const {path, hasStarted} = reservation;
+  handleBreak({path}: PathReservation): void {
     const {prober, paths, getNow} = this.context.server;
     void prober.probePath(path, () => paths.dropStreams(path));
-    this.hasBrokenUnstarted = !hasStarted;
-    if (hasStarted) return;
+    this.hasBrokenEarly = !this.isLasting;
+    if (!this.hasBrokenEarly) return;
     this.recordBreak();
     // An answer from before the break does not show that the endpoint lives.
     if (this.target !== undefined) void prober.probe(this.target.id, getNow());
@@ -62,8 +87,8 @@
 
   /** Checks the endpoint at which an attempt without a path has broken. */
   handleBrokenAnswer(): void {
-    this.hasBrokenUnstarted = true;
-    this.recordBreak();
+    this.hasBrokenEarly = !this.isLasting;
+    if (this.hasBrokenEarly) this.recordBreak();
     const {target, context} = this;
     if (target !== undefined) void context.server.endCheck.check(target.id);
   }
@@ -72,9 +97,9 @@
    * Records an attempt beside which, or in place of which, another is made. Its
    * endpoint may have ended before its own connection has broken.
    */
-  handleMove(hasStarted: boolean): void {
+  handleMove(): void {
     const {target, context} = this;
-    if (hasStarted || target?.bornAt === undefined) return;
+    if (this.isLasting || target?.bornAt === undefined) return;
     const {id, bornAt} = target;
     if (context.server.ends.hasEnded({id, bornAt})) this.recordBreak();
   }
@@ -85,7 +110,8 @@
     this.hasRecorded = true;
     const {server, request, service, traits} = context;
     const {id, bornAt, sentAt} = target;
-    const attempt = {request: request.attemptId, traits, sentAt};
+    const hasBegun = this.lastingAt !== undefined;
+    const attempt = {request: request.attemptId, traits, sentAt, hasBegun};
     server.ends.recordBreak({id, bornAt}, service.name, attempt);
   }
 
@@ -95,7 +121,7 @@
    */
   isSuspect(): boolean {
     const {server, traits, service} = this.context;
-    if (!this.hasBrokenUnstarted) return false;
+    if (!this.hasBrokenEarly) return false;
     return server.quarantine.isSuspect(service.name, traits);
   }
 }
--- a/packages/gateway/src/requests/plain_attempt.ts
+++ b/packages/gateway/src/requests/plain_attempt.ts
@@ -3,6 +3,7 @@
   FailureCertainty,
   recordFailure,
   verifyPlainStreamEnd,
+  type IntakeExcess,
 } from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {getIncarnation, type EndpointState} from '../fleet/endpoint_state.js';
@@ -75,7 +76,7 @@
       {urgency: undefined, parts: undefined, lastEventId},
       {
         handleAnswer: answer => (this.answer = answer),
-        handleChunk: chunk => this.buffer.accept(this.answer!, chunk, upstream),
+        handleChunk: chunk => this.acceptChunk(chunk, upstream),
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
       },
       this.chooseOpening(),
@@ -83,6 +84,16 @@
     this.upstream = upstream;
   }
 
+  private acceptChunk(
+    chunk: Buffer,
+    upstream: Upstream,
+  ): IntakeExcess | undefined {
+    const excess = this.buffer.accept(this.answer!, chunk, upstream);
+    const isStream = this.context.route.kind === RouteKind.Streaming;
+    if (isStream && this.buffer.isForwarding) this.watch.handleEvent();
+    return excess;
+  }
+
   /** Ends the attempt for a reason of this VM. */
   cancel(reason: string): void {
     this.upstream?.cancel();
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -247,7 +247,7 @@
       return this.startCheck();
     }
     const endpoint = taken.value;
-    slow.watch.handleMove(false);
+    slow.watch.handleMove();
     slow.log.logMove(endpoint.entry.id, slowReason, slow.sentAt);
     this.startAttempt(endpoint);
   }
@@ -269,7 +269,7 @@
     const forwarding = this.running.find(({buffer}) => buffer.isForwarding);
     for (const attempt of this.running) {
       this.attempts.runs += 1;
-      attempt.watch.handleMove(false);
+      attempt.watch.handleMove();
       attempt.reportFailure(FailureCertainty.Suspected);
     }
     const last = this.running.at(-1);
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -168,7 +168,7 @@
   }
 
   private acceptEvents(events: CompleteEvents): void {
-    this.watch.handleEvent(this.reservation);
+    this.watch.handleEvent();
     const count = countEvents(events.bytes);
     this.context.server.paths.recordProgress(this.reservation, count);
     this.listener.handleEvents(this, events);
@@ -196,6 +196,7 @@
     const attempt = {path, hasStarted, body: this.body, isResumed};
     const verdict = ends.verify(attempt, this.upstream.isFramed());
     if (verdict !== EndVerdict.Complete) return this.resolveBroken(verdict);
+    this.watch.handleAnswer();
     this.resolve(StreamEnd.Complete, 'complete');
   }
 
--- a/packages/gateway/src/requests/stream_request_handler.ts
+++ b/packages/gateway/src/requests/stream_request_handler.ts
@@ -307,7 +307,7 @@
   /** Gives up an attempt; one without an answer may have run the request. */
   private dropAttempt(attempt: StreamAttempt, reason: string): void {
     if (attempt.answer === undefined) recordUnanswered(this.attempts);
-    attempt.watch.handleMove(attempt.reservation.hasStarted);
+    attempt.watch.handleMove();
     attempt.cancel();
     this.lastWatch = attempt.watch;
     this.logFailed(attempt, reason, AttemptEnder.Vm);
--- a/packages/gateway/src/root/quarantine_parts.ts
+++ b/packages/gateway/src/root/quarantine_parts.ts
@@ -1,3 +1,4 @@
+import {AnswerStage} from '@zinniaspindle/decisions';
 import type {Instant} from '@zinniaspindle/shared';
 import {EndWatch} from '../fleet/end_watch.js';
 import type {EventLog} from '../log/event_log.js';
@@ -37,11 +38,17 @@
   const ends = new EndWatch(log.write, getNow, ended => {
     partMessages.handleEnd(ended);
   });
-  const news = new AnswerNews(
-    (service, answeredAt) => partMessages.sendAnswered(service, answeredAt),
-    () => fleet.isVoter(),
-    Math.random,
-  );
+  const makeNews = (stage: AnswerStage) =>
+    new AnswerNews(
+      (service, answeredAt) =>
+        partMessages.sendAnswered(service, answeredAt, stage),
+      () => fleet.isVoter(),
+      Math.random,
+    );
+  const news = {
+    [AnswerStage.Begun]: makeNews(AnswerStage.Begun),
+    [AnswerStage.Lasting]: makeNews(AnswerStage.Lasting),
+  };
   const quarantine = new PartQuarantine(
     clocks,
     () => fleet.countVms(),
