--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -5,6 +5,8 @@
 
 const knownRedFile = 'KNOWN-RED.txt';
 const concurrency = 6;
+/** Begins the names of files that run one at a time, after all others. */
+const alonePrefix = 'alone_';
 
 /** Lists every test file of the workspace, in a stable order. */
 function listTestFiles(): string[] {
@@ -48,28 +50,38 @@
 let passed = 0;
 let failed = 0;
 
-const stream = run({
-  files: files.map(file => path.resolve(file)),
+/** Runs test files and counts their results. */
+function runFiles(names: readonly string[], concurrent: number): Promise<void> {
+  if (names.length === 0) return Promise.resolve();
+  const stream = run({
+    files: names.map(file => path.resolve(file)),
+    concurrency: concurrent,
+  });
+  stream.on('test:pass', event => {
+    if (event.details.type !== 'suite') passed += 1;
+    if (knownRed.includes(event.name)) knownRedPassed.push(event.name);
+  });
+  stream.on('test:fail', event => {
+    const cause = event.details.error as {failureType?: string} | undefined;
+    if (cause?.failureType === 'subtestsFailed') return;
+    if (knownRed.includes(event.name)) {
+      knownRedSeen.push(event.name);
+      return;
+    }
+    failed += 1;
+  });
+  stream.compose(new spec()).pipe(process.stdout, {end: false});
+  return new Promise(resolve => stream.on('end', resolve));
+}
+
+const isAlone = (file: string) => path.basename(file).startsWith(alonePrefix);
+await runFiles(
+  files.filter(file => !isAlone(file)),
   concurrency,
-});
-stream.on('test:pass', event => {
-  if (event.details.type !== 'suite') passed += 1;
-  if (knownRed.includes(event.name)) knownRedPassed.push(event.name);
-});
-stream.on('test:fail', event => {
-  const cause = event.details.error as {failureType?: string} | undefined;
-  if (cause?.failureType === 'subtestsFailed') return;
-  if (knownRed.includes(event.name)) {
-    knownRedSeen.push(event.name);
-    return;
-  }
-  failed += 1;
-});
-stream.compose(new spec()).pipe(process.stdout);
-stream.on('end', () => {
-  for (const name of knownRed) {
-    console.log(`known red: ${name}: ${describeKnownRed(name)}`);
-  }
-  console.log(`${passed} passed, ${failed} failed`);
-  process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
-});
+);
+await runFiles(files.filter(isAlone), 1);
+for (const name of knownRed) {
+  console.log(`known red: ${name}: ${describeKnownRed(name)}`);
+}
+console.log(`${passed} passed, ${failed} failed`);
+process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
