fix(connections): requests whose bodies do not come make room for new callers

Callers who ask before they send a body, and then send none, kept every connection: 1,500 of them left no room, and the next caller was reset until the idle limit ended theirs.

Cause: a connection counted as one in use as soon as a head had come. A request without its body is not whole and cannot run.

Change: a connection that never sent a whole request goes first, and after the idle ones the one whose only request waits for its body for a second or longer. Callers have a few spare connections whose requests are refused while all others have requests under way, so that a new caller gets 503 and a time to come back rather than a reset.

--- a/packages/decisions/__tests__/connections.test.ts
+++ b/packages/decisions/__tests__/connections.test.ts
@@ -27,7 +27,7 @@
     let connections = 0;
     for (const listener of Object.values(Listener)) {
       const limits = deriveListenerLimits(listener, maxDescriptors, memory);
-      connections += limits.connections;
+      connections += limits.connections + limits.spareConnections;
     }
     const sockets = maxDescriptors - 200;
     assert.ok(connections < sockets * 0.9, `${connections} of ${sockets}`);
@@ -86,7 +86,7 @@
 const now = 100_000;
 const busy = {
   ...{name: 'busy', hasSentRequest: true, openRequests: 1, idleSince: 0},
-  unreadSince: undefined,
+  ...{receivingSince: undefined, unreadSince: undefined},
 };
 const silent = {
   ...busy,
@@ -95,12 +95,14 @@
   openRequests: 0,
 };
 const idle = {...busy, name: 'idle', openRequests: 0};
+const receiving = {...busy, name: 'receiving', receivingSince: 0};
 const unread = {...busy, name: 'unread', unreadSince: 0};
 
-test('connections are closed silent, then idle, then unread ones first', () => {
-  const all = [busy, unread, idle, silent];
+test('connections are closed silent, then idle, receiving and unread ones', () => {
+  const all = [busy, unread, receiving, idle, silent];
   assert.equal(chooseClosed(all, now)?.name, 'silent');
   assert.equal(chooseClosed([busy, unread, idle], now)?.name, 'idle');
+  assert.equal(chooseClosed([unread, receiving], now)?.name, 'receiving');
   assert.equal(chooseClosed([busy, unread], now)?.name, 'unread');
   assert.equal(chooseClosed([busy], now), undefined);
 });
@@ -111,9 +113,10 @@
   assert.equal(chooseClosed([idle, recent], now)?.name, 'idle');
 });
 
-test('a caller that has just taken bytes is not closed', () => {
+test('a caller that has just taken or begun to send bytes is not closed', () => {
   const reading = {...unread, unreadSince: now - 10};
-  assert.equal(chooseClosed([reading], now), undefined);
+  const sending = {...receiving, receivingSince: now - 10};
+  assert.equal(chooseClosed([reading, sending], now), undefined);
 });
 
 test('unread answers within their bound are kept', () => {
--- a/packages/decisions/src/connections/choose_closed.ts
+++ b/packages/decisions/src/connections/choose_closed.ts
@@ -2,12 +2,16 @@
 
 /** A caller that reads takes bytes more often than this. */
 const unreadMilliseconds = 1000;
+/** A caller that has begun a body sends it within this time. */
+const receivingMilliseconds = 1000;
 
 /** How a connection is used. */
 export interface ConnectionUse {
-  /** Whether a whole head of a request has come on it. */
+  /** Whether a whole request, with its body, has come on it. */
   readonly hasSentRequest: boolean;
   readonly openRequests: number;
+  /** Since when the only open request waits for its body; undefined for none. */
+  readonly receivingSince: Instant | undefined;
   /** When its last request ended, or when it was opened. */
   readonly idleSince: Instant;
   /** Since when its caller has taken nothing of an answer; undefined for none. */
@@ -18,42 +22,59 @@
 enum ClosingRank {
   Silent,
   Idle,
+  Receiving,
   Unread,
 }
 
+/** What a connection may be closed for, and since when. */
+interface ClosingGround {
+  readonly rank: ClosingRank;
+  readonly since: Instant;
+}
+
 /**
- * Chooses the connection to close for a new one: one that never sent a request,
- * then the one that is idle longest, then the one whose answers are unread longest.
- * Undefined if all have requests under way.
+ * Chooses the connection to close for a new one: one that never sent a whole request,
+ * then the one that is idle longest, the one that waits longest for a body, and the one
+ * whose answers are unread longest. Undefined if all have requests under way.
  */
 export function chooseClosed<Use extends ConnectionUse>(
   connections: Iterable<Use>,
   now: Instant,
 ): Use | undefined {
   let chosen: Use | undefined;
-  let lowestRank = Infinity;
-  let earliest = Infinity;
+  let best: ClosingGround = {rank: Infinity, since: Infinity};
   for (const connection of connections) {
-    const rank = findRank(connection, now);
-    if (rank === undefined || rank > lowestRank) continue;
-    const {idleSince, unreadSince = idleSince} = connection;
-    const since = rank === ClosingRank.Unread ? unreadSince : idleSince;
-    if (rank === lowestRank && since >= earliest) continue;
+    const ground = findGround(connection, now);
+    if (ground === undefined || ground.rank > best.rank) continue;
+    if (ground.rank === best.rank && ground.since >= best.since) continue;
     chosen = connection;
-    lowestRank = rank;
-    earliest = since;
+    best = ground;
   }
   return chosen;
 }
 
-function findRank(
-  {hasSentRequest, openRequests, unreadSince}: ConnectionUse,
+function findGround(
+  use: ConnectionUse,
+  now: Instant,
+): ClosingGround | undefined {
+  const {idleSince, receivingSince, unreadSince} = use;
+  if (!use.hasSentRequest) return {rank: ClosingRank.Silent, since: idleSince};
+  if (use.openRequests === 0) {
+    return {rank: ClosingRank.Idle, since: idleSince};
+  }
+  if (hasPassed(receivingSince, receivingMilliseconds, now)) {
+    return {rank: ClosingRank.Receiving, since: receivingSince};
+  }
+  if (hasPassed(unreadSince, unreadMilliseconds, now)) {
+    return {rank: ClosingRank.Unread, since: unreadSince};
+  }
+  return undefined;
+}
+
+function hasPassed(
+  since: Instant | undefined,
+  milliseconds: number,
   now: Instant,
-): ClosingRank | undefined {
-  if (!hasSentRequest) return ClosingRank.Silent;
-  if (openRequests === 0) return ClosingRank.Idle;
-  if (unreadSince === undefined) return undefined;
-  return now - unreadSince >= unreadMilliseconds
-    ? ClosingRank.Unread
-    : undefined;
+): since is Instant {
+  return since !== undefined && now - since >= milliseconds;
 }
--- a/packages/decisions/src/connections/connection_limits.ts
+++ b/packages/decisions/src/connections/connection_limits.ts
@@ -11,6 +11,9 @@
 const aheadShare = 1 / 4;
 /** A listener takes this many connections at the least. */
 const minConnections = 4;
+/** Part of a listener's connections whose requests are only refused. */
+const spareShare = 1 / 32;
+const minSpareConnections = 4;
 
 /** The addresses that clients reach. */
 export enum Listener {
@@ -35,6 +38,11 @@
 export interface ListenerLimits {
   /** Connections; those of callers together with their requests under way. */
   readonly connections: number;
+  /**
+   * Further connections of callers, whose requests are refused while all others are in
+   * use; calls of other listeners are answered at once.
+   */
+  readonly spareConnections: number;
   /** Requests behind others of their connections, on all connections. */
   readonly requestsAhead: number;
 }
@@ -54,5 +62,9 @@
     Math.min(byDescriptors, byMemory),
   );
   const requestsAhead = Math.max(1, Math.floor(connections * aheadShare));
-  return {connections, requestsAhead};
+  const spareConnections =
+    listener === Listener.Callers
+      ? Math.max(minSpareConnections, Math.floor(connections * spareShare))
+      : 0;
+  return {connections, spareConnections, requestsAhead};
 }
--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -97,7 +97,9 @@
   readonly reader: ConnectionReader;
   requestBytes: number;
   aheadBytes: number;
-  hasSentRequest: boolean;
+  /** Heads of requests that have come. */
+  requestCount: number;
+  lastRequestAt: Instant;
   /** Answers that are not written out. */
   readonly responses: Set<http.ServerResponse>;
   idleSince: Instant;
@@ -183,14 +185,18 @@
   }
 
   /**
-   * Makes room for a socket beside the connections; returns false if there is none
-   * and no connection may be closed for it.
+   * Makes room for a socket beside the connections, or for a connection among the
+   * spare ones; returns false if there is none and no connection may be closed.
    */
-  makeRoom(): boolean {
-    if (this.hasRoom()) return true;
+  makeRoom(spare = 0): boolean {
+    const further = this.handler.countFurther?.() ?? 0;
+    const {connections} = this.limits;
+    if (this.connections.size + further < connections) return true;
     const now = this.parts.getNow();
     const chosen = chooseClosed(this.listUses(), now);
-    if (chosen === undefined) return false;
+    if (chosen === undefined) {
+      return this.connections.size + further < connections + spare;
+    }
     this.closeConnection(chosen.connection, Bound.Evicted);
     return true;
   }
@@ -226,7 +232,7 @@
   }
 
   private addSocket(socket: Socket): void {
-    if (!this.makeRoom()) {
+    if (!this.makeRoom(this.limits.spareConnections)) {
       this.record(Bound.Full, Counter.CallersTurnedAway);
       socket.destroy();
       return;
@@ -242,7 +248,8 @@
       }),
       requestBytes: 0,
       aheadBytes: 0,
-      hasSentRequest: false,
+      requestCount: 0,
+      lastRequestAt: getNow(),
       responses: new Set(),
       idleSince: getNow(),
       unreadSince: undefined,
@@ -267,16 +274,9 @@
     this.removeSocket(connection);
   }
 
-  private hasRoom(): boolean {
-    const further = this.handler.countFurther?.() ?? 0;
-    return this.connections.size + further < this.limits.connections;
-  }
-
   private *listUses(): Iterable<ConnectionUse & {connection: Connection}> {
     for (const connection of this.connections.values()) {
-      const {hasSentRequest, responses, idleSince, unreadSince} = connection;
-      const openRequests = responses.size;
-      yield {connection, hasSentRequest, openRequests, idleSince, unreadSince};
+      yield {connection, ...describeUse(connection)};
     }
   }
 
@@ -308,7 +308,8 @@
       connection,
       connection.requestBytes + bytes,
     );
-    connection.hasSentRequest = true;
+    connection.requestCount += 1;
+    connection.lastRequestAt = this.parts.getNow();
     connection.responses.add(response);
     if (connection.responses.size > 1) this.requestsAhead += 1;
     response.once('close', () => this.removeResponse(connection, response));
@@ -385,6 +386,26 @@
   }
 }
 
+function describeUse({
+  reader,
+  requestCount,
+  lastRequestAt,
+  responses,
+  idleSince,
+  unreadSince,
+}: Connection): ConnectionUse {
+  const isReceiving = reader.isReceiving();
+  const openRequests = responses.size;
+  return {
+    hasSentRequest: requestCount > (isReceiving ? 1 : 0),
+    openRequests,
+    idleSince,
+    receivingSince:
+      isReceiving && openRequests === 1 ? lastRequestAt : undefined,
+    unreadSince,
+  };
+}
+
 /**
  * Updates since when the caller of a connection has taken nothing; returns the bytes
  * that are not written.
--- a/packages/gateway/src/connections/connection_reader.ts
+++ b/packages/gateway/src/connections/connection_reader.ts
@@ -107,6 +107,11 @@
     return this.isWaiting;
   }
 
+  /** Tells whether the body of a request has not come to its end. */
+  isReceiving(): boolean {
+    return this.message !== undefined;
+  }
+
   /** Drops what comes from now on. */
   dropRest(): void {
     this.isDropping = true;
@@ -130,15 +135,11 @@
 
   private canParse(): boolean {
     if (this.isPausedByServer) return false;
-    if (this.headBytes > 0 || this.isInBody()) return true;
+    if (this.headBytes > 0 || this.isReceiving()) return true;
     this.isWaiting = !this.listener.canTake();
     return !this.isWaiting;
   }
 
-  private isInBody(): boolean {
-    return this.message !== undefined;
-  }
-
   private dropMessage(): void {
     this.message = undefined;
     this.response = undefined;
@@ -157,7 +158,7 @@
 
   /** Finds the end of the next piece, which holds one end of a head at most. */
   private findPieceEnd(chunk: Buffer, at: number): number {
-    if (this.isInBody() && this.bodyLeft !== undefined) {
+    if (this.isReceiving() && this.bodyLeft !== undefined) {
       return Math.min(chunk.length, at + this.bodyLeft);
     }
     const {tail} = this;
@@ -166,14 +167,14 @@
       const across = Buffer.concat([tail, next]).indexOf(terminator);
       if (across !== -1) return at + across + terminator.length - tail.length;
     }
-    const isStart = this.headBytes === 0 && !this.isInBody();
+    const isStart = this.headBytes === 0 && !this.isReceiving();
     const from = isStart ? findStart(chunk, at) : at;
     const found = chunk.indexOf(terminator, from);
     return found === -1 ? chunk.length : found + terminator.length;
   }
 
   private parsePiece(piece: Buffer): void {
-    const isOfBody = this.isInBody();
+    const isOfBody = this.isReceiving();
     const endsBody = isOfBody && this.bodyLeft === piece.length;
     this.parse(piece);
     this.updateTail(piece, endsBody);
