--- a/scripts/generate_docs.ts
+++ b/scripts/generate_docs.ts
@@ -1,6 +1,14 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {
+  defaultMaxDescriptors,
+  defaultMemoryMegabytes,
+  deriveClientMemory,
+  deriveListenerLimits,
+  Listener,
+  maxOpenRequests,
+} from '../packages/decisions/src/index.js';
 import {metricTexts, settingSections} from '../packages/router/src/index.js';
 import {gatewayMetricTexts, Latency} from '../packages/gateway/src/index.js';
 import type {SettingField} from '../packages/router/src/index.js';
@@ -28,6 +36,7 @@
   {first: 9000, title: 'Process'},
 ];
 const eventsPerArea = 1000;
+const bytesPerMegabyte = 1024 * 1024;
 
 /** Renders every generated file. */
 export function renderDocs(): GeneratedFile[] {
@@ -66,9 +75,43 @@
     const head = ['key', 'meaning', 'unit', 'range', 'default'];
     parts.push(`## [${section}]`, renderTable(head, rows));
   }
+  parts.push(...renderGatewayLimits());
   return `${parts.join('\n\n')}\n`;
 }
 
+/** Renders the limits that the gateway derives from those of its VM. */
+function renderGatewayLimits(): string[] {
+  const descriptors = defaultMaxDescriptors;
+  const memory = defaultMemoryMegabytes;
+  const rows = Object.values(Listener).map(listener => {
+    const limits = deriveListenerLimits(listener, descriptors, memory);
+    const {connections, spareConnections, requestsAhead} = limits;
+    return [listener, connections, spareConnections, requestsAhead].map(String);
+  });
+  const {requestBytes, aheadBytes, unreadBytes} = deriveClientMemory(memory);
+  const format = (bytes: number) => (bytes / bytesPerMegabyte).toFixed(1);
+  return [
+    '## Limits of the gateway',
+    "On the users' platform, where a file of `name=value` lines is read.",
+    renderTable(
+      ['key', 'meaning', 'default'],
+      [
+        ['`limits.memoryMb`', 'Memory of the VM, in MB.', String(memory)],
+        ['`limits.maxFds`', 'Descriptors of the process.', String(descriptors)],
+      ],
+    ),
+    'What follows from the defaults for each listener:',
+    renderTable(
+      ['listener', 'connections', 'spare', 'requests sent ahead'],
+      rows,
+    ),
+    `On a connection, ${maxOpenRequests} requests may be open. Open requests take ` +
+      `${format(requestBytes)} MB, or three eighths of the heap if that is less, ` +
+      `bytes sent ahead ${format(aheadBytes)} MB, unread answers of a listener ` +
+      `${format(unreadBytes)} MB.`,
+  ];
+}
+
 function renderExample(): string {
   const lines = [`; ${notice}`, '; Keys without a value are required.'];
   for (const [section, fields] of listSections()) {
