--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -19,6 +19,11 @@
   ReadFault,
   type ReaderBounds,
 } from './connection_reader.js';
+import {
+  describeUse,
+  updateUnread,
+  type ClientConnection,
+} from './client_connection.js';
 import type {ReadTurns} from './read_turns.js';
 import {computeRequestBytes, minRequestBytes} from './request_bytes.js';
 import type {SharedBytes} from './shared_bytes.js';
@@ -82,7 +87,7 @@
    */
   readonly handleReadEnd?: (socket: Socket) => boolean;
   /** Counts further sockets that count as connections of the listener. */
-  readonly countFurther?: () => number;
+  readonly countFurtherSockets?: () => number;
 }
 
 /** Builds the server of a listener. */
@@ -91,26 +96,8 @@
   handler: ServerHandler,
 ) => BoundedServer;
 
-/** A connection of a client. */
-interface Connection {
-  readonly socket: Socket;
-  readonly reader: ConnectionReader;
-  requestBytes: number;
-  aheadBytes: number;
-  /** Heads of requests that have come. */
-  requestCount: number;
-  lastRequestAt: Instant;
-  /** Answers that are not written out. */
-  readonly responses: Set<http.ServerResponse>;
-  idleSince: Instant;
-  /** Since when its caller has taken nothing of an answer; undefined for none. */
-  unreadSince: Instant | undefined;
-  /** What the kernel had taken of its answers at the last check. */
-  takenBytes: number;
-}
-
 /** A connection whose caller has not taken all that was written. */
-type UnreadUse = UnreadConnection & {readonly connection: Connection};
+type UnreadUse = UnreadConnection & {readonly connection: ClientConnection};
 
 /**
  * An HTTP server that bounds its connections, what each of them sends ahead, and
@@ -118,7 +105,7 @@
  */
 export class BoundedServer {
   private readonly server: http.Server;
-  private readonly connections = new Map<Socket, Connection>();
+  private readonly connections = new Map<Socket, ClientConnection>();
   /** Requests behind others of their connections. */
   private requestsAhead = 0;
   private bounds: ReaderBounds = {
@@ -189,7 +176,7 @@
    * spare ones; returns false if there is none and no connection may be closed.
    */
   makeRoom(spare = 0): boolean {
-    const further = this.handler.countFurther?.() ?? 0;
+    const further = this.handler.countFurtherSockets?.() ?? 0;
     const {connections} = this.limits;
     if (this.connections.size + further < connections) return true;
     const now = this.parts.getNow();
@@ -238,7 +225,7 @@
       return;
     }
     const {getNow} = this.parts;
-    const connection: Connection = {
+    const connection: ClientConnection = {
       socket,
       reader: new ConnectionReader(socket, {
         getBounds: () => this.bounds,
@@ -260,7 +247,7 @@
     this.handler.handleConnection?.(socket);
   }
 
-  private removeSocket(connection: Connection): void {
+  private removeSocket(connection: ClientConnection): void {
     if (!this.connections.delete(connection.socket)) return;
     this.parts.turns.remove(connection.reader.readOn);
     this.requestsAhead -= Math.max(0, connection.responses.size - 1);
@@ -268,19 +255,21 @@
     this.setAheadBytes(connection, 0);
   }
 
-  private closeConnection(connection: Connection, bound: Bound): void {
+  private closeConnection(connection: ClientConnection, bound: Bound): void {
     this.record(bound, Counter.CallersClosed);
     connection.socket.destroy();
     this.removeSocket(connection);
   }
 
-  private *listUses(): Iterable<ConnectionUse & {connection: Connection}> {
+  private *listUses(): Iterable<
+    ConnectionUse & {connection: ClientConnection}
+  > {
     for (const connection of this.connections.values()) {
       yield {connection, ...describeUse(connection)};
     }
   }
 
-  private canTake(connection: Connection): boolean {
+  private canTake(connection: ClientConnection): boolean {
     const {turns, requests} = this.parts;
     const {responses, requestBytes, reader} = connection;
     const step = decideReading({
@@ -324,7 +313,7 @@
 
   /** Gives back the bytes of a request once its answer and its body have ended. */
   private releaseLater(
-    connection: Connection,
+    connection: ClientConnection,
     {message, response}: Pick<ServerCall, 'message' | 'response'>,
     bytes: number,
   ): void {
@@ -339,7 +328,7 @@
   }
 
   private removeResponse(
-    connection: Connection,
+    connection: ClientConnection,
     response: http.ServerResponse,
   ): void {
     if (!this.connections.has(connection.socket)) return;
@@ -350,13 +339,16 @@
     if (reader.isHolding()) this.parts.turns.add(reader.readOn);
   }
 
-  private setRequestBytes(connection: Connection, bytes: number): boolean {
+  private setRequestBytes(
+    connection: ClientConnection,
+    bytes: number,
+  ): boolean {
     const isSet = this.parts.requests.set(connection.requestBytes, bytes);
     if (isSet) connection.requestBytes = bytes;
     return isSet;
   }
 
-  private setAheadBytes(connection: Connection, bytes: number): boolean {
+  private setAheadBytes(connection: ClientConnection, bytes: number): boolean {
     const isOpen = this.connections.has(connection.socket);
     if (!isOpen && bytes > 0) return true; // It was closed while it was read.
     const isSet = this.parts.ahead.set(connection.aheadBytes, bytes);
@@ -387,43 +379,3 @@
     });
   }
 }
-
-function describeUse({
-  reader,
-  requestCount,
-  lastRequestAt,
-  responses,
-  idleSince,
-  unreadSince,
-}: Connection): ConnectionUse {
-  const isReceiving = reader.isReceiving();
-  const openRequests = responses.size;
-  return {
-    hasSentRequest: requestCount > (isReceiving ? 1 : 0),
-    openRequests,
-    idleSince,
-    receivingSince:
-      isReceiving && openRequests === 1 ? lastRequestAt : undefined,
-    unreadSince,
-  };
-}
-
-/**
- * Updates since when the caller of a connection has taken nothing; returns the bytes
- * that are not written.
- */
-function updateUnread(connection: Connection, now: Instant): number {
-  const {socket, responses} = connection;
-  let unwritten = socket.writableLength;
-  for (const response of responses) {
-    // An answer that waits behind another one keeps its bytes itself.
-    if (response.socket === null) unwritten += response.writableLength;
-  }
-  const taken = socket.bytesWritten - socket.writableLength;
-  const hasTaken = taken !== connection.takenBytes;
-  connection.takenBytes = taken;
-  if (unwritten === 0) connection.unreadSince = undefined;
-  else if (hasTaken) connection.unreadSince = now;
-  else connection.unreadSince ??= now;
-  return unwritten;
-}
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -78,7 +78,7 @@
       handleCall: call => this.accept(call),
       handleConnection: socket => this.openRequests.addConnection(socket),
       handleReadEnd: socket => this.openRequests.closeConnection(socket),
-      countFurther: () => this.openRequests.countPassedOn(),
+      countFurtherSockets: () => this.openRequests.countPassedOn(),
     });
   }
 
