refactor(connections): one listener for the end of a request, and nothing copied a turn

- Two listeners waited for the same end of an answer: one does both now.
- ReadTurns copied all waiting connections each turn to read 16 of them; nothing is added while it runs, since reading goes on in a later tick.
- Two constants said when callers come back for want of memory.

--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -301,8 +301,10 @@
     connection.lastRequestAt = this.parts.getNow();
     connection.responses.add(response);
     if (connection.responses.size > 1) this.requestsAhead += 1;
-    response.once('close', () => this.removeResponse(connection, response));
-    if (hasMemory) this.releaseLater(connection, call, bytes);
+    response.once('close', () => {
+      this.removeResponse(connection, response);
+      if (hasMemory) this.releaseWhole(connection, message, bytes);
+    });
     this.handler.handleCall({...call, hasMemory});
     if (hasMemory) return;
     this.record(Bound.RequestMemory, undefined);
@@ -311,20 +313,18 @@
     message.headers = {};
   }
 
-  /** Gives back the bytes of a request once its answer and its body have ended. */
-  private releaseLater(
+  /** Gives back the bytes of an answered request once its body has ended too. */
+  private releaseWhole(
     connection: ClientConnection,
-    {message, response}: Pick<ServerCall, 'message' | 'response'>,
+    message: http.IncomingMessage,
     bytes: number,
   ): void {
     const release = () => {
       if (!this.connections.has(connection.socket)) return;
       this.setRequestBytes(connection, connection.requestBytes - bytes);
     };
-    response.once('close', () => {
-      if (message.complete) release();
-      else message.once('close', release);
-    });
+    if (message.complete) release();
+    else message.once('close', release);
   }
 
   private removeResponse(
--- a/packages/gateway/src/connections/read_turns.ts
+++ b/packages/gateway/src/connections/read_turns.ts
@@ -42,7 +42,7 @@
     this.isScheduled = false;
     this.left = requestsPerTurn;
     let count = 0;
-    for (const readOn of [...this.waiting]) {
+    for (const readOn of this.waiting) {
       if (count === requestsPerTurn) break;
       count += 1;
       this.waiting.delete(readOn);
--- a/packages/gateway/src/directory/directory_server.ts
+++ b/packages/gateway/src/directory/directory_server.ts
@@ -26,6 +26,7 @@
 const maxHeadBytes = 16 * 1024;
 const headMilliseconds = 5000;
 const idleMilliseconds = 5000;
+
 /**
  * Serves the directory of caller addresses, the readiness check and metrics.
  */
--- a/packages/gateway/src/requests/check_head.ts
+++ b/packages/gateway/src/requests/check_head.ts
@@ -5,10 +5,7 @@
 import {findHeaderFault} from './find_head_fault.js';
 import type {BodyFailure} from './read_body.js';
 
-/** When callers whose bodies have no room are to come back. */
-const bodyRetryMilliseconds = 500;
-
-/** When callers whose requests have no memory are to come back. */
+/** When callers whose requests or bodies have no memory are to come back. */
 const memoryRetryMilliseconds = 500;
 
 /** Checks whether a request can be taken at all. */
@@ -57,7 +54,7 @@
 /** Gives the answer to a request whose body was not taken; it has not run. */
 export function describeBodyFailure(reason: BodyFailure): LocalAnswer {
   if (reason === FailureReason.BodiesTooMany) {
-    const retryAfterMilliseconds = bodyRetryMilliseconds;
+    const retryAfterMilliseconds = memoryRetryMilliseconds;
     return {status: 503, reason, retryAfterMilliseconds};
   }
   const status = reason === FailureReason.BodyTooLarge ? 413 : 408;
