--- /dev/null
+++ b/packages/decisions/src/connections/index.ts
@@ -0,0 +1,4 @@
+/** Which connections and requests of callers a VM takes at once. */
+export * from './client_memory.js';
+export * from './connection_limits.js';
+export * from './decide_reading.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export * from './configuration/state_requests.js';
 export * from './configuration/transfer.js';
 export * from './answers/index.js';
+export * from './connections/index.js';
 export * from './actions/commands.js';
 export * from './actions/decide.js';
 export * from './actions/errors.js';
--- a/packages/decisions/src/intake/decide_intake.ts
+++ b/packages/decisions/src/intake/decide_intake.ts
@@ -73,17 +73,41 @@
   const {kind, itemBytes, otherBytes} = request;
   const excess = checkItem(kind, itemBytes);
   if (excess !== undefined) return excess;
-  const vmLimit = limits[kindLimits[kind].source];
+  const limit = findExceeded({
+    maxBytes: limits[kindLimits[kind].source],
+    itemBytes,
+    otherBytes,
+    countPlaces: request.countPlaces,
+  });
+  if (limit === undefined) return undefined;
   const amount = itemBytes + otherBytes;
-  const openLimit = Math.floor(vmLimit * openShare);
+  return {kind, scope: IntakeScope.Vm, amount, limit};
+}
+
+/** An item that grows, and the memory that it shares with others. */
+export interface SharedMemory {
+  readonly maxBytes: number;
+  readonly itemBytes: number;
+  /** Bytes of all other items. */
+  readonly otherBytes: number;
+  /** The most items that there may be at once. */
+  readonly countPlaces: () => number;
+}
+
+/** Finds the limit that an item with a share of some memory exceeds, if any. */
+export function findExceeded({
+  maxBytes,
+  itemBytes,
+  otherBytes,
+  countPlaces,
+}: SharedMemory): number | undefined {
+  const amount = itemBytes + otherBytes;
+  const openLimit = Math.floor(maxBytes * openShare);
   if (amount <= openLimit) return undefined;
-  const makeExcess = (limit: number): IntakeExcess => {
-    return {kind, scope: IntakeScope.Vm, amount, limit};
-  };
-  if (amount > vmLimit) return makeExcess(vmLimit);
-  const places = Math.max(1, request.countPlaces());
-  const placeBytes = Math.floor((vmLimit - openLimit) / places);
-  return itemBytes <= placeBytes ? undefined : makeExcess(openLimit);
+  if (amount > maxBytes) return maxBytes;
+  const places = Math.max(1, countPlaces());
+  const placeBytes = Math.floor((maxBytes - openLimit) / places);
+  return itemBytes <= placeBytes ? undefined : openLimit;
 }
 
 /** Decides whether one item alone is within the limit of its kind. */
--- /dev/null
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -0,0 +1,262 @@
+import http from 'node:http';
+import net, {type Socket} from 'node:net';
+import {
+  decideReading,
+  ReadingStep,
+  type Listener,
+  type ListenerLimits,
+} from '@zinniaspindle/decisions';
+import {GatewayEvent, type Address} from '@zinniaspindle/shared';
+import {Counter, type Metrics} from '../log/metrics.js';
+import type {RefusalLog} from '../log/refusal_log.js';
+import {openServer} from '../open_server.js';
+import {
+  ConnectionReader,
+  ReadFault,
+  type ReaderBounds,
+} from './connection_reader.js';
+import type {ReadTurns} from './read_turns.js';
+import type {SharedBytes} from './shared_bytes.js';
+
+/** Limit of the HTTP parser, for heads of any configuration. */
+const maxHeaderBytes = 64 * 1024;
+const connectionsCheckMilliseconds = 1000;
+/** Until the listener sets times of its own. */
+const defaultHeadMilliseconds = 60_000;
+const defaultIdleMilliseconds = 5000;
+
+/** The status lines for what cannot be read, by the code of its error. */
+const faultStatuses: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  [ReadFault.HeadTooLarge]: '431 Request Header Fields Too Large',
+  [ReadFault.NoMemory]: '503 Service Unavailable',
+};
+
+/** A bound of a listener, as the log names it. */
+enum Bound {
+  RequestsAhead = 'requests sent ahead wait',
+}
+
+/** What all listeners of a VM share. */
+export interface ServerParts {
+  /** What was sent ahead. */
+  readonly ahead: SharedBytes;
+  readonly turns: ReadTurns;
+  readonly metrics: Metrics;
+  readonly refusals: RefusalLog;
+}
+
+/** A request whose head has come. */
+export interface ServerCall {
+  readonly message: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  /** Whether it states an expectation that is not known. */
+  readonly expectsUnknown: boolean;
+  /** Tells a caller that waits for it to send the body. */
+  readonly askBody: () => void;
+}
+
+/** What a listener does with connections and requests. */
+export interface ServerHandler {
+  readonly handleCall: (call: ServerCall) => void;
+  readonly handleConnection?: (socket: Socket) => void;
+  /**
+   * Called when nothing more is read of a connection; returns whether it ends with
+   * an answer that is under way.
+   */
+  readonly handleReadEnd?: (socket: Socket) => boolean;
+}
+
+/** Builds the server of a listener. */
+export type BuildServer = (
+  listener: Listener,
+  handler: ServerHandler,
+) => BoundedServer;
+
+/** A connection of a client. */
+interface Connection {
+  readonly socket: Socket;
+  readonly reader: ConnectionReader;
+  aheadBytes: number;
+  /** Answers that are not written out. */
+  readonly responses: Set<http.ServerResponse>;
+}
+
+/**
+ * An HTTP server that bounds what its connections send ahead.
+ */
+export class BoundedServer {
+  private readonly server: http.Server;
+  private readonly connections = new Map<Socket, Connection>();
+  /** Requests behind others of their connections. */
+  private requestsAhead = 0;
+  private bounds: ReaderBounds = {
+    maxHeadBytes: maxHeaderBytes,
+    maxLeftBytes: maxHeaderBytes,
+  };
+
+  constructor(
+    private readonly listener: Listener,
+    private readonly limits: ListenerLimits,
+    private readonly parts: ServerParts,
+    private readonly handler: ServerHandler,
+  ) {
+    this.server = http.createServer({
+      maxHeaderSize: maxHeaderBytes,
+      requestTimeout: 0,
+      connectionsCheckingInterval: connectionsCheckMilliseconds,
+      noDelay: true,
+      // The library would answer without counting the request as open.
+      requireHostHeader: false,
+    });
+    this.setTimeouts(defaultHeadMilliseconds, defaultIdleMilliseconds);
+    const accept = (
+      message: http.IncomingMessage,
+      response: http.ServerResponse,
+      expectsUnknown: boolean,
+      askBody = () => {},
+    ) => this.accept({message, response, expectsUnknown, askBody});
+    this.server.on('request', (message, response) => {
+      accept(message, response, false);
+    });
+    this.server.on('checkContinue', (message, response) => {
+      accept(message, response, false, () => response.writeContinue());
+    });
+    this.server.on('checkExpectation', (message, response) => {
+      accept(message, response, true);
+    });
+    this.server.on('connection', (socket: Socket) => this.addSocket(socket));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      this.connections.get(socket as Socket)?.reader.dropRest();
+      this.closeFaulty(socket as Socket, error.code ?? '');
+    });
+  }
+
+  /** Starts listening. */
+  open(address: Address): Promise<void> {
+    return openServer(this.server, address);
+  }
+
+  /** Bounds the heads and bodies that arrive from now on. */
+  setBounds(bounds: ReaderBounds): void {
+    this.bounds = bounds;
+  }
+
+  /** Sets how long a head may take, and a connection may be idle. */
+  setTimeouts(headMilliseconds: number, idleMilliseconds: number): void {
+    this.server.headersTimeout = headMilliseconds;
+    this.server.keepAliveTimeout = idleMilliseconds;
+  }
+
+  /** Drops what comes on a connection from now on. */
+  dropRest(socket: Socket): void {
+    this.connections.get(socket)?.reader.dropRest();
+  }
+
+  /** Stops listening; connections stay open. */
+  closeListener(): void {
+    // The HTTP server would also destroy connections whose answer is not written.
+    net.Server.prototype.close.call(this.server);
+  }
+
+  /**
+   * Closes the listener and all connections. The library closes connections
+   * whose answer has been ended as idle ones, written out or not.
+   */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private addSocket(socket: Socket): void {
+    const connection: Connection = {
+      socket,
+      reader: new ConnectionReader(socket, {
+        getBounds: () => this.bounds,
+        canTake: () => this.canTake(connection),
+        setHeld: bytes => this.setAheadBytes(connection, bytes),
+        handleFault: fault => this.closeFaulty(socket, fault),
+      }),
+      aheadBytes: 0,
+      responses: new Set(),
+    };
+    this.connections.set(socket, connection);
+    socket.once('close', () => this.removeSocket(connection));
+    this.handler.handleConnection?.(socket);
+  }
+
+  private removeSocket(connection: Connection): void {
+    if (!this.connections.delete(connection.socket)) return;
+    this.parts.turns.remove(connection.reader.readOn);
+    this.requestsAhead -= Math.max(0, connection.responses.size - 1);
+    this.setAheadBytes(connection, 0);
+  }
+
+  private canTake(connection: Connection): boolean {
+    const {turns} = this.parts;
+    const {responses, reader} = connection;
+    const step = decideReading({
+      openRequests: responses.size,
+      requestsAhead: this.requestsAhead,
+      maxRequestsAhead: this.limits.requestsAhead,
+      takeTurn: () => turns.take(),
+    });
+    if (step === ReadingStep.Wait) {
+      this.record(Bound.RequestsAhead, Counter.CallersPaused);
+    }
+    if (step === ReadingStep.NextTurn) turns.add(reader.readOn);
+    return step === ReadingStep.Take;
+  }
+
+  private accept(call: ServerCall): void {
+    const {message, response} = call;
+    const connection = this.connections.get(message.socket);
+    if (connection === undefined) return;
+    connection.reader.startMessage(message, response);
+    connection.responses.add(response);
+    if (connection.responses.size > 1) this.requestsAhead += 1;
+    response.once('close', () => this.removeResponse(connection, response));
+    this.handler.handleCall(call);
+  }
+
+  private removeResponse(
+    connection: Connection,
+    response: http.ServerResponse,
+  ): void {
+    if (!this.connections.has(connection.socket)) return;
+    connection.responses.delete(response);
+    if (connection.responses.size > 0) this.requestsAhead -= 1;
+    const {reader} = connection;
+    if (reader.isHolding()) this.parts.turns.add(reader.readOn);
+  }
+
+  private setAheadBytes(connection: Connection, bytes: number): boolean {
+    const isSet = this.parts.ahead.set(connection.aheadBytes, bytes);
+    if (isSet) connection.aheadBytes = bytes;
+    return isSet;
+  }
+
+  /** Ends a connection of which nothing more is read. */
+  private closeFaulty(socket: Socket, code: string): void {
+    // Bytes written now would become part of the answer that is under way.
+    if (this.handler.handleReadEnd?.(socket) === true) return;
+    const isAnswered = code === ReadFault.BodyTooLarge;
+    if (isAnswered || !socket.writable || code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    const status = faultStatuses[code] ?? '400 Bad Request';
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+  }
+
+  private record(bound: Bound, counter: Counter): void {
+    const {metrics, refusals} = this.parts;
+    metrics.count(counter);
+    refusals.record(GatewayEvent.BoundReached, this.listener, bound, {
+      listener: this.listener,
+      connections: this.connections.size,
+      requestsAhead: this.requestsAhead,
+    });
+  }
+}
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -11,6 +11,7 @@
   Abandoned = 'requests_abandoned_total',
   CutOff = 'requests_cut_off_total',
   Unwritten = 'answers_unwritten_total',
+  CallersPaused = 'callers_paused_total',
   Retries = 'requests_retried_total',
   Resumed = 'streams_resumed_total',
   Stalls = 'paths_stalled_total',
@@ -69,6 +70,8 @@
   [Counter.CutOff]: 'Requests in flight when the process exited.',
   [Counter.Unwritten]:
     'Complete answers whose connection closed before they were written out.',
+  [Counter.CallersPaused]:
+    'Times that requests sent ahead on a connection of a client had to wait.',
   [Counter.Retries]: 'Retries of requests before the start of their answer.',
   [Counter.Resumed]: 'Streams resumed on another path after their last event.',
   [Counter.Stalls]: 'Checks of the endpoints of a silent path.',
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -1,11 +1,10 @@
-import http from 'node:http';
-import net, {type Socket} from 'node:net';
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
   AnswerSize,
   computeStopRetryDelay,
   findTakeGrounds,
   IntakeSource,
+  Listener,
   type StopPlan,
 } from '@zinniaspindle/decisions';
 import {
@@ -14,6 +13,7 @@
   type Deadline,
   type Instant,
 } from '@zinniaspindle/shared';
+import type {BoundedServer, ServerCall} from '../connections/bounded_server.js';
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
@@ -21,9 +21,7 @@
   type Configuration,
   type Route,
 } from '../ports/index.js';
-import {openServer} from '../open_server.js';
-import {answerParserError} from './answer_parser_error.js';
-import {checkHead, describeBodyFailure} from './check_head.js';
+import {checkHead, checkStart, describeBodyFailure} from './check_head.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {
   ClosedBy,
@@ -40,10 +38,8 @@
 import {getDurationLatency} from './send_answer.js';
 import {StreamRequestHandler} from './stream_request_handler.js';
 
-/**
- * Limit of the HTTP parser; the operator's limit is checked for each request.
- */
-const maxHeaderBytes = 64 * 1024;
+/** The longest request line, in bytes, beside the headers that are allowed. */
+const maxLineBytes = 8 * 1024;
 const startupRetryMilliseconds = 500;
 /** Time to read the requests that have arrived when connections are closed. */
 const readMilliseconds = 50;
@@ -58,46 +54,36 @@
  * The HTTP server for callers: finds the route, checks the key, reads the body.
  */
 export class CallerServer {
-  private readonly server: http.Server;
+  private readonly server: BoundedServer;
   private routes: RouteIndex | undefined;
   private readonly openRequests = new OpenRequests();
   private isClosing = false;
 
   constructor(private readonly context: ServerContext) {
-    this.server = http.createServer(
-      {
-        maxHeaderSize: maxHeaderBytes,
-        requestTimeout: 0,
-        connectionsCheckingInterval: 1000,
-        noDelay: true,
-      },
-      (request, response) => this.accept(request, response),
-    );
-    this.server.on('checkContinue', (request, response) => {
-      this.accept(request, response, () => response.writeContinue());
-    });
-    this.server.on('connection', (socket: Socket) => {
-      this.openRequests.addConnection(socket);
-    });
-    this.server.on('clientError', (error, socket) => {
-      // Bytes written now would become part of the answer that is under way.
-      if (this.openRequests.closeConnection(socket as Socket)) return;
-      answerParserError(error, socket as Socket);
+    this.server = context.buildServer(Listener.Callers, {
+      handleCall: call => this.accept(call),
+      handleConnection: socket => this.openRequests.addConnection(socket),
+      handleReadEnd: socket => this.openRequests.closeConnection(socket),
     });
   }
 
   /** Starts listening. */
   open(address: Address): Promise<void> {
-    return openServer(this.server, address);
+    return this.server.open(address);
   }
 
   /** Applies a configuration to the requests that arrive from now on. */
   applyConfiguration(configuration: Configuration): void {
     this.routes = new RouteIndex(configuration);
-    const {headerTimeoutMilliseconds, idleTimeoutMilliseconds} =
-      configuration.limits;
-    this.server.headersTimeout = headerTimeoutMilliseconds;
-    this.server.keepAliveTimeout = idleTimeoutMilliseconds;
+    const {limits} = configuration;
+    this.server.setTimeouts(
+      limits.headerTimeoutMilliseconds,
+      limits.idleTimeoutMilliseconds,
+    );
+    this.server.setBounds({
+      maxHeadBytes: limits.maxHeaderBytes + maxLineBytes,
+      maxLeftBytes: limits.maxBodyBytes,
+    });
   }
 
   /** Counts the requests in flight. */
@@ -114,8 +100,7 @@
   async closeListener(): Promise<void> {
     this.isClosing = true;
     await waitMilliseconds(readMilliseconds);
-    // The HTTP server would also destroy connections whose answer is not written.
-    net.Server.prototype.close.call(this.server);
+    this.server.closeListener();
   }
 
   /** Ends each connection that has no open request, after it was read once more. */
@@ -153,30 +138,20 @@
     }
   }
 
-  /**
-   * Closes the listener and all connections. The library closes connections
-   * whose answer has been ended as idle ones, written out or not, so this must
-   * wait until no request is in flight.
-   */
+  /** Closes the listener and all connections; no request may be in flight. */
   close(): void {
     this.server.close();
-    this.server.closeAllConnections();
   }
 
-  private accept(
-    message: http.IncomingMessage,
-    response: http.ServerResponse,
-    askBody = () => {},
-  ): void {
+  private accept(call: ServerCall): void {
+    const {response} = call;
     const open = this.openRequests.add(response, this.context.getNow());
-    if (open !== undefined) void this.handle(message, open, askBody);
+    if (open !== undefined) void this.handle(call, open);
+    else this.server.dropRest(response.req.socket);
   }
 
-  private async handle(
-    message: http.IncomingMessage,
-    open: OpenRequest,
-    askBody: () => void,
-  ): Promise<void> {
+  private async handle(call: ServerCall, open: OpenRequest): Promise<void> {
+    const {message, askBody} = call;
     const {response, receivedAt} = open;
     this.context.metrics.count(Counter.Requests);
     const request = this.context.codec.decodeRequest(message);
@@ -186,6 +161,8 @@
       this.refuse(request, open, answer);
     };
     response.on('error', () => undefined); // A close event follows.
+    const startFailure = checkStart(call);
+    if (startFailure !== undefined) return refuse(startFailure);
     const found = this.findService(request);
     if ('status' in found) return refuse(found);
     const {limits} = found.configuration;
--- a/packages/gateway/src/requests/check_head.ts
+++ b/packages/gateway/src/requests/check_head.ts
@@ -1,4 +1,5 @@
 import type http from 'node:http';
+import type {ServerCall} from '../connections/bounded_server.js';
 import type {CallerLimits} from '../ports/index.js';
 import {FailureReason, type LocalAnswer} from './failure.js';
 import {findHeaderFault} from './find_head_fault.js';
@@ -7,6 +8,21 @@
 /** When callers whose bodies have no room are to come back. */
 const bodyRetryMilliseconds = 500;
 
+/** Checks whether a request can be taken at all. */
+export function checkStart({
+  message,
+  expectsUnknown,
+}: ServerCall): LocalAnswer | undefined {
+  if (expectsUnknown) {
+    return {status: 417, reason: FailureReason.UnknownExpectation};
+  }
+  const needsHost = message.httpVersion !== '1.0';
+  if (needsHost && message.headers.host === undefined) {
+    return {status: 400, reason: FailureReason.BadHeaders};
+  }
+  return undefined;
+}
+
 /** Checks the headers of a request, and the sizes that its head states. */
 export function checkHead(
   message: http.IncomingMessage,
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -58,6 +58,7 @@
 /** Requests from the receipt of their headers until their answer is written out. */
 export class OpenRequests {
   private readonly connections = new Map<Socket, CallerConnection>();
+  private openCount = 0;
   private isClosing = false;
 
   /** Adds a connection, which has no request yet. */
@@ -98,6 +99,7 @@
       handleCut: () => undefined,
     };
     connection.requests.push(request);
+    this.openCount += 1;
     let isWritten = false;
     // The library reports an answer as finished once it has been ended, so the
     // state of the connection decides whether it is written out.
@@ -173,7 +175,7 @@
 
   /** Counts the open requests. */
   count(): number {
-    return this.list().length;
+    return this.openCount;
   }
 
   /** Lists the open requests. */
@@ -215,6 +217,7 @@
     const at = requests.indexOf(request);
     if (at !== -1) {
       requests.splice(at, 1);
+      this.openCount -= 1;
       request.releaseBody();
       request.handleTurn();
       for (const later of requests) {
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -53,6 +53,7 @@
 import {AnswersByRoute} from '../requests/answers_by_route.js';
 import {buildLimits} from './build_limits.js';
 import {buildLinks} from './build_links.js';
+import {buildServers} from './build_servers.js';
 import {describeOwn} from './describe_own.js';
 import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
@@ -351,7 +352,9 @@
   const intake = new Intake(deriveIntakeLimits(memoryMegabytes), () =>
     countPlaces(endpoints.list()),
   );
+  const buildServer = buildServers({settings, log, getNow}, metrics);
   const callers = new CallerServer({
+    buildServer,
     codec: ports.exchange,
     endpoints,
     ends,
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -74,6 +74,7 @@
   RequestStays = 7511,
   RequestMoves = 7512,
   AnswerUnframed = 7513,
+  BoundReached = 7520,
 }
 
 /** The text of each event; {name} stands for the value of a field. */
@@ -206,6 +207,8 @@
     'request {request} stays at {path}, {silentMs} ms after its last progress: {denial}',
   [GatewayEvent.RequestMoves]:
     'request {request} is sent to {next} as well as {path}, {silentMs} ms after its last progress: {reason}',
+  [GatewayEvent.BoundReached]:
+    'the listener for {listener} reached a bound, {count} times since its last line: {reason}; {connections} connections, {requestsAhead} requests ahead',
   [GatewayEvent.AnswerUnframed]:
     'answer of endpoint {endpoint} to request {request}, without a length, ended with its connection {silentMs} ms after its last bytes: {verdict}',
 };
