--- /dev/null
+++ b/packages/decisions/__tests__/connections.test.ts
@@ -0,0 +1,97 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+  chooseUnread,
+  decideReading,
+  deriveClientMemory,
+  deriveListenerLimits,
+  Listener,
+  maxOpenRequests,
+  ReadingStep,
+  type ReadingState,
+} from '../src/index.js';
+
+const megabyte = 1024 * 1024;
+
+/** VMs of the deployments: descriptors and memory. */
+const vms = [
+  [2118, 272],
+  [2069, 202],
+  [10_022, 602],
+  [400, 160],
+] as const;
+
+test('listeners leave descriptors for peers and the store', () => {
+  for (const [maxDescriptors, memory] of vms) {
+    let connections = 0;
+    for (const listener of Object.values(Listener)) {
+      const limits = deriveListenerLimits(listener, maxDescriptors, memory);
+      connections += limits.connections;
+    }
+    const sockets = maxDescriptors - 200;
+    assert.ok(connections < sockets * 0.9, `${connections} of ${sockets}`);
+  }
+});
+
+test('a VM without descriptors still takes a few connections', () => {
+  const {connections, requestsAhead} = deriveListenerLimits(
+    ...([Listener.Callers, 0, 272] as const),
+  );
+  assert.ok(connections > 0 && requestsAhead > 0);
+});
+
+test('what clients send leaves memory for what endpoints and the store send', () => {
+  for (const [, memory] of vms) {
+    const {requestBytes, aheadBytes, unreadBytes} = deriveClientMemory(memory);
+    const bytes = requestBytes + aheadBytes + unreadBytes;
+    assert.ok(bytes < (memory * megabyte) / 3, `${bytes} bytes`);
+  }
+});
+
+test('open requests take less than half of the heap', () => {
+  const {requestBytes} = deriveClientMemory(602, 96);
+  assert.ok(requestBytes < 48 * megabyte);
+});
+
+const state: ReadingState = {
+  openRequests: 1,
+  requestsAhead: 0,
+  maxRequestsAhead: 10,
+  hasMemory: () => true,
+  takeTurn: () => true,
+};
+
+test('a request ahead is read while there is room for it', () => {
+  assert.equal(decideReading(state), ReadingStep.Take);
+  const openRequests = maxOpenRequests;
+  assert.equal(decideReading({...state, openRequests}), ReadingStep.Wait);
+  const full = {...state, requestsAhead: 10};
+  assert.equal(decideReading(full), ReadingStep.Wait);
+  const poor = {...state, hasMemory: () => false};
+  assert.equal(decideReading(poor), ReadingStep.Wait);
+  const late = {...state, takeTurn: () => false};
+  assert.equal(decideReading(late), ReadingStep.NextTurn);
+});
+
+test('the first request of a connection is always read', () => {
+  const worst = {
+    ...{openRequests: 0, requestsAhead: 10, maxRequestsAhead: 10},
+    hasMemory: () => false,
+    takeTurn: () => false,
+  };
+  assert.equal(decideReading(worst), ReadingStep.Take);
+});
+
+test('unread answers within their bound are kept', () => {
+  const one = {unwrittenBytes: 50, unreadSince: 0};
+  assert.deepEqual(chooseUnread([one, one], 100), []);
+});
+
+test('the callers that have taken nothing for longest are closed', () => {
+  const make = (unreadSince: number) => ({unwrittenBytes: 50, unreadSince});
+  const chosen = chooseUnread([make(3), make(1), make(2)], 60);
+  assert.deepEqual(
+    chosen.map(one => one.unreadSince),
+    [1, 2],
+  );
+});
--- a/packages/decisions/src/connections/decide_reading.ts
+++ b/packages/decisions/src/connections/decide_reading.ts
@@ -18,21 +18,26 @@
   /** Requests behind others of their connections, on all connections. */
   readonly requestsAhead: number;
   readonly maxRequestsAhead: number;
+  /** Whether there is memory for a further request of the connection. */
+  readonly hasMemory: () => boolean;
   /** Takes one of the requests ahead that a turn of the loop may read. */
   readonly takeTurn: () => boolean;
 }
 
 /**
- * Decides when the next request of a connection is read. The first one always is.
+ * Decides when the next request of a connection is read. The first one always is:
+ * where there is no room for it, it is refused.
  */
 export function decideReading({
   openRequests,
   requestsAhead,
   maxRequestsAhead,
+  hasMemory,
   takeTurn,
 }: ReadingState): ReadingStep {
   if (openRequests === 0) return ReadingStep.Take;
   if (openRequests >= maxOpenRequests) return ReadingStep.Wait;
   if (requestsAhead >= maxRequestsAhead) return ReadingStep.Wait;
+  if (!hasMemory()) return ReadingStep.Wait;
   return takeTurn() ? ReadingStep.Take : ReadingStep.NextTurn;
 }
--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -1,12 +1,14 @@
 import http from 'node:http';
 import net, {type Socket} from 'node:net';
 import {
+  chooseUnread,
   decideReading,
   ReadingStep,
   type Listener,
   type ListenerLimits,
+  type UnreadConnection,
 } from '@zinniaspindle/decisions';
-import {GatewayEvent, type Address} from '@zinniaspindle/shared';
+import {GatewayEvent, type Address, type Instant} from '@zinniaspindle/shared';
 import {Counter, type Metrics} from '../log/metrics.js';
 import type {RefusalLog} from '../log/refusal_log.js';
 import {openServer} from '../open_server.js';
@@ -16,6 +18,7 @@
   type ReaderBounds,
 } from './connection_reader.js';
 import type {ReadTurns} from './read_turns.js';
+import {computeRequestBytes, minRequestBytes} from './request_bytes.js';
 import type {SharedBytes} from './shared_bytes.js';
 
 /** Limit of the HTTP parser, for heads of any configuration. */
@@ -36,21 +39,29 @@
 /** A bound of a listener, as the log names it. */
 enum Bound {
   RequestsAhead = 'requests sent ahead wait',
+  RequestMemory = 'a request is refused for the memory of open requests',
+  Unread = 'a connection is closed whose answers are not read',
 }
 
 /** What all listeners of a VM share. */
 export interface ServerParts {
+  readonly requests: SharedBytes;
   /** What was sent ahead. */
   readonly ahead: SharedBytes;
+  /** Bytes that the answers of one listener may have unread. */
+  readonly unreadBytes: number;
   readonly turns: ReadTurns;
   readonly metrics: Metrics;
   readonly refusals: RefusalLog;
+  readonly getNow: () => Instant;
 }
 
 /** A request whose head has come. */
 export interface ServerCall {
   readonly message: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  /** Whether there is memory for it; else it must be refused at once. */
+  readonly hasMemory: boolean;
   /** Whether it states an expectation that is not known. */
   readonly expectsUnknown: boolean;
   /** Tells a caller that waits for it to send the body. */
@@ -78,13 +89,22 @@
 interface Connection {
   readonly socket: Socket;
   readonly reader: ConnectionReader;
+  requestBytes: number;
   aheadBytes: number;
   /** Answers that are not written out. */
   readonly responses: Set<http.ServerResponse>;
+  /** Since when its caller has taken nothing of an answer; undefined for none. */
+  unreadSince: Instant | undefined;
+  /** What the kernel had taken of its answers at the last check. */
+  takenBytes: number;
 }
 
+/** A connection whose caller has not taken all that was written. */
+type UnreadUse = UnreadConnection & {readonly connection: Connection};
+
 /**
- * An HTTP server that bounds what its connections send ahead.
+ * An HTTP server that bounds what its connections send ahead, and the memory of all
+ * open requests.
  */
 export class BoundedServer {
   private readonly server: http.Server;
@@ -154,6 +174,21 @@
     this.connections.get(socket)?.reader.dropRest();
   }
 
+  /** Closes connections whose answers are not read, where these exceed a bound. */
+  closeUnread(): void {
+    const now = this.parts.getNow();
+    const unread: UnreadUse[] = [];
+    for (const connection of this.connections.values()) {
+      const unwrittenBytes = updateUnread(connection, now);
+      const {unreadSince} = connection;
+      if (unreadSince === undefined) continue;
+      unread.push({connection, unwrittenBytes, unreadSince});
+    }
+    for (const {connection} of chooseUnread(unread, this.parts.unreadBytes)) {
+      this.closeConnection(connection, Bound.Unread);
+    }
+  }
+
   /** Stops listening; connections stay open. */
   closeListener(): void {
     // The HTTP server would also destroy connections whose answer is not written.
@@ -178,8 +213,11 @@
         setHeld: bytes => this.setAheadBytes(connection, bytes),
         handleFault: fault => this.closeFaulty(socket, fault),
       }),
+      requestBytes: 0,
       aheadBytes: 0,
       responses: new Set(),
+      unreadSince: undefined,
+      takenBytes: 0,
     };
     this.connections.set(socket, connection);
     socket.once('close', () => this.removeSocket(connection));
@@ -190,16 +228,25 @@
     if (!this.connections.delete(connection.socket)) return;
     this.parts.turns.remove(connection.reader.readOn);
     this.requestsAhead -= Math.max(0, connection.responses.size - 1);
+    this.setRequestBytes(connection, 0);
     this.setAheadBytes(connection, 0);
   }
 
+  private closeConnection(connection: Connection, bound: Bound): void {
+    this.record(bound, Counter.CallersClosed);
+    connection.socket.destroy();
+    this.removeSocket(connection);
+  }
+
   private canTake(connection: Connection): boolean {
-    const {turns} = this.parts;
-    const {responses, reader} = connection;
+    const {turns, requests} = this.parts;
+    const {responses, requestBytes, reader} = connection;
     const step = decideReading({
       openRequests: responses.size,
       requestsAhead: this.requestsAhead,
       maxRequestsAhead: this.limits.requestsAhead,
+      hasMemory: () =>
+        requests.canSet(requestBytes, requestBytes + minRequestBytes),
       takeTurn: () => turns.take(),
     });
     if (step === ReadingStep.Wait) {
@@ -209,15 +256,42 @@
     return step === ReadingStep.Take;
   }
 
-  private accept(call: ServerCall): void {
+  private accept(call: Omit<ServerCall, 'hasMemory'>): void {
     const {message, response} = call;
     const connection = this.connections.get(message.socket);
     if (connection === undefined) return;
     connection.reader.startMessage(message, response);
+    const bytes = computeRequestBytes(message);
+    const hasMemory = this.setRequestBytes(
+      connection,
+      connection.requestBytes + bytes,
+    );
     connection.responses.add(response);
     if (connection.responses.size > 1) this.requestsAhead += 1;
     response.once('close', () => this.removeResponse(connection, response));
-    this.handler.handleCall(call);
+    if (hasMemory) this.releaseLater(connection, call, bytes);
+    this.handler.handleCall({...call, hasMemory});
+    if (hasMemory) return;
+    this.record(Bound.RequestMemory, undefined);
+    // The parser keeps the message until its connection is closed.
+    message.rawHeaders = [];
+    message.headers = {};
+  }
+
+  /** Gives back the bytes of a request once its answer and its body have ended. */
+  private releaseLater(
+    connection: Connection,
+    {message, response}: Pick<ServerCall, 'message' | 'response'>,
+    bytes: number,
+  ): void {
+    const release = () => {
+      if (!this.connections.has(connection.socket)) return;
+      this.setRequestBytes(connection, connection.requestBytes - bytes);
+    };
+    response.once('close', () => {
+      if (message.complete) release();
+      else message.once('close', release);
+    });
   }
 
   private removeResponse(
@@ -231,6 +305,12 @@
     if (reader.isHolding()) this.parts.turns.add(reader.readOn);
   }
 
+  private setRequestBytes(connection: Connection, bytes: number): boolean {
+    const isSet = this.parts.requests.set(connection.requestBytes, bytes);
+    if (isSet) connection.requestBytes = bytes;
+    return isSet;
+  }
+
   private setAheadBytes(connection: Connection, bytes: number): boolean {
     const isSet = this.parts.ahead.set(connection.aheadBytes, bytes);
     if (isSet) connection.aheadBytes = bytes;
@@ -250,9 +330,9 @@
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
   }
 
-  private record(bound: Bound, counter: Counter): void {
+  private record(bound: Bound, counter: Counter | undefined): void {
     const {metrics, refusals} = this.parts;
-    metrics.count(counter);
+    if (counter !== undefined) metrics.count(counter);
     refusals.record(GatewayEvent.BoundReached, this.listener, bound, {
       listener: this.listener,
       connections: this.connections.size,
@@ -260,3 +340,23 @@
     });
   }
 }
+
+/**
+ * Updates since when the caller of a connection has taken nothing; returns the bytes
+ * that are not written.
+ */
+function updateUnread(connection: Connection, now: Instant): number {
+  const {socket, responses} = connection;
+  let unwritten = socket.writableLength;
+  for (const response of responses) {
+    // An answer that waits behind another one keeps its bytes itself.
+    if (response.socket === null) unwritten += response.writableLength;
+  }
+  const taken = socket.bytesWritten - socket.writableLength;
+  const hasTaken = taken !== connection.takenBytes;
+  connection.takenBytes = taken;
+  if (unwritten === 0) connection.unreadSince = undefined;
+  else if (hasTaken) connection.unreadSince = now;
+  else connection.unreadSince ??= now;
+  return unwritten;
+}
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -12,6 +12,7 @@
   CutOff = 'requests_cut_off_total',
   Unwritten = 'answers_unwritten_total',
   CallersPaused = 'callers_paused_total',
+  CallersClosed = 'callers_closed_total',
   Retries = 'requests_retried_total',
   Resumed = 'streams_resumed_total',
   Stalls = 'paths_stalled_total',
@@ -72,6 +73,8 @@
     'Complete answers whose connection closed before they were written out.',
   [Counter.CallersPaused]:
     'Times that requests sent ahead on a connection of a client had to wait.',
+  [Counter.CallersClosed]:
+    'Connections of clients that were closed to keep a bound of their listener.',
   [Counter.Retries]: 'Retries of requests before the start of their answer.',
   [Counter.Resumed]: 'Streams resumed on another path after their last event.',
   [Counter.Stalls]: 'Checks of the endpoints of a silent path.',
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -10,6 +10,8 @@
   readonly cores?: number | undefined;
   /** Memory of the VM, in MB; undefined for that of a usual VM. */
   readonly memoryMegabytes?: number | undefined;
+  /** Heap that the process may use, in MB; undefined where it is not bounded. */
+  readonly heapMegabytes?: number | undefined;
   readonly listen: {
     readonly callers: Address;
     readonly ready: Address;
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -86,6 +86,11 @@
     });
   }
 
+  /** Closes connections of callers that leave too much of their answers unread. */
+  closeUnread(): void {
+    this.server.closeUnread();
+  }
+
   /** Counts the requests in flight. */
   countInFlight(): number {
     return this.openRequests.count();
@@ -325,8 +330,12 @@
       'Content-Length',
       String(body.length),
     ];
-    const isLast =
-      context.findStopPlan() !== undefined || status === 413 || status === 408;
+    // What is left of the request would take memory until its end has come.
+    const hasRest =
+      status === 413 ||
+      status === 408 ||
+      reason === FailureReason.RequestsTooMany;
+    const isLast = context.findStopPlan() !== undefined || hasRest;
     if (isLast && this.openRequests.closeAfter(open)) {
       headers.push('Connection', 'close');
     }
--- a/packages/gateway/src/requests/check_head.ts
+++ b/packages/gateway/src/requests/check_head.ts
@@ -8,11 +8,22 @@
 /** When callers whose bodies have no room are to come back. */
 const bodyRetryMilliseconds = 500;
 
+/** When callers whose requests have no memory are to come back. */
+const memoryRetryMilliseconds = 500;
+
 /** Checks whether a request can be taken at all. */
 export function checkStart({
   message,
+  hasMemory,
   expectsUnknown,
 }: ServerCall): LocalAnswer | undefined {
+  if (!hasMemory) {
+    return {
+      status: 503,
+      reason: FailureReason.RequestsTooMany,
+      retryAfterMilliseconds: memoryRetryMilliseconds,
+    };
+  }
   if (expectsUnknown) {
     return {status: 417, reason: FailureReason.UnknownExpectation};
   }
--- a/packages/gateway/src/root/build_servers.ts
+++ b/packages/gateway/src/root/build_servers.ts
@@ -20,16 +20,19 @@
   {settings, log, getNow}: Pick<GatewayContext, 'settings' | 'log' | 'getNow'>,
   metrics: Metrics,
 ): BuildServer {
-  const {memoryMegabytes = defaultMemoryMegabytes} = settings;
+  const {memoryMegabytes = defaultMemoryMegabytes, heapMegabytes} = settings;
   const deriveLimits = (listener: Listener) =>
     deriveListenerLimits(listener, defaultMaxDescriptors, memoryMegabytes);
   const {connections} = deriveLimits(Listener.Callers);
-  const memory = deriveClientMemory(memoryMegabytes);
+  const memory = deriveClientMemory(memoryMegabytes, heapMegabytes);
   const parts = {
+    requests: new SharedBytes(memory.requestBytes, connections),
     ahead: new SharedBytes(memory.aheadBytes, connections),
+    unreadBytes: memory.unreadBytes,
     turns: new ReadTurns(),
     metrics,
     refusals: new RefusalLog(log.write, getNow),
+    getNow,
   };
   return (listener, handler) =>
     new BoundedServer(listener, deriveLimits(listener), parts, handler);
--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -54,6 +54,7 @@
 const quarantineMilliseconds = 100;
 /** Shorter than the margin to the time-outs of endpoints for idle connections. */
 const sweepMilliseconds = 100;
+const unreadMilliseconds = 250;
 
 /**
  * An entry VM: serves callers, follows the store and exchanges state with its
@@ -136,6 +137,7 @@
       orders.run(storeReplica.findConfiguration());
     });
     tasks.start('quarantine', quarantineMilliseconds, () => keeper.poll());
+    tasks.start('unread', unreadMilliseconds, () => callers.closeUnread());
     const {kept} = this.parts;
     if (kept !== undefined) {
       tasks.start('kept', sweepMilliseconds, () => kept.dropStale());
