--- a/packages/decisions/__tests__/connections.test.ts
+++ b/packages/decisions/__tests__/connections.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
+  chooseClosed,
   chooseUnread,
   decideReading,
   deriveClientMemory,
@@ -82,6 +83,39 @@
   assert.equal(decideReading(worst), ReadingStep.Take);
 });
 
+const now = 100_000;
+const busy = {
+  ...{name: 'busy', hasSentRequest: true, openRequests: 1, idleSince: 0},
+  unreadSince: undefined,
+};
+const silent = {
+  ...busy,
+  name: 'silent',
+  hasSentRequest: false,
+  openRequests: 0,
+};
+const idle = {...busy, name: 'idle', openRequests: 0};
+const unread = {...busy, name: 'unread', unreadSince: 0};
+
+test('connections are closed silent, then idle, then unread ones first', () => {
+  const all = [busy, unread, idle, silent];
+  assert.equal(chooseClosed(all, now)?.name, 'silent');
+  assert.equal(chooseClosed([busy, unread, idle], now)?.name, 'idle');
+  assert.equal(chooseClosed([busy, unread], now)?.name, 'unread');
+  assert.equal(chooseClosed([busy], now), undefined);
+});
+
+test('the connection that is idle longest is closed', () => {
+  const recent = {...idle, name: 'recent', idleSince: now - 1};
+  assert.equal(chooseClosed([recent, idle], now)?.name, 'idle');
+  assert.equal(chooseClosed([idle, recent], now)?.name, 'idle');
+});
+
+test('a caller that has just taken bytes is not closed', () => {
+  const reading = {...unread, unreadSince: now - 10};
+  assert.equal(chooseClosed([reading], now), undefined);
+});
+
 test('unread answers within their bound are kept', () => {
   const one = {unwrittenBytes: 50, unreadSince: 0};
   assert.deepEqual(chooseUnread([one, one], 100), []);
--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -1,9 +1,11 @@
 import http from 'node:http';
 import net, {type Socket} from 'node:net';
 import {
+  chooseClosed,
   chooseUnread,
   decideReading,
   ReadingStep,
+  type ConnectionUse,
   type Listener,
   type ListenerLimits,
   type UnreadConnection,
@@ -41,6 +43,8 @@
   RequestsAhead = 'requests sent ahead wait',
   RequestMemory = 'a request is refused for the memory of open requests',
   Unread = 'a connection is closed whose answers are not read',
+  Evicted = 'a connection is closed for another one',
+  Full = 'a new connection is closed',
 }
 
 /** What all listeners of a VM share. */
@@ -77,6 +81,8 @@
    * an answer that is under way.
    */
   readonly handleReadEnd?: (socket: Socket) => boolean;
+  /** Counts further sockets that count as connections of the listener. */
+  readonly countFurther?: () => number;
 }
 
 /** Builds the server of a listener. */
@@ -91,8 +97,10 @@
   readonly reader: ConnectionReader;
   requestBytes: number;
   aheadBytes: number;
+  hasSentRequest: boolean;
   /** Answers that are not written out. */
   readonly responses: Set<http.ServerResponse>;
+  idleSince: Instant;
   /** Since when its caller has taken nothing of an answer; undefined for none. */
   unreadSince: Instant | undefined;
   /** What the kernel had taken of its answers at the last check. */
@@ -103,8 +111,8 @@
 type UnreadUse = UnreadConnection & {readonly connection: Connection};
 
 /**
- * An HTTP server that bounds what its connections send ahead, and the memory of all
- * open requests.
+ * An HTTP server that bounds its connections, what each of them sends ahead, and
+ * the memory of all open requests.
  */
 export class BoundedServer {
   private readonly server: http.Server;
@@ -174,6 +182,19 @@
     this.connections.get(socket)?.reader.dropRest();
   }
 
+  /**
+   * Makes room for a socket beside the connections; returns false if there is none
+   * and no connection may be closed for it.
+   */
+  makeRoom(): boolean {
+    if (this.hasRoom()) return true;
+    const now = this.parts.getNow();
+    const chosen = chooseClosed(this.listUses(), now);
+    if (chosen === undefined) return false;
+    this.closeConnection(chosen.connection, Bound.Evicted);
+    return true;
+  }
+
   /** Closes connections whose answers are not read, where these exceed a bound. */
   closeUnread(): void {
     const now = this.parts.getNow();
@@ -205,6 +226,12 @@
   }
 
   private addSocket(socket: Socket): void {
+    if (!this.makeRoom()) {
+      this.record(Bound.Full, Counter.CallersTurnedAway);
+      socket.destroy();
+      return;
+    }
+    const {getNow} = this.parts;
     const connection: Connection = {
       socket,
       reader: new ConnectionReader(socket, {
@@ -215,7 +242,9 @@
       }),
       requestBytes: 0,
       aheadBytes: 0,
+      hasSentRequest: false,
       responses: new Set(),
+      idleSince: getNow(),
       unreadSince: undefined,
       takenBytes: 0,
     };
@@ -238,6 +267,19 @@
     this.removeSocket(connection);
   }
 
+  private hasRoom(): boolean {
+    const further = this.handler.countFurther?.() ?? 0;
+    return this.connections.size + further < this.limits.connections;
+  }
+
+  private *listUses(): Iterable<ConnectionUse & {connection: Connection}> {
+    for (const connection of this.connections.values()) {
+      const {hasSentRequest, responses, idleSince, unreadSince} = connection;
+      const openRequests = responses.size;
+      yield {connection, hasSentRequest, openRequests, idleSince, unreadSince};
+    }
+  }
+
   private canTake(connection: Connection): boolean {
     const {turns, requests} = this.parts;
     const {responses, requestBytes, reader} = connection;
@@ -266,6 +308,7 @@
       connection,
       connection.requestBytes + bytes,
     );
+    connection.hasSentRequest = true;
     connection.responses.add(response);
     if (connection.responses.size > 1) this.requestsAhead += 1;
     response.once('close', () => this.removeResponse(connection, response));
@@ -301,6 +344,7 @@
     if (!this.connections.has(connection.socket)) return;
     connection.responses.delete(response);
     if (connection.responses.size > 0) this.requestsAhead -= 1;
+    else connection.idleSince = this.parts.getNow();
     const {reader} = connection;
     if (reader.isHolding()) this.parts.turns.add(reader.readOn);
   }
--- a/packages/gateway/src/log/metrics.ts
+++ b/packages/gateway/src/log/metrics.ts
@@ -13,6 +13,7 @@
   Unwritten = 'answers_unwritten_total',
   CallersPaused = 'callers_paused_total',
   CallersClosed = 'callers_closed_total',
+  CallersTurnedAway = 'callers_turned_away_total',
   Retries = 'requests_retried_total',
   Resumed = 'streams_resumed_total',
   Stalls = 'paths_stalled_total',
@@ -75,6 +76,8 @@
     'Times that requests sent ahead on a connection of a client had to wait.',
   [Counter.CallersClosed]:
     'Connections of clients that were closed to keep a bound of their listener.',
+  [Counter.CallersTurnedAway]:
+    'New connections of clients that were closed since all others were in use.',
   [Counter.Retries]: 'Retries of requests before the start of their answer.',
   [Counter.Resumed]: 'Streams resumed on another path after their last event.',
   [Counter.Stalls]: 'Checks of the endpoints of a silent path.',
--- a/packages/gateway/src/ports/settings.ts
+++ b/packages/gateway/src/ports/settings.ts
@@ -12,6 +12,8 @@
   readonly memoryMegabytes?: number | undefined;
   /** Heap that the process may use, in MB; undefined where it is not bounded. */
   readonly heapMegabytes?: number | undefined;
+  /** Descriptors that the process may have open; undefined for a usual VM. */
+  readonly maxDescriptors?: number | undefined;
   readonly listen: {
     readonly callers: Address;
     readonly ready: Address;
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -50,6 +50,13 @@
   retryAfterMilliseconds: 0,
 };
 
+/** For a request that has no socket for a connection to an endpoint. */
+const socketsTooMany: LocalAnswer = {
+  status: 503,
+  reason: FailureReason.SocketsTooMany,
+  retryAfterMilliseconds: 500,
+};
+
 /**
  * The HTTP server for callers: finds the route, checks the key, reads the body.
  */
@@ -64,6 +71,7 @@
       handleCall: call => this.accept(call),
       handleConnection: socket => this.openRequests.addConnection(socket),
       handleReadEnd: socket => this.openRequests.closeConnection(socket),
+      countFurther: () => this.openRequests.countPassedOn(),
     });
   }
 
@@ -206,6 +214,8 @@
     if (!this.openRequests.hasTurn(open)) return refuse(behindAnswer);
     const stopFailure = this.checkStop(open, route, deadline);
     if (stopFailure !== undefined) return refuse(stopFailure);
+    if (!this.server.makeRoom()) return refuse(socketsTooMany);
+    this.openRequests.recordPassedOn(open);
     await serveRequest({
       server: this.context,
       request,
--- a/packages/gateway/src/requests/failure.ts
+++ b/packages/gateway/src/requests/failure.ts
@@ -6,6 +6,7 @@
   BodyTooLarge = 'the body is larger than allowed',
   BodiesTooMany = 'the bodies of all requests take the memory meant for them',
   RequestsTooMany = 'the open requests take the memory meant for them',
+  SocketsTooMany = 'the open requests take the connections meant for them',
   UnknownExpectation = 'the expectation is not known',
   BadHeaders = 'a name or value of a header is malformed',
   HeadersTooLarge = 'the headers are larger than allowed',
--- a/packages/gateway/src/requests/open_requests.ts
+++ b/packages/gateway/src/requests/open_requests.ts
@@ -59,6 +59,8 @@
 export class OpenRequests {
   private readonly connections = new Map<Socket, CallerConnection>();
   private openCount = 0;
+  /** Those that have been passed on to endpoints. */
+  private readonly passedOn = new Set<OpenRequest>();
   private isClosing = false;
 
   /** Adds a connection, which has no request yet. */
@@ -178,6 +180,16 @@
     return this.openCount;
   }
 
+  /** Records that a request is passed on to an endpoint. */
+  recordPassedOn(request: OpenRequest): void {
+    this.passedOn.add(request);
+  }
+
+  /** Counts the open requests that have been passed on. */
+  countPassedOn(): number {
+    return this.passedOn.size;
+  }
+
   /** Lists the open requests. */
   list(): OpenRequest[] {
     return [...this.connections.values()].flatMap(({requests}) => requests);
@@ -218,6 +230,7 @@
     if (at !== -1) {
       requests.splice(at, 1);
       this.openCount -= 1;
+      this.passedOn.delete(request);
       request.releaseBody();
       request.handleTurn();
       for (const later of requests) {
--- a/packages/gateway/src/root/build_servers.ts
+++ b/packages/gateway/src/root/build_servers.ts
@@ -20,9 +20,13 @@
   {settings, log, getNow}: Pick<GatewayContext, 'settings' | 'log' | 'getNow'>,
   metrics: Metrics,
 ): BuildServer {
-  const {memoryMegabytes = defaultMemoryMegabytes, heapMegabytes} = settings;
+  const {
+    memoryMegabytes = defaultMemoryMegabytes,
+    heapMegabytes,
+    maxDescriptors = defaultMaxDescriptors,
+  } = settings;
   const deriveLimits = (listener: Listener) =>
-    deriveListenerLimits(listener, defaultMaxDescriptors, memoryMegabytes);
+    deriveListenerLimits(listener, maxDescriptors, memoryMegabytes);
   const {connections} = deriveLimits(Listener.Callers);
   const memory = deriveClientMemory(memoryMegabytes, heapMegabytes);
   const parts = {
