--- a/packages/gateway/src/root/gateway.ts
+++ b/packages/gateway/src/root/gateway.ts
@@ -2,6 +2,7 @@
 import {
   computeFirstReadDelay,
   findEarliestSending,
+  Listener,
   planStop,
   type ReadSchedule,
   type StopPlan,
@@ -123,9 +124,11 @@
     this.startedAt = getMonotonic();
     this.log.write(GatewayEvent.Started, {vm, dataCentre});
     await mesh.open(listen.peers, seeds);
-    await directory.open(listen.ready);
-    await directory.open(listen.directory);
-    if (listen.metrics !== undefined) await directory.open(listen.metrics);
+    await directory.open(Listener.Ready, listen.ready);
+    await directory.open(Listener.Directory, listen.directory);
+    if (listen.metrics !== undefined) {
+      await directory.open(Listener.Metrics, listen.metrics);
+    }
     await callers.open(listen.callers);
     this.turns.start();
     const {tasks} = this;
@@ -137,7 +140,10 @@
       orders.run(storeReplica.findConfiguration());
     });
     tasks.start('quarantine', quarantineMilliseconds, () => keeper.poll());
-    tasks.start('unread', unreadMilliseconds, () => callers.closeUnread());
+    tasks.start('unread', unreadMilliseconds, () => {
+      callers.closeUnread();
+      directory.closeUnread();
+    });
     const {kept} = this.parts;
     if (kept !== undefined) {
       tasks.start('kept', sweepMilliseconds, () => kept.dropStale());
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -386,12 +386,16 @@
     address: formatAddress(settings.listen.callers),
     cores: settings.cores,
   };
-  const directory = new DirectoryServer(ports.directory, {
-    listAddresses: () =>
-      listCallerAddresses(own, getPhase(), mesh.listPresent(), Math.random),
-    isReady: () => getPhase() === PeerPhase.Ready,
-    renderMetrics: () => metrics.render(),
-  });
+  const directory = new DirectoryServer(
+    ports.directory,
+    {
+      listAddresses: () =>
+        listCallerAddresses(own, getPhase(), mesh.listPresent(), Math.random),
+      isReady: () => getPhase() === PeerPhase.Ready,
+      renderMetrics: () => metrics.render(),
+    },
+    buildServer,
+  );
   return {callers, directory, queue};
 }
 
