--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -30,12 +30,12 @@
 const defaultHeadMilliseconds = 60_000;
 const defaultIdleMilliseconds = 5000;
 
-/** The status lines for what cannot be read, by the code of its error. */
-const faultStatuses: Readonly<Record<string, string>> = {
+/** Status lines, with further headers, for what cannot be read, by its code. */
+const faultHeads: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
   [ReadFault.HeadTooLarge]: '431 Request Header Fields Too Large',
-  [ReadFault.NoMemory]: '503 Service Unavailable',
+  [ReadFault.NoMemory]: '503 Service Unavailable\r\nRetry-After: 1',
 };
 
 /** A bound of a listener, as the log names it. */
@@ -357,6 +357,8 @@
   }
 
   private setAheadBytes(connection: Connection, bytes: number): boolean {
+    const isOpen = this.connections.has(connection.socket);
+    if (!isOpen && bytes > 0) return true; // It was closed while it was read.
     const isSet = this.parts.ahead.set(connection.aheadBytes, bytes);
     if (isSet) connection.aheadBytes = bytes;
     return isSet;
@@ -371,8 +373,8 @@
       socket.destroy();
       return;
     }
-    const status = faultStatuses[code] ?? '400 Bad Request';
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    const head = faultHeads[code] ?? '400 Bad Request';
+    socket.end(`HTTP/1.1 ${head}\r\nConnection: close\r\n\r\n`);
   }
 
   private record(bound: Bound, counter: Counter | undefined): void {
--- a/packages/gateway/src/requests/caller_server.ts
+++ b/packages/gateway/src/requests/caller_server.ts
@@ -13,7 +13,11 @@
   type Deadline,
   type Instant,
 } from '@zinniaspindle/shared';
-import type {BoundedServer, ServerCall} from '../connections/bounded_server.js';
+import type {
+  BoundedServer,
+  BuildServer,
+  ServerCall,
+} from '../connections/bounded_server.js';
 import {Counter} from '../log/metrics.js';
 import {
   RouteKind,
@@ -66,8 +70,11 @@
   private readonly openRequests = new OpenRequests();
   private isClosing = false;
 
-  constructor(private readonly context: ServerContext) {
-    this.server = context.buildServer(Listener.Callers, {
+  constructor(
+    private readonly context: ServerContext,
+    buildServer: BuildServer,
+  ) {
+    this.server = buildServer(Listener.Callers, {
       handleCall: call => this.accept(call),
       handleConnection: socket => this.openRequests.addConnection(socket),
       handleReadEnd: socket => this.openRequests.closeConnection(socket),
--- a/packages/gateway/src/requests/request_context.ts
+++ b/packages/gateway/src/requests/request_context.ts
@@ -1,7 +1,6 @@
 import type http from 'node:http';
 import type {StopPlan} from '@zinniaspindle/decisions';
 import type {Deadline, GatewayEvent, Instant} from '@zinniaspindle/shared';
-import type {BuildServer} from '../connections/bounded_server.js';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {EndCheck} from '../fleet/end_check.js';
 import type {EndWatch} from '../fleet/end_watch.js';
@@ -32,7 +31,6 @@
 
 /** Dependencies that all request handlers share. */
 export interface ServerContext {
-  readonly buildServer: BuildServer;
   readonly codec: ExchangeCodec;
   readonly endpoints: EndpointTable;
   readonly ends: EndWatch;
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -353,35 +353,37 @@
     countPlaces(endpoints.list()),
   );
   const buildServer = buildServers({settings, log, getNow}, metrics);
-  const callers = new CallerServer({
-    buildServer,
-    codec: ports.exchange,
-    endpoints,
-    ends,
-    endCheck,
-    sourceCheck,
-    stallMilliseconds: settings.bounds.stallMilliseconds,
-    quarantine,
-    paths,
-    prompts: new PromptTable(endpoints, fleet.loads, metrics, getNow),
-    queue,
-    waiters,
-    prober,
-    links,
-    kept,
-    sendPause: (vm, paused) => {
-      const peer = mesh.listLive().find(one => one.vm === vm);
-      if (peer !== undefined) mesh.sendTo(peer, makePausedMessage(paused));
+  const callers = new CallerServer(
+    {
+      codec: ports.exchange,
+      endpoints,
+      ends,
+      endCheck,
+      sourceCheck,
+      stallMilliseconds: settings.bounds.stallMilliseconds,
+      quarantine,
+      paths,
+      prompts: new PromptTable(endpoints, fleet.loads, metrics, getNow),
+      queue,
+      waiters,
+      prober,
+      links,
+      kept,
+      sendPause: (vm, paused) => {
+        const peer = mesh.listLive().find(one => one.vm === vm);
+        if (peer !== undefined) mesh.sendTo(peer, makePausedMessage(paused));
+      },
+      intake,
+      budgets: new RetryBudgets(settings.bounds, countVms),
+      metrics,
+      answersByRoute: new AnswersByRoute(),
+      writeEvent: log.write,
+      getNow,
+      findStopPlan,
+      computeRefusingShare: () => computeRefusingShare(mesh.listPresent()),
     },
-    intake,
-    budgets: new RetryBudgets(settings.bounds, countVms),
-    metrics,
-    answersByRoute: new AnswersByRoute(),
-    writeEvent: log.write,
-    getNow,
-    findStopPlan,
-    computeRefusingShare: () => computeRefusingShare(mesh.listPresent()),
-  });
+    buildServer,
+  );
   const own = {
     address: formatAddress(settings.listen.callers),
     cores: settings.cores,
