test(review): show streams that an order cuts and that end as complete

Cause: the end of an answer without a length is not compared with the orders that cut streams off at once; only a long silence shows a stalled path.

--- a/review/12/play.ts
+++ b/review/12/play.ts
@@ -12,31 +12,55 @@
   type CaseRecord,
 } from '../lib_3/deployment.js';
 
-/** The model of 8 layers needs two workers of 2,000 MB. */
+/** Four of the 8 layers fit into a worker, beside memory for requests. */
 const layerMegabytes = 300;
+const sizeMegabytes = 1600;
 const events = 100;
 const eventMilliseconds = 60;
 /** `stall_ms`: work that depends on a dead worker is cut off after this. */
 const stallMilliseconds = 2500;
 const streams = 5;
-/** The machine stands still for less than the 3.5 s of the sheets. */
-const freezeMilliseconds = 3300;
-const beforeFreezeMilliseconds = 1000;
-/** From the begin of the freeze to the crash of the second worker. */
-const beforeCrashMilliseconds = 200;
+const beforeCrashMilliseconds = 1000;
+const pollMilliseconds = 5;
 const whole = formatEvents(1, events);
 
+/** An order as a worker got it. */
+interface Order {
+  readonly from: number;
+  readonly target: number;
+  readonly strategy: string;
+}
+
+/** A part of a path: a worker and its layers. */
+interface Part {
+  readonly worker: ModelWorker;
+  readonly from: number;
+  readonly target: number;
+}
+
+const workers: ModelWorker[] = [];
+
 /** A worker whose streams have neither a length nor chunks. */
 class ModelWorker extends EndpointStandIn {
-  /** Whether the next worker of its paths is dead. */
-  isNextDead = false;
   override isUnframed = true;
 
   constructor(
     id: string,
+    dataCentre: string,
     private readonly record: CaseRecord,
   ) {
-    super(id, 'models', 'dc-a', 'card');
+    super(id, 'models', dataCentre, 'card');
+  }
+
+  /** Tells whether an order cuts work on some layers at once. */
+  hasCut({from, target}: Part, since: number): boolean {
+    return (this.orders as Order[])
+      .slice(since)
+      .some(
+        order =>
+          order.strategy === 'truncate' &&
+          (order.from > from || order.target < target),
+      );
   }
 
   protected override async run(
@@ -45,8 +69,10 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const {headers} = request;
-    const from = Number(headers['last-event-id'] ?? 0) + 1;
     const hops = String(headers['hop-count']);
+    const path = readPath(hops);
+    const known = path.map(({worker}) => worker.orders.length);
+    const from = Number(headers['last-event-id'] ?? 0) + 1;
     this.record.add(`${this.id} runs ${attemptId} from ${from} on ${hops}`);
     this.startedRequests.push(attemptId);
     response.writeHead(200, {
@@ -54,23 +80,54 @@
       'Attempt-Id': attemptId,
       'Response-Seal': `seal-${this.id}`,
     });
+    const isCut = () =>
+      path.some((part, index) => part.worker.hasCut(part, known[index]!));
     let id = from;
-    for (; id <= events && !this.isNextDead; id += 1) {
-      if (response.destroyed) return;
+    for (; id <= events && path.every(({worker}) => worker.isUp); id += 1) {
+      if (response.destroyed || isCut()) break;
       response.write(formatEvents(id, id));
       await waitMilliseconds(eventMilliseconds);
     }
-    if (id <= events) await waitMilliseconds(stallMilliseconds);
-    this.record.add(`${this.id} ends ${attemptId} after event ${id - 1}`);
+    const stallsUntil = performance.now() + stallMilliseconds;
+    while (id <= events && !isCut() && performance.now() < stallsUntil) {
+      await waitMilliseconds(pollMilliseconds);
+    }
+    const reason = id > events ? 'whole' : isCut() ? 'truncated' : 'stalled';
+    this.record.add(`${this.id} ends ${attemptId} after ${id - 1}: ${reason}`);
     response.end();
   }
 }
 
+function listOrders(): object[] {
+  return workers.flatMap(({id, orders}) =>
+    orders.map(order => ({id, ...order})),
+  );
+}
+
+function readPath(hops: string): Part[] {
+  return hops.split(',').map(text => {
+    const [address, layers] = text.split('=');
+    const [from, target] = layers!.split('-').map(Number);
+    const worker = workers.find(
+      one => one.isUp && one.getAddress() === address,
+    );
+    return {worker: worker!, from: from!, target: target!};
+  });
+}
+
 void runCase('review/12', async (deployment, record) => {
-  await deployment.start(makeConfiguration(layerMegabytes));
-  const workers = ['w0', 'w1'].map(id => new ModelWorker(id, record));
-  for (const worker of workers) await deployment.addWorker(worker);
-  await deployment.addVms(1);
+  await deployment.start(
+    makeConfiguration(layerMegabytes, {isResumable: false, sizeMegabytes}),
+  );
+  for (const dataCentre of ['dc-a', 'dc-b']) {
+    for (let i = 0; i < 3; i += 1) {
+      const id = `${dataCentre}-${i}`;
+      const worker = new ModelWorker(id, dataCentre, record);
+      workers.push(worker);
+      await deployment.addWorker(worker);
+    }
+  }
+  await deployment.addVms(2);
   const [vm] = deployment.vms;
   const send = (id: string) =>
     sendCall(vm!.callerAddress, {
@@ -83,42 +140,35 @@
         'Prompt-Prefix': `${id}:10`,
       },
     });
-  await waitFor(async () => {
-    const {status, isComplete} = await send('warm');
-    return status === 200 && isComplete;
-  });
-  const first = workers.find(({startedRequests}) => startedRequests.length > 0);
-  const second = workers.find(worker => worker !== first);
-  record.add(`paths go from ${first!.id} to ${second!.id}`);
+  await waitFor(async () => (await send('warm')).status === 200);
+  await waitMilliseconds(1500);
+  const before = listOrders().length;
   const sent = Array.from({length: streams}, (_, index) => send(`s${index}`));
-  await waitMilliseconds(beforeFreezeMilliseconds);
+  await waitMilliseconds(beforeCrashMilliseconds);
   if (hasTrouble) {
-    record.add('front-0 freezes');
-    vm!.sendSignal('SIGSTOP');
-    await waitMilliseconds(beforeCrashMilliseconds);
-    record.add(`${second!.id} crashes`);
-    second!.close();
-    first!.isNextDead = true;
-    await waitMilliseconds(freezeMilliseconds - beforeCrashMilliseconds);
-    record.add('front-0 goes on');
-    vm!.sendSignal('SIGCONT');
+    const last = workers.find(
+      ({id, held}) => id.startsWith('dc-a') && held?.target === 8,
+    )!;
+    record.add(`${last.id}, which holds ${JSON.stringify(last.held)}, crashes`);
+    last.close();
   }
   let outcome = Outcome.Held;
-  for (const {id, status, body, isComplete, ...rest} of await Promise.all(
-    sent,
-  )) {
+  for (const received of await Promise.all(sent)) {
+    const {id, status, body, isComplete} = received;
     const count = body.split('\n\n').length - 1;
-    const gap = Math.round(rest.longestGapMilliseconds);
+    const gap = Math.round(received.longestGapMilliseconds);
     const end = isComplete ? 'ends as complete' : 'breaks off';
     record.add(
       `${id}: ${status}, ${count} of ${events} events, ${end}; longest pause ${gap} ms`,
     );
     const isWrong = body !== whole.slice(0, body.length);
-    if (isWrong || (isComplete && status === 200 && body !== whole)) {
-      outcome = Outcome.Broken;
-    }
+    const isShort = isComplete && status === 200 && body !== whole;
+    if (isWrong || isShort) outcome = Outcome.Broken;
     if (!hasTrouble && !isComplete) outcome = Outcome.Broken;
   }
+  for (const order of listOrders().slice(before)) {
+    record.add(`order since the crash: ${JSON.stringify(order)}`);
+  }
   if (outcome === Outcome.Broken) {
     record.add('ORDER: a stream ends as complete before its last piece');
   }
--- a/review/lib_3/deployment.ts
+++ b/review/lib_3/deployment.ts
@@ -212,8 +212,19 @@
   process.exit(outcome);
 }
 
+/** What a case may change of its configuration. */
+export interface ConfigurationOptions {
+  /** Whether streams may be resumed. */
+  readonly isResumable?: boolean;
+  /** Memory of a worker. */
+  readonly sizeMegabytes?: number;
+}
+
 /** Makes a configuration with a route to a plain service and one to a model. */
-export function makeConfiguration(layerMegabytes: number): object {
+export function makeConfiguration(
+  layerMegabytes: number,
+  {isResumable = true, sizeMegabytes = 2000}: ConfigurationOptions = {},
+): object {
   const route = {
     host: callHost,
     timeoutMs: 20_000,
@@ -242,7 +253,7 @@
         gapTargetMs: 250,
         service: 'models',
         affinity: true,
-        resumable: true,
+        resumable: isResumable,
       },
     ],
     services: [
@@ -257,7 +268,7 @@
           kvBytes: 8000,
           step_ms: 1,
           read_per_s: 100_000,
-          kinds: [{name: 'card', sizeMb: 2000, pace: 1}],
+          kinds: [{name: 'card', sizeMb: sizeMegabytes, pace: 1}],
           models: [{name: 'm', loadS: 1}],
           usual: {prompt: 10, answer: 10},
         },
