--- a/review/lib_3/deployment.ts
+++ b/review/lib_3/deployment.ts
@@ -11,7 +11,7 @@
 /** The options of Node.js that the deploy file starts the program with. */
 const nodeOptions = ['--max-old-space-size=96', '--max-semi-space-size=1'];
 const programFile = path.resolve('target/zinniaspindle.cjs');
-const callHost = 'desk.example';
+export const callHost = 'desk.example';
 export const key = 'key-1';
 const startMilliseconds = 15_000;
 const pollMilliseconds = 20;
@@ -218,12 +218,21 @@
   readonly isResumable?: boolean;
   /** Memory of a worker. */
   readonly sizeMegabytes?: number;
+  /** The longest body that a client may send. */
+  readonly maxBodyBytes?: number;
+  /** The timeout of the route to the plain service. */
+  readonly lookMilliseconds?: number;
 }
 
 /** Makes a configuration with a route to a plain service and one to a model. */
 export function makeConfiguration(
   layerMegabytes: number,
-  {isResumable = true, sizeMegabytes = 2000}: ConfigurationOptions = {},
+  {
+    isResumable = true,
+    sizeMegabytes = 2000,
+    maxBodyBytes = 1_048_576,
+    lookMilliseconds = 20_000,
+  }: ConfigurationOptions = {},
 ): object {
   const route = {
     host: callHost,
@@ -240,6 +249,7 @@
         name: 'look',
         pathPrefix: '/look/',
         kind: 'safe',
+        timeoutMs: lookMilliseconds,
         targetLatencyMs: 193,
         service: 'ledger',
         resumable: false,
@@ -276,7 +286,7 @@
     ],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_048_576,
+      maxBodyBytes,
       headerTimeoutMs: 3000,
       idleTimeoutMs: 15_000,
     },
