fix(answers): a VM that has heard of no order does not break whole streams off

Callers of a VM that had started beside running endpoints would get whole streams broken off, since the rule of the ends compares the orders that an endpoint has accepted with those known when the request was sent, and entries do not tell them. Cause: after a start of all VMs, or an entry that comes back, that number was taken for 0. Change: a VM knows for which start of an endpoint the number has been shown, and asks for it with the head of an answer without a length where it has not. The reports of an end are applied to the table, so that a missed message costs one stream at most.

--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -38,6 +38,8 @@
   bornAt: Instant;
   /** Orders that the endpoint has accepted since its start, as far as known. */
   orderCount: number;
+  /** The start of which a report or an order has shown that number. */
+  countedFor: Instant | undefined;
   held: LayerRange | undefined;
   /** When this VM last learned that an order had started. */
   orderedAt: Instant;
@@ -69,6 +71,7 @@
     entry,
     bornAt: entry.bornAt,
     orderCount: 0,
+    countedFor: undefined,
     held: entry.held,
     orderedAt: -Infinity,
     reportedAt: -Infinity,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -235,6 +235,7 @@
     state.reportedAt = this.getNow();
     const isRestart = facts.bornAt > state.bornAt;
     if (!isRestart && isStale(state, facts, this.getNow())) return false;
+    state.countedFor = facts.bornAt;
     return this.applyFacts(facts);
   }
 
@@ -259,6 +260,7 @@
     if (orderCount > state.orderCount || state.bornAt < bornAt) {
       state.bornAt = bornAt;
       state.orderCount = orderCount;
+      state.countedFor = bornAt;
       // Layers outside the ordered range are dropped at once; new ones still load.
       if (state.held !== undefined) {
         state.held = computeOverlap(state.held, range);
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -7,7 +7,12 @@
 import {canRunAgain} from './can_run_again.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
-import {listSentParts, verifyEnd, type SentPath} from './verify_end.js';
+import {
+  listSentParts,
+  startCounts,
+  verifyEnd,
+  type SentPath,
+} from './verify_end.js';
 import {
   Upstream,
   type UpstreamListener,
@@ -56,7 +61,11 @@
 ): Upstream {
   const {server} = context;
   const target = {id, address, bornAt: server.endpoints.find(id)?.bornAt};
-  const getRelay = (): string | undefined => upstream.getRelay();
+  const getUpstream = (): Upstream => upstream;
+  const sent: SentPath = {
+    source: target,
+    parts: listSentParts(server.endpoints, forwarding.parts),
+  };
   const keeper =
     opening === Opening.Kept ? makeKeeper(context, target) : undefined;
   const kept = keeper?.take();
@@ -69,11 +78,11 @@
     handle(Result.ok(kept));
     return () => undefined;
   };
-  const request = makeRequest(context, target, forwarding, keeper);
+  const request = makeRequest(context, sent, forwarding, keeper);
   const upstream: Upstream = new Upstream(
     {...request, openConnection},
     server.codec,
-    makeListener(context, target, listener, getRelay),
+    makeListener(context, target, listener, sent, getUpstream),
   );
   if (listener.handleSilence !== undefined) {
     startLinkWatch(server.links, id, upstream, listener.handleSilence);
@@ -98,10 +107,11 @@
 
 function makeRequest(
   context: RequestContext,
-  {id, address, bornAt}: KnownTarget,
+  sent: SentPath,
   forwarding: UpstreamForwarding,
   keeper: ConnectionKeeper | undefined,
 ): UpstreamRequest {
+  const {id, address} = sent.source;
   const {server, request, account, method, body, deadline, route} = context;
   const headers = server.codec.encodeUpstreamHeaders(request, {
     ...forwarding,
@@ -113,10 +123,6 @@
     keepsConnection: keeper !== undefined,
   });
   const {path, attemptId} = request;
-  const sent: SentPath = {
-    source: {id, address, bornAt},
-    parts: listSentParts(server.endpoints, forwarding.parts),
-  };
   return {
     ...{address, method, path, headers, body, attemptId, deadline, keeper},
     canRunAgain: canRunAgain(route),
@@ -129,14 +135,16 @@
   context: RequestContext,
   target: KnownTarget,
   listener: AttemptListener,
-  getRelay: () => string | undefined,
+  {parts}: SentPath,
+  getUpstream: () => Upstream,
 ): UpstreamListener {
   const {server, request} = context;
   const {id, bornAt} = target;
   return {
     handleHead: answer => {
       acceptNotice(context, target, answer);
-      const relay = getRelay();
+      if (!getUpstream().isFramed()) startCounts(server, parts);
+      const relay = getUpstream().getRelay();
       const {pauseMilliseconds: milliseconds} = answer;
       if (relay === undefined || milliseconds === undefined) return;
       // The endpoint wants nothing of the VM that its connection came from.
--- a/packages/gateway/src/requests/verify_end.ts
+++ b/packages/gateway/src/requests/verify_end.ts
@@ -27,7 +27,9 @@
 export interface SentPart extends AnswerSource {
   readonly layers: LayerRange;
   /** The orders that it had accepted, as far as known. */
-  readonly sentAtCount: number;
+  sentAtCount: number;
+  /** Set while an endpoint is asked for that number, which was not known. */
+  counting?: Promise<void>;
 }
 
 /** Where a request was sent. */
@@ -50,6 +52,24 @@
   });
 }
 
+/**
+ * Asks the endpoints of an answer without a length for the numbers of their orders
+ * that are not known, as after a start of this VM.
+ */
+export function startCounts(
+  {endpoints, prober}: ServerContext,
+  parts: readonly SentPart[],
+): void {
+  for (const part of parts) {
+    const state = endpoints.find(part.id);
+    if (state === undefined || state.countedFor === state.bornAt) continue;
+    part.counting = prober.fetchReport(state).then(report => {
+      const isOfPart = report?.isOk && report.value.bornAt === part.bornAt;
+      if (isOfPart) part.sentAtCount = report.value.orderCount;
+    });
+  }
+}
+
 /** Verifies the end of an answer that has neither a length nor chunks. */
 export async function verifyEnd(
   context: RequestContext,
@@ -99,10 +119,17 @@
   const ask = () =>
     Promise.all(parts.map(part => server.sourceCheck.checkPart(part)));
   const replies = await ask();
+  await Promise.all(parts.map(({counting}) => counting));
   const areAlive = replies.every(({state}) => state === SourceState.Alive);
   const wait = reportedAt - server.getNow();
   if (areAlive && wait > 0) await waitMilliseconds(wait);
   const later = areAlive ? await ask() : replies;
+  for (const [index, {id}] of parts.entries()) {
+    const {report} = later[index]!;
+    if (report === undefined) continue;
+    const {bornAt, orderCount, held} = report;
+    server.endpoints.applyReport({id, bornAt, orderCount, held});
+  }
   return parts.map((part, index) =>
     makeEvidence(server, part, replies[index]!, later[index]!),
   );
