fix(orders): streams of an endpoint that leaves without a report are not cut off

Callers would see streams broken off when the entry of one endpoint of their chain was removed while it still served them: some workers never report that they leave. Cause: only endpoints with the state of leaving counted as part of a chain that still runs; one without an entry made the chain a broken one, whose repair cuts off. Change: an endpoint that was sound when its entry was removed counts as leaving for 10 s, unless another process is found at its address or its entry comes back.

--- a/packages/gateway/__tests__/endpoint_table.test.ts
+++ b/packages/gateway/__tests__/endpoint_table.test.ts
@@ -194,3 +194,41 @@
   }
   assert.deepEqual(lines, [{endpoint: 'e1', peers: 'vm-1 vm-2'}]);
 });
+
+const model = {
+  shape: {
+    ...{layerCount: 8, layerMegabytes: 100, tokenMegabytesPerLayer: 0.001},
+    ...{stepMilliseconds: 1, loadsAtOnce: 6},
+  },
+  kinds: new Map([['card', {name: 'card', sizeMegabytes: 2000, pace: 1}]]),
+  meanAnswerTokens: 10,
+};
+
+function listLeaving(table: EndpointTable): string[] {
+  return table.listLeaving('letters', model).map(stage => stage.id);
+}
+
+// Some endpoints leave without a report; streams on them still run.
+test('a sound endpoint whose entry is removed counts as leaving for a while', () => {
+  const {table, clock} = makeTable();
+  report(table, 1, {first: 0, end: 5});
+  assert.deepEqual(listLeaving(table), []);
+  table.removeEntry(id, clock.now);
+  assert.deepEqual(listLeaving(table), [id]);
+  clock.now += 11_000;
+  assert.deepEqual(listLeaving(table), []);
+});
+
+test('an endpoint that has failed, ended or come back does not count as leaving', () => {
+  const {table, clock} = makeTable();
+  table.find(id)!.health.failedProbes = 2;
+  table.removeEntry(id, clock.now);
+  assert.deepEqual(listLeaving(table), []);
+  table.applyEntry(makeEntry({bornAt: 200}));
+  table.removeReplaced(id);
+  assert.deepEqual(listLeaving(table), []);
+  table.applyEntry(makeEntry({bornAt: 300}));
+  table.removeEntry(id, clock.now);
+  table.applyEntry(makeEntry({bornAt: 300}));
+  assert.deepEqual(listLeaving(table), []);
+});
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -100,6 +100,36 @@
   return a?.first === b?.first && a?.end === b?.end;
 }
 
+/**
+ * A range loads for up to 3.5 s; an endpoint that loads for longer, because many
+ * do so at once, reports that it is busy.
+ */
+export const pendingOrderMilliseconds = 8000;
+/** A busy endpoint reports again within this time. */
+const busyMilliseconds = 500;
+
+/**
+ * Applies what a report says of the order in progress; returns whether that is over.
+ */
+export function applyProgress(
+  state: EndpointState,
+  isBusy: boolean,
+  orderCount: number,
+  now: Instant,
+): boolean {
+  const {pending} = state;
+  if (isBusy) {
+    state.busyUntil = now + busyMilliseconds;
+    const until = now + pendingOrderMilliseconds;
+    if (pending !== undefined) state.pending = {...pending, until};
+    return false;
+  }
+  if (orderCount < state.orderCount) return false;
+  state.busyUntil = -Infinity;
+  state.pending = undefined;
+  return pending !== undefined;
+}
+
 /** Computes the layers that are held and kept by the order in progress. */
 export function computeServedLayers(
   {held}: EndpointState,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -18,15 +18,18 @@
   ServiceModel,
 } from '../ports/index.js';
 import {
+  applyProgress,
   computeServedLayers,
   createEndpointState,
   formatHeld,
   getIncarnation,
   isSameRange,
   isStale,
+  pendingOrderMilliseconds,
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
+import {DepartedEndpoints} from './departed_endpoints.js';
 import {StageFinder} from './stage_finder.js';
 import {OrderHistory} from './order_history.js';
 import {LimitTable} from './limit_table.js';
@@ -34,13 +37,6 @@
 
 /** Endpoints update their entries every 1.2 s; store outages delay them further. */
 const listLagMilliseconds = 5000;
-/**
- * A range loads for up to 3.5 s; an endpoint that loads for longer, because many
- * do so at once, reports that it is busy.
- */
-const pendingOrderMilliseconds = 8000;
-/** A busy endpoint reports again within this time. */
-const busyMilliseconds = 500;
 
 /** The endpoints that this VM knows, by id. */
 export class EndpointTable {
@@ -49,6 +45,7 @@
   readonly orders = new OrderHistory();
   private readonly notices: NoticeTable;
   private readonly stages: StageFinder;
+  private readonly departed: DepartedEndpoints;
   /** Incremented by every change that affects which paths are usable. */
   revision = 0;
 
@@ -63,6 +60,7 @@
   ) {
     this.notices = new NoticeTable(writeEvent, getNow);
     this.stages = new StageFinder(writeEvent, getNow);
+    this.departed = new DepartedEndpoints(getNow);
   }
 
   /** Finds an endpoint by its id. */
@@ -96,6 +94,7 @@
     const state = this.states.get(entry.id);
     if (state === undefined) {
       this.states.set(entry.id, createEndpointState(entry));
+      this.departed.remove(entry.id);
       this.revision += 1;
       const {id: endpoint, service, address} = entry;
       this.writeEvent(GatewayEvent.EndpointAdded, {endpoint, service, address});
@@ -129,6 +128,7 @@
       return;
     }
     this.states.delete(id);
+    this.departed.add(state);
     this.revision += 1;
     this.writeEvent(GatewayEvent.EndpointRemoved, {endpoint: id});
   }
@@ -136,6 +136,7 @@
   /** Removes an endpoint that has ended, since its address now belongs to another one. */
   removeReplaced(id: string): void {
     this.removeEntry(id, this.getNow());
+    this.departed.remove(id);
   }
 
   /** Removes the endpoints whose deferred removal is due. */
@@ -352,19 +353,8 @@
     isBusy: boolean,
     orderCount: number,
   ): void {
-    const now = this.getNow();
-    const {pending} = state;
-    if (isBusy) {
-      state.busyUntil = now + busyMilliseconds;
-      const until = now + pendingOrderMilliseconds;
-      if (pending !== undefined) state.pending = {...pending, until};
-      return;
-    }
-    if (orderCount < state.orderCount) return;
-    state.busyUntil = -Infinity;
-    if (pending === undefined) return;
-    state.pending = undefined;
-    this.revision += 1;
+    const isOver = applyProgress(state, isBusy, orderCount, this.getNow());
+    if (isOver) this.revision += 1;
   }
 
   /** Tells whether an endpoint is executing an order, as far as known. */
@@ -390,11 +380,14 @@
     return stages;
   }
 
-  /** Lists the draining endpoints of a model with the layers they hold. */
+  /**
+   * Lists the endpoints of a model that leave and still serve their streams, with
+   * the layers they hold.
+   */
   listLeaving(service: string, model: ServiceModel): StageEndpoint[] {
+    const draining = this.list(service).filter(state => this.isDraining(state));
     const stages: StageEndpoint[] = [];
-    for (const state of this.list(service)) {
-      if (!this.isDraining(state)) continue;
+    for (const state of [...draining, ...this.departed.list(service)]) {
       const stage = this.stages.find(state, model, state.held);
       if (stage !== undefined) stages.push(stage);
     }
