--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -100,6 +100,11 @@
   return a?.first === b?.first && a?.end === b?.end;
 }
 
+/** Tells whether the number of an endpoint's orders has been shown. */
+export function isCounted({countedFor, bornAt}: EndpointState): boolean {
+  return countedFor === bornAt;
+}
+
 /**
  * A range loads for up to 3.5 s; an endpoint that loads for longer, because many
  * do so at once, reports that it is busy.
--- a/packages/gateway/src/requests/verify_end.ts
+++ b/packages/gateway/src/requests/verify_end.ts
@@ -9,11 +9,16 @@
 import {
   formatLayerRange,
   GatewayEvent,
+  hasAllLayers,
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
-import {formatHeld} from '../fleet/endpoint_state.js';
+import {
+  formatHeld,
+  isCounted,
+  type EndpointFacts,
+} from '../fleet/endpoint_state.js';
 import type {AnswerSource, PartReply} from '../fleet/source_check.js';
 import type {RequestContext, ServerContext} from './request_context.js';
 import type {UnframedEnd} from './upstream.js';
@@ -28,7 +33,9 @@
   readonly layers: LayerRange;
   /** The orders that it had accepted, as far as known. */
   sentAtCount: number;
-  /** Set while an endpoint is asked for that number, which was not known. */
+  /** Whether that number had been shown by then; it is 0 otherwise. */
+  readonly isCounted: boolean;
+  /** Set while the endpoint is asked for the number. */
   counting?: Promise<void>;
 }
 
@@ -47,14 +54,16 @@
 ): SentPart[] {
   return parts.map(({endpoint: {id, address}, layers}) => {
     const state = endpoints.find(id);
-    const sentAtCount = state?.orderCount ?? 0;
-    return {id, address, bornAt: state?.bornAt, layers, sentAtCount};
+    const isKnown = state !== undefined && isCounted(state);
+    const sentAtCount = isKnown ? state.orderCount : 0;
+    const bornAt = state?.bornAt;
+    return {id, address, bornAt, layers, sentAtCount, isCounted: isKnown};
   });
 }
 
 /**
  * Asks the endpoints of an answer without a length for the numbers of their orders
- * that are not known, as after a start of this VM.
+ * that were not known when the request was sent, as after a start of this VM.
  */
 export function startCounts(
   {endpoints, prober}: ServerContext,
@@ -62,14 +71,29 @@
 ): void {
   for (const part of parts) {
     const state = endpoints.find(part.id);
-    if (state === undefined || state.countedFor === state.bornAt) continue;
-    part.counting = prober.fetchReport(state).then(report => {
-      const isOfPart = report?.isOk && report.value.bornAt === part.bornAt;
-      if (isOfPart) part.sentAtCount = report.value.orderCount;
-    });
+    if (state === undefined || part.isCounted) continue;
+    // It may have been shown since.
+    if (isCounted(state)) recordCount(part, state);
+    else {
+      part.counting = prober.fetchReport(state).then(report => {
+        if (report?.isOk) recordCount(part, report.value);
+      });
+    }
   }
 }
 
+/**
+ * Records how many orders a part had accepted. One that still holds its layers has
+ * not given them up since the request was sent.
+ */
+function recordCount(
+  part: SentPart,
+  {bornAt, orderCount, held}: Omit<EndpointFacts, 'id'>,
+): void {
+  const isOfPart = bornAt === part.bornAt && hasAllLayers(held, part.layers);
+  if (isOfPart) part.sentAtCount = orderCount;
+}
+
 /** Verifies the end of an answer that has neither a length nor chunks. */
 export async function verifyEnd(
   context: RequestContext,
