fix(orders): endpoints that have departed are not kept where nobody lists them

Cause: DepartedEndpoints dropped what is past its time only when it was listed, which the owner of a model's orders alone does. Every other VM kept the state of each endpoint that had ever left. Change: those past their time are also dropped when another one is added.

--- a/packages/gateway/src/fleet/departed_endpoints.ts
+++ b/packages/gateway/src/fleet/departed_endpoints.ts
@@ -24,6 +24,8 @@
   /** Adds an endpoint whose entry is removed, unless it has failed. */
   add(state: EndpointState): void {
     const now = this.getNow();
+    // Only the owner of a model's orders lists them.
+    this.expire();
     const {entry, health, suspectUntil} = state;
     if (health.failedProbes > 0 || !isPast(suspectUntil, now)) return;
     const servesUntil = now + servingMilliseconds;
@@ -37,12 +39,23 @@
 
   /** Lists those of a service that may still serve. */
   list(service: string): EndpointState[] {
-    const now = this.getNow();
+    this.expire();
     const found: EndpointState[] = [];
-    for (const [id, {state, servesUntil}] of this.endpoints) {
-      if (isPast(servesUntil, now)) this.endpoints.delete(id);
-      else if (state.entry.service === service) found.push(state);
+    for (const {state} of this.endpoints.values()) {
+      if (state.entry.service === service) found.push(state);
     }
     return found;
   }
+
+  /** Counts those that are kept. */
+  count(): number {
+    return this.endpoints.size;
+  }
+
+  private expire(): void {
+    const now = this.getNow();
+    for (const [id, {servesUntil}] of this.endpoints) {
+      if (isPast(servesUntil, now)) this.endpoints.delete(id);
+    }
+  }
 }
