--- a/packages/decisions/src/answers/unframed_end.ts
+++ b/packages/decisions/src/answers/unframed_end.ts
@@ -1,4 +1,8 @@
-import type {Instant} from '@zinniaspindle/shared';
+import {
+  hasAllLayers,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
 
 /** What an endpoint shows of itself after the end of a connection to it. */
 export enum SourceState {
@@ -19,6 +23,9 @@
   SourceEnded = 'the endpoint ended with the connection',
   SourceUnknown = 'the endpoint did not answer after the end of the connection',
   AfterStall = 'it came after a silence like that of a stalled path',
+  PartEnded = 'a further endpoint of its path has ended',
+  PartUnknown = 'a further endpoint of its path did not answer after the end',
+  Ordered = 'an order may have cut it off',
 }
 
 /** Finds whether an endpoint has started again, by the starts it states. */
@@ -31,6 +38,46 @@
   return isLater ? SourceState.Ended : SourceState.Alive;
 }
 
+/** An order to an endpoint, accepted or not, that this VM knows of. */
+export interface KnownOrder {
+  /** The number that it has, or would have, among the endpoint's orders. */
+  readonly orderCount: number;
+  /** The layers that the endpoint is to hold. */
+  readonly range: LayerRange;
+  /** Whether it cuts off the requests that use dropped layers. */
+  readonly cutsRequests: boolean;
+}
+
+/** What an endpoint reported of its layers and orders. */
+export interface StageReport {
+  readonly orderCount: number;
+  readonly held: LayerRange | undefined;
+  /** Whether it shows the state at the end of the answer or a later one. */
+  readonly isOfEnd: boolean;
+}
+
+/** What is known of one endpoint of the path of an answer. */
+export interface StageEvidence {
+  /** The layers that it ran for the request. */
+  readonly layers: LayerRange;
+  /** What it showed of itself after the end. */
+  readonly state: SourceState;
+  /** Its orders, as far as known, when the request was sent. */
+  readonly sentAtCount: number;
+  /** Undefined if it has not answered with a report. */
+  readonly report: StageReport | undefined;
+  readonly orders: readonly KnownOrder[];
+}
+
+/** What is known when a connection with an answer without a length has ended. */
+export interface UnframedEvidence {
+  readonly silence: EndSilence;
+  /** What the endpoint that gave the answer showed of itself after the end. */
+  readonly source: SourceState;
+  /** The endpoints of its path, the first included; none for a plain service. */
+  readonly parts: readonly StageEvidence[];
+}
+
 /** The silence of an answer before its end. */
 export interface EndSilence {
   readonly milliseconds: number;
@@ -60,16 +107,52 @@
 
 /**
  * Verifies the end of an answer that has neither a length nor chunks. A system ends
- * the connections of a killed process in the regular way, so that only a process
- * that outlives its connection has ended the answer itself.
+ * the connections of a killed process in the regular way, and an endpoint ends those
+ * of requests that it cuts off as it ends those of whole answers. So the answer is
+ * whole only if nothing else explains the end: each endpoint of its path has outlived
+ * it, and none has accepted an order that may have cut it off.
  */
-export function verifyUnframedEnd(source: SourceState): UnframedVerdict {
-  switch (source) {
-    case SourceState.Alive:
-      return UnframedVerdict.Whole;
-    case SourceState.Ended:
-      return UnframedVerdict.SourceEnded;
-    case SourceState.Unknown:
-      return UnframedVerdict.SourceUnknown;
+export function verifyUnframedEnd({
+  silence,
+  source,
+  parts,
+}: UnframedEvidence): UnframedVerdict {
+  if (isAfterStall(silence)) return UnframedVerdict.AfterStall;
+  if (source === SourceState.Ended) return UnframedVerdict.SourceEnded;
+  if (source === SourceState.Unknown) return UnframedVerdict.SourceUnknown;
+  for (const {state} of parts) {
+    if (state === SourceState.Ended) return UnframedVerdict.PartEnded;
+    if (state === SourceState.Unknown) return UnframedVerdict.PartUnknown;
   }
+  return parts.some(canHaveCut)
+    ? UnframedVerdict.Ordered
+    : UnframedVerdict.Whole;
+}
+
+/** Tells whether an endpoint can have cut off a request on an order. */
+function canHaveCut(part: StageEvidence): boolean {
+  const {layers, sentAtCount, report, orders} = part;
+  if (report === undefined) return true;
+  const {orderCount, held, isOfEnd} = report;
+  const later = orders.filter(order => order.orderCount > sentAtCount);
+  // Without a report of the end, it may have accepted any of them since.
+  const possible = isOfEnd
+    ? later.filter(order => order.orderCount <= orderCount)
+    : later;
+  if (possible.some(order => canCutOff(order, layers))) return true;
+  const accepted = later.filter(order => order.orderCount <= orderCount);
+  const known = new Set(accepted.map(order => order.orderCount));
+  const unknown = orderCount - sentAtCount - known.size;
+  if (unknown <= 0) return false;
+  // What one order gives up, a later one may have loaded again.
+  const isLatest = unknown === 1 && !known.has(orderCount);
+  return !isLatest || !hasAllLayers(held, layers);
+}
+
+/** Tells whether an order cuts off the requests that use some layers. */
+function canCutOff(
+  {range, cutsRequests}: KnownOrder,
+  layers: LayerRange,
+): boolean {
+  return cutsRequests && !hasAllLayers(range, layers);
 }
--- a/packages/gateway/__tests__/build_samples.ts
+++ b/packages/gateway/__tests__/build_samples.ts
@@ -163,6 +163,13 @@
       name: 'pause',
       message: modules.makePausedMessage({id, bornAt, milliseconds: 1500}),
     },
+    {
+      name: 'order before it is sent',
+      message: modules.makeAnnouncedMessage({
+        ...{id, bornAt, orderCount: 3},
+        ...{range: {first: 40, end: 80}, cutsRequests: true},
+      }),
+    },
   ];
 }
 
--- a/packages/gateway/__tests__/odd_messages.test.ts
+++ b/packages/gateway/__tests__/odd_messages.test.ts
@@ -50,6 +50,10 @@
     ...{kind: PeerMessageKind.Refutation, id: '', bornAt: 0},
     limited: {id: 'e1', bornAt: 1, perSecond: null, sentAt},
   },
+  {
+    ...{kind: PeerMessageKind.Refutation, id: '', bornAt: 0},
+    announced: {...order, kind: undefined},
+  },
   {
     kind: PeerMessageKind.Facts,
     facts: {id: 'e1', bornAt: 1, orderCount: 1, held: undefined},
--- a/packages/gateway/__tests__/source_check.test.ts
+++ b/packages/gateway/__tests__/source_check.test.ts
@@ -66,6 +66,23 @@
   assert.deepEqual(ended, []);
 });
 
+// Another service may have the address of an endpoint that has ended.
+test('an endpoint of a model is known by its report alone', async () => {
+  const {check} = makeCheck([bornAt]);
+  const {state, report} = await check.checkPart(source);
+  assert.equal(state, SourceState.Alive);
+  assert.equal(report?.bornAt, bornAt);
+  const expected = [
+    [EndpointErrorCode.Malformed, SourceState.Unknown],
+    [EndpointErrorCode.NotListening, SourceState.Ended],
+    [bornAt + 1, SourceState.Ended],
+  ] as const;
+  for (const [answer, found] of expected) {
+    const other = await makeCheck([answer]).check.checkPart(source);
+    assert.deepEqual(other, {state: found, report: undefined});
+  }
+});
+
 test('only a call that is sent after an end tells of it', async () => {
   const answers = [bornAt, EndpointErrorCode.NotListening];
   const {check, countCalls} = makeCheck(answers);
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -11,6 +11,7 @@
 } from '@zinniaspindle/decisions';
 import {
   GatewayEvent,
+  hasAllLayers,
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
@@ -29,7 +30,6 @@
 } from '../ports/index.js';
 import {
   getIncarnation,
-  hasAllLayers,
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -1,6 +1,8 @@
 import type {Incarnation} from './notice_table.js';
 import {
+  computeOverlap,
   formatLayerRange,
+  hasAllLayers,
   type Deadline,
   type Instant,
   type LayerRange,
@@ -95,14 +97,13 @@
   return a?.first === b?.first && a?.end === b?.end;
 }
 
-/** Tells whether a range contains all layers of another. */
-export function hasAllLayers(
-  range: LayerRange | undefined,
-  other: LayerRange | undefined,
-): boolean {
-  if (other === undefined) return true;
-  if (range === undefined) return false;
-  return range.first <= other.first && range.end >= other.end;
+/** Computes the layers that are held and kept by the order in progress. */
+export function computeServedLayers(
+  {held}: EndpointState,
+  pending: PendingRange | undefined,
+): LayerRange | undefined {
+  if (held === undefined || pending === undefined) return held;
+  return computeOverlap(held, pending.range);
 }
 
 /** Reports lag behind the endpoint's state by some hundred milliseconds. */
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -18,6 +18,7 @@
   ServiceModel,
 } from '../ports/index.js';
 import {
+  computeServedLayers,
   createEndpointState,
   formatHeld,
   getIncarnation,
@@ -27,6 +28,7 @@
   type EndpointState,
 } from './endpoint_state.js';
 import {StageFinder} from './stage_finder.js';
+import {OrderHistory} from './order_history.js';
 import {LimitTable} from './limit_table.js';
 import {NoticeTable, type Incarnation} from './notice_table.js';
 
@@ -43,6 +45,8 @@
 /** The endpoints that this VM knows, by id. */
 export class EndpointTable {
   private readonly states = new Map<string, EndpointState>();
+  /** The orders that VMs have sent, or were about to send. */
+  readonly orders = new OrderHistory();
   private readonly notices: NoticeTable;
   private readonly stages: StageFinder;
   /** Incremented by every change that affects which paths are usable. */
@@ -327,7 +331,7 @@
     for (const state of this.list(service)) {
       const isReachable = this.isUsable(state);
       if (!isReachable && !this.isUsableMidPath(state)) continue;
-      const held = this.computeServedLayers(state);
+      const held = computeServedLayers(state, this.findPending(state));
       const stage = this.stages.find(state, model, held);
       if (stage === undefined) continue;
       const isPausing = this.findPauseEnd(state) !== undefined;
@@ -404,13 +408,6 @@
     return isPast(pending.until, this.getNow()) ? undefined : pending;
   }
 
-  /** Computes the layers that are held and kept by the pending order. */
-  private computeServedLayers(state: EndpointState): LayerRange | undefined {
-    const pending = this.findPending(state);
-    if (state.held === undefined || pending === undefined) return state.held;
-    return computeOverlap(state.held, pending.range);
-  }
-
   private applyFacts(facts: EndpointFacts): boolean {
     const state = this.states.get(facts.id)!;
     if (facts.bornAt < state.bornAt) return false;
--- a/packages/gateway/src/fleet/path_table.ts
+++ b/packages/gateway/src/fleet/path_table.ts
@@ -18,6 +18,7 @@
 } from '@zinniaspindle/decisions';
 import {
   GatewayEvent,
+  hasAllLayers,
   isPast,
   type Deadline,
   type Instant,
@@ -25,7 +26,7 @@
 } from '@zinniaspindle/shared';
 import type {WriteEvent} from '../log/event_log.js';
 import type {ServiceModel} from '../ports/index.js';
-import {getIncarnation, hasAllLayers} from './endpoint_state.js';
+import {getIncarnation} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 import type {Incarnation} from './notice_table.js';
 import type {LoadTracker} from './load_tracker.js';
--- a/packages/gateway/src/fleet/source_check.ts
+++ b/packages/gateway/src/fleet/source_check.ts
@@ -4,7 +4,11 @@
 import {Result} from 'true-myth';
 import type {EndpointLinks} from '../links/endpoint_links.js';
 import {Counter, type Metrics} from '../log/metrics.js';
-import {EndpointErrorCode, type EndpointCalls} from '../ports/index.js';
+import {
+  EndpointErrorCode,
+  type EndpointCalls,
+  type EndpointReport,
+} from '../ports/index.js';
 import {EndReason} from './end_watch.js';
 import type {Incarnation} from './notice_table.js';
 
@@ -16,12 +20,19 @@
   readonly bornAt: Instant | undefined;
 }
 
-/** The start that an endpoint states, if any, or why there is no answer of it. */
+/** An endpoint's report, if its answer is one, or why there is no answer of it. */
 type SourceReply = Result<
-  Instant | undefined,
+  EndpointReport | undefined,
   SourceState.Ended | SourceState.Unknown
 >;
 
+/** What an endpoint of a model has shown of itself. */
+export interface PartReply {
+  readonly state: SourceState;
+  /** The report of the process that was asked for; undefined if it gave none. */
+  readonly report: EndpointReport | undefined;
+}
+
 /** What a check depends on. */
 export interface SourceCheckContext {
   readonly calls: Pick<EndpointCalls, 'fetchReport'>;
@@ -51,18 +62,41 @@
   /** Checks an endpoint; ends of several of its connections share the calls. */
   async check(source: AnswerSource): Promise<SourceState> {
     const reply = await this.ask(source);
-    const isRefused = reply.isErr && reply.error === SourceState.Ended;
     const state = reply.isErr
       ? reply.error
-      : findSourceState(source.bornAt, reply.value);
-    const {id, bornAt} = source;
-    if (state === SourceState.Ended && bornAt !== undefined) {
-      const reason = isRefused ? EndReason.NotListening : EndReason.Restarted;
-      this.context.handleEnded({id, bornAt}, reason);
-    }
+      : findSourceState(source.bornAt, reply.value?.bornAt);
+    this.reportEnd(source, state, reply);
     return state;
   }
 
+  /**
+   * Checks an endpoint of a model, which answers with a report. Any other answer is
+   * that of another process at its address.
+   */
+  async checkPart(source: AnswerSource): Promise<PartReply> {
+    const reply = await this.ask(source);
+    if (reply.isErr || reply.value === undefined) {
+      const state = reply.isErr ? reply.error : SourceState.Unknown;
+      this.reportEnd(source, state, reply);
+      return {state, report: undefined};
+    }
+    const state = findSourceState(source.bornAt, reply.value.bornAt);
+    this.reportEnd(source, state, reply);
+    const isAlive = state === SourceState.Alive;
+    return {state, report: isAlive ? reply.value : undefined};
+  }
+
+  /** Reports that an endpoint has ended, if that has been found. */
+  private reportEnd(
+    {id, bornAt}: AnswerSource,
+    state: SourceState,
+    reply: SourceReply,
+  ): void {
+    if (state !== SourceState.Ended || bornAt === undefined) return;
+    const reason = reply.isErr ? EndReason.NotListening : EndReason.Restarted;
+    this.context.handleEnded({id, bornAt}, reason);
+  }
+
   private ask(source: AnswerSource): Promise<SourceReply> {
     const {address} = source;
     let reply = this.waiting.get(address);
@@ -102,7 +136,7 @@
         () => undefined,
         handle => links.open({id, address, purpose}, handle),
       );
-      if (report.isOk) return Result.ok(report.value.bornAt);
+      if (report.isOk) return Result.ok(report.value);
       switch (report.error.code) {
         case EndpointErrorCode.NotListening:
           return Result.err(SourceState.Ended);
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -28,7 +28,7 @@
   type EndpointCalls,
   type ServiceModel,
 } from '../ports/index.js';
-import type {OrderMessage} from '../peers/messages.js';
+import type {AnnouncedOrder, OrderMessage} from '../peers/messages.js';
 import type {Ownership} from './ownership.js';
 
 /** The first plan waits until no endpoint has been added for this long. */
@@ -68,6 +68,12 @@
     private readonly writeEvent: WriteEvent,
     private readonly metrics: Metrics,
     private readonly getNow: () => Instant,
+    /**
+     * Called before each order, which may be carried out without an answer, or
+     * long before its answer.
+     */
+    private readonly announce: (order: AnnouncedOrder) => void = () =>
+      undefined,
   ) {}
 
   /**
@@ -160,6 +166,12 @@
   ): Promise<void> {
     const {id, address} = state.entry;
     const {bornAt, orderCount} = state;
+    const order = {
+      ...{id, bornAt, range},
+      orderCount: orderCount + 1,
+      cutsRequests: isUrgent,
+    };
+    this.announce(order);
     this.metrics.count(Counter.Orders);
     const outcome = await this.calls.sendOrder(
       {
@@ -198,13 +210,7 @@
       this.busyUntil.delete(id);
       return;
     }
-    this.handleOrder({
-      id,
-      bornAt,
-      range,
-      orderCount: orderCount + 1,
-      cutsRequests: isUrgent,
-    });
+    this.handleOrder(order);
     this.busyUntil.set(id, this.getNow() + reportIntervalMilliseconds);
   }
 
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -16,6 +16,14 @@
 
 const topics = new Set<unknown>(Object.values(Topic));
 
+const orderFields: Readonly<Record<string, Check>> = {
+  id: isText,
+  bornAt: isInstant,
+  range: isRange,
+  orderCount: isCount,
+  cutsRequests: value => typeof value === 'boolean',
+};
+
 /** The fields that messages of each kind must have; further ones are ignored. */
 const checks: Readonly<
   Record<PeerMessageKind, Readonly<Record<string, Check>>>
@@ -80,15 +88,10 @@
       bornAt: isInstant,
       milliseconds: value => typeof value === 'number',
     }),
+    announced: isMissingOr(orderFields),
   },
   [PeerMessageKind.Facts]: {facts: isFacts},
-  [PeerMessageKind.Order]: {
-    id: isText,
-    bornAt: isInstant,
-    range: isRange,
-    orderCount: isCount,
-    cutsRequests: value => typeof value === 'boolean',
-  },
+  [PeerMessageKind.Order]: orderFields,
   [PeerMessageKind.Relay]: {
     id: isText,
     purpose: isText,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -216,6 +216,8 @@
   readonly limited?: LimitedEndpoint;
   /** A pause that an endpoint wants of the receiver; refutes nothing either. */
   readonly paused?: PausedEndpoint;
+  /** An order that the sender is about to send; refutes nothing either. */
+  readonly announced?: AnnouncedOrder;
 }
 
 /**
@@ -260,6 +262,25 @@
   return {kind, id: '', bornAt: 0, paused};
 }
 
+/** An order to an endpoint, which may accept it or not. */
+export interface AnnouncedOrder {
+  readonly id: string;
+  readonly bornAt: Instant;
+  readonly range: LayerRange;
+  /** Number of orders that the endpoint has accepted if it accepts this one. */
+  readonly orderCount: number;
+  /** Whether it cuts off the requests on layers that the endpoint unloads. */
+  readonly cutsRequests: boolean;
+}
+
+/** Makes the message of an order before it is sent; as above. */
+export function makeAnnouncedMessage(
+  announced: AnnouncedOrder,
+): RefutationMessage {
+  const kind = PeerMessageKind.Refutation;
+  return {kind, id: '', bornAt: 0, announced};
+}
+
 /** Forwards what an endpoint reported to the sender. */
 export interface FactsMessage {
   readonly kind: PeerMessageKind.Facts;
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -279,7 +279,7 @@
 
   private acceptRefutation(
     peer: Peer,
-    {id, bornAt, answered, limited, paused}: RefutationMessage,
+    {id, bornAt, answered, limited, paused, announced}: RefutationMessage,
   ): void {
     if (answered !== undefined) {
       const writtenAt = this.computeWrittenAt(peer, answered.sentAt);
@@ -290,6 +290,8 @@
       const {milliseconds: pauseMilliseconds} = paused;
       const notice = {isLeaving: false, pauseMilliseconds};
       this.endpoints.acceptNotice(paused, notice, `peer ${peer.vm}`);
+    } else if (announced !== undefined) {
+      this.endpoints.orders.record(announced, announced);
     } else {
       this.endpoints.recordRefutation(id, bornAt, peer.vm);
     }
--- a/packages/gateway/src/ports/configuration.ts
+++ b/packages/gateway/src/ports/configuration.ts
@@ -69,6 +69,8 @@
   readonly meanPromptTokens?: number | undefined;
   /** From which times are predicted; undefined if the engine does not state all. */
   readonly figures?: EngineFigures | undefined;
+  /** Time by which the endpoints' reports lag; undefined if not stated. */
+  readonly reportLagMilliseconds?: number | undefined;
   /** Undefined if its endpoints keep nothing of prompts. */
   readonly promptCache?: PromptCacheLimits | undefined;
 }
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -1,21 +1,15 @@
-import {
-  isAfterStall,
-  UnframedVerdict,
-  verifyUnframedEnd,
-} from '@zinniaspindle/decisions';
-import {GatewayEvent, type Instant} from '@zinniaspindle/shared';
+import type {Instant} from '@zinniaspindle/shared';
 import {Result} from 'true-myth';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
 import type {ConnectionKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
 import {openSettled} from '../links/open_settled.js';
-import type {AnswerSource} from '../fleet/source_check.js';
 import {canRunAgain} from './can_run_again.js';
 import type {RequestContext} from './request_context.js';
 import {startLinkWatch} from './link_watch.js';
+import {listSentParts, verifyEnd, type SentPath} from './verify_end.js';
 import {
   Upstream,
-  type UnframedEnd,
   type UpstreamListener,
   type UpstreamRequest,
 } from './upstream.js';
@@ -42,11 +36,6 @@
   readonly handleSilence?: () => void;
 };
 
-/** The endpoint that gave an answer, alone or as the first of a path. */
-interface PathSource extends AnswerSource {
-  readonly isOfPath: boolean;
-}
-
 /** How the connection of a request is opened. */
 export enum Opening {
   /** A new connection. */
@@ -124,13 +113,14 @@
     keepsConnection: keeper !== undefined,
   });
   const {path, attemptId} = request;
+  const sent: SentPath = {
+    source: {id, address, bornAt},
+    parts: listSentParts(server.endpoints, forwarding.parts),
+  };
   return {
     ...{address, method, path, headers, body, attemptId, deadline, keeper},
     canRunAgain: canRunAgain(route),
-    verifyEnd: end => {
-      const source = {id, address, bornAt, isOfPath: hasFurther(forwarding)};
-      return verifyEnd(context, source, end);
-    },
+    verifyEnd: end => verifyEnd(context, sent, end),
   };
 }
 
@@ -161,36 +151,11 @@
       server.prober.recordOverrun(id, excess, source);
     },
     handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
+    handleLastByte: () => listener.handleLastByte?.(),
     handleEnd: (end, detail) => listener.handleEnd(end, detail),
   };
 }
 
-/** Verifies the end of an answer that has neither a length nor chunks. */
-async function verifyEnd(
-  {server, request}: RequestContext,
-  source: PathSource,
-  {relay = '', silentMilliseconds: milliseconds}: UnframedEnd,
-): Promise<UnframedVerdict> {
-  const {stallMilliseconds} = server;
-  const {isOfPath} = source;
-  const verdict = isAfterStall({milliseconds, isOfPath, stallMilliseconds})
-    ? UnframedVerdict.AfterStall
-    : verifyUnframedEnd(await server.sourceCheck.check(source));
-  server.writeEvent(GatewayEvent.AnswerUnframed, {
-    request: request.attemptId,
-    endpoint: source.id,
-    relay,
-    silentMs: Math.round(milliseconds),
-    verdict,
-  });
-  return verdict;
-}
-
-/** Tells whether an answer depends on endpoints beside the one that gives it. */
-function hasFurther({parts = []}: Pick<ForwardingContext, 'parts'>): boolean {
-  return parts.length > 1;
-}
-
 /**
  * Applies what an answer states about the endpoint that gave it. That is the
  * first of a path, also where the answer names another one as the cause of a
--- a/packages/gateway/src/requests/stream_attempt.ts
+++ b/packages/gateway/src/requests/stream_attempt.ts
@@ -90,6 +90,8 @@
       {
         handleAnswer: answer => this.acceptAnswer(answer),
         handleChunk: chunk => this.acceptChunk(chunk),
+        // Its path is free, and is not silent while the end is verified.
+        handleLastByte: () => context.server.paths.release(reservation),
         handleEnd: (end, detail) => this.acceptEnd(end, detail),
         handleSilence: () => listener.handleSilence(this),
       },
--- a/packages/gateway/src/requests/upstream.ts
+++ b/packages/gateway/src/requests/upstream.ts
@@ -92,6 +92,8 @@
   handleExcess?(excess: IntakeExcess): void;
   /** Called before the end of a request whose success has no seal. */
   handleUnsealed?(detail: string): void;
+  /** Called when an answer without a length has ended, before that is verified. */
+  handleLastByte?(): void;
   handleEnd(end: UpstreamEnd, detail: string): void;
 }
 
@@ -251,6 +253,7 @@
   private async acceptEnd(): Promise<void> {
     const silentMilliseconds = performance.now() - this.lastBytesAt;
     const end = {relay: this.getRelay(), silentMilliseconds};
+    this.listener.handleLastByte?.();
     const verdict = await this.options.verifyEnd(end);
     if (verdict !== UnframedVerdict.Whole) {
       return this.close(UpstreamEnd.Broken, verdict);
--- /dev/null
+++ b/packages/gateway/src/requests/verify_end.ts
@@ -0,0 +1,144 @@
+import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {
+  SourceState,
+  UnframedVerdict,
+  verifyUnframedEnd,
+  type StageEvidence,
+  type PathPart,
+} from '@zinniaspindle/decisions';
+import {
+  formatLayerRange,
+  GatewayEvent,
+  type Instant,
+  type LayerRange,
+} from '@zinniaspindle/shared';
+import type {EndpointTable} from '../fleet/endpoint_table.js';
+import {formatHeld} from '../fleet/endpoint_state.js';
+import type {AnswerSource, PartReply} from '../fleet/source_check.js';
+import type {RequestContext, ServerContext} from './request_context.js';
+import type {UnframedEnd} from './upstream.js';
+
+/** Reports show the state of some hundred milliseconds ago, if nothing is stated. */
+const defaultLagMilliseconds = 300;
+/** Reports may be older by this than stated. */
+const lagMarginMilliseconds = 30;
+
+/** An endpoint of a path, as it was known when the request was sent. */
+export interface SentPart extends AnswerSource {
+  readonly layers: LayerRange;
+  /** The orders that it had accepted, as far as known. */
+  readonly sentAtCount: number;
+}
+
+/** Where a request was sent. */
+export interface SentPath {
+  /** The endpoint that gives the answer. */
+  readonly source: AnswerSource;
+  /** The endpoints of its path, the source included; none for a plain service. */
+  readonly parts: readonly SentPart[];
+}
+
+/** Lists the endpoints of a path as they are known now. */
+export function listSentParts(
+  endpoints: EndpointTable,
+  parts: readonly PathPart[] = [],
+): SentPart[] {
+  return parts.map(({endpoint: {id, address}, layers}) => {
+    const state = endpoints.find(id);
+    const sentAtCount = state?.orderCount ?? 0;
+    return {id, address, bornAt: state?.bornAt, layers, sentAtCount};
+  });
+}
+
+/** Verifies the end of an answer that has neither a length nor chunks. */
+export async function verifyEnd(
+  context: RequestContext,
+  {source, parts}: SentPath,
+  {relay = '', silentMilliseconds: milliseconds}: UnframedEnd,
+): Promise<UnframedVerdict> {
+  const {server, request} = context;
+  const {stallMilliseconds} = server;
+  const endedAt = server.getNow();
+  const evidence =
+    parts.length === 0
+      ? undefined
+      : await fetchEvidence(server, parts, endedAt + findLag(context));
+  const verdict = verifyUnframedEnd({
+    silence: {milliseconds, isOfPath: parts.length > 1, stallMilliseconds},
+    source: evidence?.[0]?.state ?? (await server.sourceCheck.check(source)),
+    parts: evidence ?? [],
+  });
+  server.writeEvent(GatewayEvent.AnswerUnframed, {
+    request: request.attemptId,
+    endpoint: source.id,
+    relay,
+    silentMs: Math.round(milliseconds),
+    verdict,
+    parts: formatEvidence(parts, evidence ?? []),
+  });
+  return verdict;
+}
+
+/** Finds the time by which reports of a request's endpoints lag, in milliseconds. */
+function findLag({service: {model}}: RequestContext): number {
+  const stated = model?.reportLagMilliseconds;
+  return (stated ?? defaultLagMilliseconds) + lagMarginMilliseconds;
+}
+
+/**
+ * Fetches what endpoints show of themselves after an end. They are asked at once,
+ * since one that answers has outlived it, and again when their reports show the
+ * orders until then.
+ * @param reportedAt the instant from which reports show the state of the end
+ */
+async function fetchEvidence(
+  server: ServerContext,
+  parts: readonly SentPart[],
+  reportedAt: Instant,
+): Promise<StageEvidence[]> {
+  const ask = () =>
+    Promise.all(parts.map(part => server.sourceCheck.checkPart(part)));
+  const replies = await ask();
+  const areAlive = replies.every(({state}) => state === SourceState.Alive);
+  const wait = reportedAt - server.getNow();
+  if (areAlive && wait > 0) await waitMilliseconds(wait);
+  const later = areAlive ? await ask() : replies;
+  return parts.map((part, index) =>
+    makeEvidence(server, part, replies[index]!, later[index]!),
+  );
+}
+
+function makeEvidence(
+  server: ServerContext,
+  {id, bornAt, layers, sentAtCount}: SentPart,
+  {state, report: first}: PartReply,
+  {report: last}: PartReply,
+): StageEvidence {
+  const stated = last ?? first;
+  const isOfEnd = last !== undefined;
+  return {
+    ...{layers, state, sentAtCount},
+    report: stated && {...stated, isOfEnd},
+    orders: server.endpoints.orders.list(id, bornAt),
+  };
+}
+
+/** Formats what is known of the endpoints of a path, for the log. */
+function formatEvidence(
+  parts: readonly SentPart[],
+  evidence: readonly StageEvidence[],
+): string {
+  const texts = evidence.map(
+    ({layers, state, sentAtCount, report, orders}, index) => {
+      const count = report?.orderCount ?? '?';
+      const cuts = orders.filter(({cutsRequests}) => cutsRequests);
+      const cutCounts = cuts.map(({orderCount}) => orderCount).join('+');
+      return (
+        `${parts[index]!.id} ${formatLayerRange(layers)} ${state}, ` +
+        `orders ${sentAtCount} to ${count}, cutting ${cutCounts || 'none'}, ` +
+        `holds ${formatHeld(report?.held)}`
+      );
+    },
+  );
+  return texts.join('; ');
+}
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -17,7 +17,6 @@
 import {PromptTable} from '../fleet/prompt_table.js';
 import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
 import {SourceCheck} from '../fleet/source_check.js';
-import {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
 import {EraWatch} from '../following/era_watch.js';
 import {StoreReplica} from '../following/store_replica.js';
 import {TopicFollower} from '../following/topic_follower.js';
@@ -26,15 +25,14 @@
 import type {KeptConnections} from '../links/kept_connections.js';
 import {RelayServer} from '../links/relay_server.js';
 import type {EventLog} from '../log/event_log.js';
+import type {OrderRunner} from '../orders/order_runner.js';
+import type {Ownership} from '../orders/ownership.js';
+import type {QuarantineKeeper} from '../quarantine/quarantine_keeper.js';
 import {Counter, Metrics} from '../log/metrics.js';
-import {OrderRunner} from '../orders/order_runner.js';
-import {Ownership} from '../orders/ownership.js';
 import {
-  PeerMessageKind,
   PeerPhase,
   makeLeavingMessage,
   makePausedMessage,
-  type OrderMessage,
 } from '../peers/messages.js';
 import {PeerHandler} from '../peers/peer_handler.js';
 import {PeerMesh} from '../peers/peer_mesh.js';
@@ -53,6 +51,7 @@
 import {AnswersByRoute} from '../requests/answers_by_route.js';
 import {buildLimits} from './build_limits.js';
 import {buildLinks} from './build_links.js';
+import {applyOrder, buildOrders} from './build_orders.js';
 import {buildServers} from './build_servers.js';
 import {describeOwn} from './describe_own.js';
 import {buildSenders} from './probe_senders.js';
@@ -83,7 +82,7 @@
 }
 
 /** The state of the endpoints and of the paths through them. */
-interface FleetParts extends QuarantineParts {
+export interface FleetParts extends QuarantineParts {
   readonly metrics: Metrics;
   readonly endpoints: EndpointTable;
   readonly loads: LoadTracker;
@@ -98,7 +97,7 @@
 }
 
 /** The exchange of state with the store and with peers. */
-interface SyncParts {
+export interface SyncParts {
   readonly eras: EraWatch;
   readonly storeReplica: StoreReplica;
   readonly followers: readonly TopicFollower[];
@@ -301,44 +300,6 @@
   return new WaiterTable(getNow, countPeers, metrics);
 }
 
-function buildOrders(
-  {settings, ports, log, getNow}: GatewayContext,
-  fleet: FleetParts,
-  {mesh, eras}: SyncParts,
-): Pick<GatewayParts, 'ownership' | 'orders' | 'keeper'> {
-  const {metrics, endpoints} = fleet;
-  const {vm} = settings;
-  const {store} = ports;
-  const ownership = new Ownership(store, vm, eras, log.write, metrics, getNow);
-  const handleOrder = (order: Omit<OrderMessage, 'kind'>) => {
-    applyOrder(fleet, order);
-    mesh.sendAll({kind: PeerMessageKind.Order, ...order});
-  };
-  const orders = new OrderRunner(
-    endpoints,
-    ports.endpoints,
-    fleet.prober,
-    ownership,
-    handleOrder,
-    () => mesh.countLive(),
-    log.write,
-    metrics,
-    getNow,
-  );
-  const keeper = new QuarantineKeeper(
-    fleet.quarantine,
-    store,
-    eras,
-    () => ownership.findFencingToken() !== undefined,
-    log.write,
-    metrics,
-    getNow,
-    Date.now,
-    settings.isFirstStart,
-  );
-  return {ownership, orders, keeper};
-}
-
 function buildServing(
   {settings, ports, log, getNow, getPhase, findStopPlan}: GatewayContext,
   fleet: FleetParts,
@@ -400,12 +361,3 @@
   );
   return {callers, directory, queue};
 }
-
-function applyOrder(
-  {endpoints, paths}: FleetParts,
-  order: Omit<OrderMessage, 'kind'>,
-): void {
-  const {id, bornAt, range, orderCount, cutsRequests} = order;
-  endpoints.applyOrder(id, bornAt, range, orderCount);
-  if (cutsRequests) paths.dropStreamsOutside(id, range);
-}
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -210,5 +210,5 @@
   [GatewayEvent.BoundReached]:
     'the listener for {listener} reached a bound, {count} times since its last line: {reason}; {connections} connections, {requestsAhead} requests ahead',
   [GatewayEvent.AnswerUnframed]:
-    'answer of endpoint {endpoint} to request {request}, without a length, ended with its connection {silentMs} ms after its last bytes: {verdict}',
+    'answer of endpoint {endpoint} to request {request}, without a length, ended with its connection {silentMs} ms after its last bytes: {verdict}; {parts}',
 };
--- a/packages/shared/src/layer_range.ts
+++ b/packages/shared/src/layer_range.ts
@@ -19,6 +19,16 @@
   return end > first ? {first, end} : undefined;
 }
 
+/** Tells whether a range contains all layers of another; none has no layers. */
+export function hasAllLayers(
+  range: LayerRange | undefined,
+  other: LayerRange | undefined,
+): boolean {
+  if (other === undefined) return true;
+  if (range === undefined) return false;
+  return range.first <= other.first && range.end >= other.end;
+}
+
 /**
  * Tells whether ranges, in order, cover each of the layers [0, layerCount)
  * exactly once.
