--- a/packages/decisions/__tests__/stages.test.ts
+++ b/packages/decisions/__tests__/stages.test.ts
@@ -307,6 +307,7 @@
   const one = fleet.filter(({id}) => id !== 'a-a100s-0');
   const urgent = [...planRanges(one, model).values()];
   assert.ok(urgent.some(({isUrgent}) => isUrgent));
+  assert.ok(urgent.some(({cutsStreams}) => cutsStreams));
   // Each data centre has lost an endpoint whose gap cannot be filled.
   const all = fleet.filter(({id}) => !lost.includes(id));
   const unhurriedPlan = [...planRanges(all, model).values()];
@@ -389,6 +390,8 @@
   const both = [...leaving, ...also];
   const urgentPlan = planRanges(fewer, model, defaultRangeOptions, both);
   assert.ok([...urgentPlan.values()].some(({isUrgent}) => isUrgent));
+  // The streams of both chains still run: they move, or finish.
+  assert.ok([...urgentPlan.values()].every(({cutsStreams}) => !cutsStreams));
 });
 
 // When the first stage is lost, 13 layers on a large endpoint, its neighbour
--- a/packages/decisions/src/stages/plan_gap_fill.ts
+++ b/packages/decisions/src/stages/plan_gap_fill.ts
@@ -26,7 +26,9 @@
 ): RangePlan | undefined {
   const plan: MutablePlan = new Map();
   for (const {id, held} of group) {
-    if (held !== undefined) plan.set(id, {range: held, isUrgent: false});
+    if (held !== undefined) {
+      plan.set(id, {range: held, isUrgent: false, cutsStreams: false});
+    }
   }
   const isSpare = ({held, isLoading}: PlannedEndpoint) =>
     held === undefined && !isLoading;
@@ -63,7 +65,7 @@
     const range = isLoading
       ? held
       : computeTrimmedRange(endpoint, group, model, options);
-    plan.set(id, {range, isUrgent: false});
+    plan.set(id, {range, isUrgent: false, cutsStreams: false});
     const size = countLayers(range);
     const tokens = computeTokenCapacity(endpoint, size, size, model);
     if (tokens >= least) continue;
@@ -92,7 +94,11 @@
   const taken = Math.min(fitting, Math.ceil(countLayers(range) / 2));
   if (taken <= 0) return;
   const first = range.end - taken;
-  plan.set(spare.id, {range: {first, end: range.end}, isUrgent: false});
+  plan.set(spare.id, {
+    range: {first, end: range.end},
+    isUrgent: false,
+    cutsStreams: false,
+  });
 }
 
 /** Extends the neighbour with more free memory into the fullest endpoint's range. */
@@ -119,7 +125,7 @@
     taker === before
       ? {first: held.first, end: held.end + taken}
       : {first: held.first - taken, end: held.end};
-  plan.set(taker.id, {range: extended, isUrgent: false});
+  plan.set(taker.id, {range: extended, isUrgent: false, cutsStreams: false});
 }
 
 /**
@@ -150,7 +156,7 @@
   const fitting = countFittingLayers(spare, options.gapFillTokens, model);
   const end = Math.min(first + fitting, last);
   if (before !== undefined) setEnd(plan, before, first);
-  plan.set(spare.id, {range: {first, end}, isUrgent: true});
+  plan.set(spare.id, {range: {first, end}, isUrgent: true, cutsStreams: false});
   if (end < last) return {first: end, end: gap.end};
   if (after !== undefined) setFirst(plan, after, last);
   return {first: gap.end, end: gap.end};
@@ -159,7 +165,11 @@
 function setEnd(plan: MutablePlan, {id}: PlannedEndpoint, end: number): void {
   const {range} = plan.get(id)!;
   if (end === range.end) return;
-  plan.set(id, {range: {first: range.first, end}, isUrgent: true});
+  plan.set(id, {
+    range: {first: range.first, end},
+    isUrgent: true,
+    cutsStreams: false,
+  });
 }
 
 function setFirst(
@@ -169,7 +179,11 @@
 ): void {
   const {range} = plan.get(id)!;
   if (first === range.first) return;
-  plan.set(id, {range: {first, end: range.end}, isUrgent: true});
+  plan.set(id, {
+    range: {first, end: range.end},
+    isUrgent: true,
+    cutsStreams: false,
+  });
 }
 
 function findNeighbours(
--- a/packages/decisions/src/stages/plan_ranges.ts
+++ b/packages/decisions/src/stages/plan_ranges.ts
@@ -45,10 +45,15 @@
 export interface PlannedRange {
   readonly range: LayerRange;
   /**
-   * Whether running streams on layers that the endpoint drops are cut off,
-   * because its chain is broken and another one can take them.
+   * Whether streams on layers that the endpoint drops are to move, because its
+   * chain is broken and another one can take them.
    */
   readonly isUrgent: boolean;
+  /**
+   * Whether the endpoint cuts those streams off, because its chain does not run
+   * them any more; else those that do not move finish first.
+   */
+  readonly cutsStreams: boolean;
 }
 
 /** The wanted ranges by endpoint id; endpoints not listed keep what they hold. */
@@ -102,8 +107,9 @@
     isMoving = true;
     const isUrgent = isRepairUrgent(loaded, groupCount, stillRuns);
     const tokens = findFittingTokens(group, model, options.repairTokens);
+    const cutsStreams = isUrgent && !stillRuns;
     for (const [id, range] of planRepair(group, tokens, sharedModel)) {
-      plan.set(id, {range, isUrgent});
+      plan.set(id, {range, isUrgent, cutsStreams});
     }
   }
   return plan;
@@ -121,9 +127,9 @@
 }
 
 /**
- * Tells whether a repair cuts off the streams on layers that a broken chain
- * drops, so that they resume on another chain. Streams of a chain that only
- * has draining endpoints still run; they may finish while enough other chains
+ * Tells whether the streams on layers that a broken chain drops are to move to
+ * another chain, so that the repair does not wait for them. Streams of a chain
+ * that only has draining endpoints still run; they stay while enough other chains
  * are whole.
  */
 function isRepairUrgent(
@@ -235,7 +241,9 @@
   let first = 0;
   for (const {endpoint, size} of members) {
     const range = {first, end: first + size};
-    if (size > 0) plan.set(endpoint.id, {range, isUrgent: false});
+    if (size > 0) {
+      plan.set(endpoint.id, {range, isUrgent: false, cutsStreams: false});
+    }
     first += size;
   }
   return plan;
--- a/packages/gateway/__tests__/build_samples.ts
+++ b/packages/gateway/__tests__/build_samples.ts
@@ -204,6 +204,14 @@
         ...{range: {first: 40, end: 80}, cutsRequests: true},
       },
     },
+    {
+      name: 'order that lets requests finish',
+      message: {
+        ...{kind: PeerMessageKind.Order, id, bornAt, orderCount: 3},
+        ...{range: {first: 40, end: 80}, cutsRequests: true},
+        waitsForRequests: true,
+      },
+    },
     {
       name: 'connection to pass on',
       message: modules.makeRelayRequest(id, '9c41d07be2a35f68'),
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -161,24 +161,20 @@
 
   private async sendOrder(
     state: EndpointState,
-    {range, isUrgent}: PlannedRange,
+    {range, isUrgent, cutsStreams}: PlannedRange,
     fencingToken: number,
   ): Promise<void> {
     const {id, address} = state.entry;
     const {bornAt, orderCount} = state;
-    const order = {
-      ...{id, bornAt, range},
-      orderCount: orderCount + 1,
-      cutsRequests: isUrgent,
-    };
-    this.announce(order);
+    const order = {...{id, bornAt, range}, orderCount: orderCount + 1};
+    this.announce({...order, cutsRequests: cutsStreams});
     this.metrics.count(Counter.Orders);
     const outcome = await this.calls.sendOrder(
       {
         address,
         endpointId: id,
         range,
-        cutsRequests: isUrgent,
+        cutsRequests: cutsStreams,
         fencingToken,
         expectedOrderCount: orderCount,
       },
@@ -210,7 +206,11 @@
       this.busyUntil.delete(id);
       return;
     }
-    this.handleOrder(order);
+    this.handleOrder({
+      ...order,
+      cutsRequests: isUrgent,
+      waitsForRequests: !cutsStreams,
+    });
     this.busyUntil.set(id, this.getNow() + reportIntervalMilliseconds);
   }
 
--- a/packages/gateway/src/peers/message_checks.ts
+++ b/packages/gateway/src/peers/message_checks.ts
@@ -91,7 +91,10 @@
     announced: isMissingOr(orderFields),
   },
   [PeerMessageKind.Facts]: {facts: isFacts},
-  [PeerMessageKind.Order]: orderFields,
+  [PeerMessageKind.Order]: {
+    ...orderFields,
+    waitsForRequests: isMissingOrBoolean,
+  },
   [PeerMessageKind.Relay]: {
     id: isText,
     purpose: isText,
--- a/packages/gateway/src/peers/messages.ts
+++ b/packages/gateway/src/peers/messages.ts
@@ -295,8 +295,13 @@
   readonly range: LayerRange;
   /** Number of orders that the endpoint has accepted, including this one. */
   readonly orderCount: number;
-  /** Whether streams on the layers that it unloads are cut off. */
+  /** Whether streams on the layers that it unloads are to move or are cut off. */
   readonly cutsRequests: boolean;
+  /**
+   * Whether the endpoint lets those finish that do not move. Older builds neither
+   * send nor read it; their endpoints cut all of them off.
+   */
+  readonly waitsForRequests?: boolean;
 }
 
 /** Asks a peer to connect to an endpoint and to pass all further bytes on. */
--- a/packages/gateway/src/root/build_orders.ts
+++ b/packages/gateway/src/root/build_orders.ts
@@ -61,8 +61,11 @@
   {endpoints, paths}: Pick<FleetParts, 'endpoints' | 'paths'>,
   order: Omit<OrderMessage, 'kind'>,
 ): void {
-  const {id, bornAt, range, orderCount, cutsRequests} = order;
-  endpoints.orders.record(order, order);
+  const {id, bornAt, range, orderCount, cutsRequests, waitsForRequests} = order;
+  endpoints.orders.record(order, {
+    ...order,
+    cutsRequests: cutsRequests && waitsForRequests !== true,
+  });
   endpoints.applyOrder(id, bornAt, range, orderCount);
   if (cutsRequests) paths.dropStreamsOutside(id, range);
 }
