--- a/packages/gateway/src/fleet/source_check.ts
+++ b/packages/gateway/src/fleet/source_check.ts
@@ -61,12 +61,7 @@
 
   /** Checks an endpoint; ends of several of its connections share the calls. */
   async check(source: AnswerSource): Promise<SourceState> {
-    const reply = await this.ask(source);
-    const state = reply.isErr
-      ? reply.error
-      : findSourceState(source.bornAt, reply.value?.bornAt);
-    this.reportEnd(source, state, reply);
-    return state;
+    return this.acceptReply(source, await this.ask(source));
   }
 
   /**
@@ -75,26 +70,24 @@
    */
   async checkPart(source: AnswerSource): Promise<PartReply> {
     const reply = await this.ask(source);
-    if (reply.isErr || reply.value === undefined) {
-      const state = reply.isErr ? reply.error : SourceState.Unknown;
-      this.reportEnd(source, state, reply);
-      return {state, report: undefined};
-    }
-    const state = findSourceState(source.bornAt, reply.value.bornAt);
-    this.reportEnd(source, state, reply);
-    const isAlive = state === SourceState.Alive;
-    return {state, report: isAlive ? reply.value : undefined};
+    const state = this.acceptReply(source, reply);
+    if (state !== SourceState.Alive) return {state, report: undefined};
+    const report = reply.unwrapOr(undefined);
+    return {state: report === undefined ? SourceState.Unknown : state, report};
   }
 
-  /** Reports that an endpoint has ended, if that has been found. */
-  private reportEnd(
+  /** Finds what a reply shows, and reports an end that it has found. */
+  private acceptReply(
     {id, bornAt}: AnswerSource,
-    state: SourceState,
     reply: SourceReply,
-  ): void {
-    if (state !== SourceState.Ended || bornAt === undefined) return;
+  ): SourceState {
+    const state = reply.isErr
+      ? reply.error
+      : findSourceState(bornAt, reply.value?.bornAt);
+    if (state !== SourceState.Ended || bornAt === undefined) return state;
     const reason = reply.isErr ? EndReason.NotListening : EndReason.Restarted;
     this.context.handleEnded({id, bornAt}, reason);
+    return state;
   }
 
   private ask(source: AnswerSource): Promise<SourceReply> {
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -72,8 +72,7 @@
      * Called before each order, which may be carried out without an answer, or
      * long before its answer.
      */
-    private readonly announce: (order: AnnouncedOrder) => void = () =>
-      undefined,
+    private readonly announce: (order: AnnouncedOrder) => void,
   ) {}
 
   /**
--- a/packages/gateway/src/peers/peer_handler.ts
+++ b/packages/gateway/src/peers/peer_handler.ts
@@ -291,7 +291,7 @@
       const notice = {isLeaving: false, pauseMilliseconds};
       this.endpoints.acceptNotice(paused, notice, `peer ${peer.vm}`);
     } else if (announced !== undefined) {
-      this.endpoints.orders.record(announced, announced);
+      this.endpoints.orders.record(announced);
     } else {
       this.endpoints.recordRefutation(id, bornAt, peer.vm);
     }
--- a/packages/gateway/src/root/build_orders.ts
+++ b/packages/gateway/src/root/build_orders.ts
@@ -38,7 +38,7 @@
     metrics,
     getNow,
     order => {
-      endpoints.orders.record(order, order);
+      endpoints.orders.record(order);
       mesh.sendAll(makeAnnouncedMessage(order));
     },
   );
@@ -62,7 +62,7 @@
   order: Omit<OrderMessage, 'kind'>,
 ): void {
   const {id, bornAt, range, orderCount, cutsRequests, waitsForRequests} = order;
-  endpoints.orders.record(order, {
+  endpoints.orders.record({
     ...order,
     cutsRequests: cutsRequests && waitsForRequests !== true,
   });
