fix(reports): no call with a made-up id goes to a process that may take it for a request

Cause: where connections are kept, a report was asked for with an id of this VM's own, so that its answer could be told from a late copy of an earlier one. A plain service takes any path for a request, and runs what has an id. Its process gets such calls once it has the address of an ended endpoint that is still listed, and so does a sound plain endpoint that a VM probes.

Change: a call has an id only on a connection on which a report has come before: its process is one that answers reports. The first call on any other connection has none, and a service that takes it for a request refuses it (PROTOCOL.md: "400 without an id"). On a kept connection, an answer counts for a call without an id if it has none, and for one with an id if it repeats it. An endpoint that does not repeat the id of a report shows that once; for 30 s connections of reports are then not kept, as before.

Why this holds: it does not depend on the other process knowing the header of the expected endpoint, or on this VM knowing whose address it is.

--- a/packages/gateway/__tests__/kept_connections.test.ts
+++ b/packages/gateway/__tests__/kept_connections.test.ts
@@ -39,7 +39,10 @@
     if (!this.endpoints.has(id)) {
       this.endpoints.set(id, {address, bornAt, isWanted: true});
     }
-    return this.kept.makeKeeper({id, address, bornAt}, request);
+    const target = {id, address, bornAt};
+    return request === undefined
+      ? this.kept.makeReportKeeper(target)
+      : this.kept.makeKeeper(target, request);
   }
 
   readCount(reason: string): number {
@@ -111,7 +114,7 @@
   bench.endpoints.delete('e1');
   bench.endpoints.set('e2', {address: 'e1:80', bornAt: 1, isWanted: true});
   const target = {id: 'e2', address: 'e1:80', bornAt: 1};
-  assert.equal(bench.kept.makeKeeper(target).take(), undefined);
+  assert.equal(bench.kept.makeReportKeeper(target).take(), undefined);
   bench.kept.dropStale();
   assert.equal(connection.socket.destroyed, true);
 });
--- a/packages/gateway/__tests__/raw_endpoint.ts
+++ b/packages/gateway/__tests__/raw_endpoint.ts
@@ -70,9 +70,17 @@
     });
   }
 
-  makeKeeper(request?: string) {
+  makeKeeper(request: string) {
+    return this.kept.makeKeeper(this.getTarget(), request);
+  }
+
+  makeReportKeeper() {
+    return this.kept.makeReportKeeper(this.getTarget());
+  }
+
+  private getTarget() {
     const {address, bornAt} = this;
-    return this.kept.makeKeeper({id: 'e1', address, bornAt}, request);
+    return {id: 'e1', address, bornAt};
   }
 
   readCount(name: string): number {
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -114,7 +114,7 @@
     /** Opens connections; undefined to connect to the addresses. */
     readonly links?: Pick<EndpointLinks, 'open'>,
     /** Keeps connections of reports; undefined to open one for each. */
-    private readonly kept?: Pick<KeptConnections, 'makeKeeper'>,
+    private readonly kept?: Pick<KeptConnections, 'makeReportKeeper'>,
   ) {}
 
   /**
@@ -320,7 +320,7 @@
       address,
       handleNotice,
       makeOpener(this.links, state, source),
-      this.kept?.makeKeeper({id, address, bornAt: asked.bornAt}),
+      this.kept?.makeReportKeeper({id, address, bornAt: asked.bornAt}),
     );
     if (this.table.find(id) !== state) return undefined;
     if (report.isErr) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export {
   KeptConnections,
   type ConnectionKeeper,
+  type ReportKeeper,
 } from './links/kept_connections.js';
 export {describeAnswerEnd} from './links/answer_end.js';
 export {EventLog, type EventFields, type WriteEvent} from './log/event_log.js';
--- a/packages/gateway/src/links/kept_connections.ts
+++ b/packages/gateway/src/links/kept_connections.ts
@@ -7,7 +7,7 @@
   type IdleConnection,
   type KeptEndpoint,
 } from '@zinniaspindle/decisions';
-import type {Instant} from '@zinniaspindle/shared';
+import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import {Counter, type Metrics} from '../log/metrics.js';
 import type {EndpointConnection} from './open_connection.js';
 
@@ -17,6 +17,8 @@
 const maxUses = 64;
 /** Idle connections of a VM; each takes a descriptor. */
 const maxIdle = 128;
+/** Time after an answer without the id of its call in which no other id is tried. */
+const unechoedMilliseconds = 30_000;
 
 const dropCounters: Readonly<Record<DropReason, Counter>> = {
   [DropReason.Closed]: Counter.DroppedClosed,
@@ -45,6 +47,18 @@
   recordFailed(): void;
 }
 
+/** Takes and keeps the connections of reports. */
+export interface ReportKeeper extends ConnectionKeeper {
+  /**
+   * Tells whether a connection has had a report. Calls on it carry an id, since that
+   * report may come again; elsewhere a process may take a call for a request, and run
+   * it if it has an id.
+   */
+  hasReported(connection: EndpointConnection): boolean;
+  /** Records that an answer did not repeat the id of its call. */
+  recordUnechoed(): void;
+}
+
 /** What kept connections depend on. */
 export interface KeptContext {
   /** Finds an endpoint as it is known now. */
@@ -69,6 +83,10 @@
   private readonly all = new Set<Idle>();
   /** Ids of the requests that each connection has had. */
   private readonly used = new WeakMap<object, Set<string>>();
+  /** Connections that have had a report. */
+  private readonly reported = new WeakSet<object>();
+  /** Connections of reports are not kept before this instant. */
+  private keepsReportsFrom: Deadline = -Infinity;
   private isClosed = false;
 
   constructor(private readonly context: KeptContext) {}
@@ -77,19 +95,40 @@
    * Makes what takes and keeps connections to an incarnation of an endpoint.
    * @param request the id that its caller gave the request, and that its answer
    *   carries; a connection that has had a request with it is not taken, since the
-   *   earlier answer may come again. Undefined for an id that is used once.
+   *   earlier answer may come again
    */
-  makeKeeper(target: KeptTarget, request?: string): ConnectionKeeper {
+  makeKeeper(target: KeptTarget, request: string): ConnectionKeeper {
     return {
       take: () => this.take(target, request),
       accept: (connection, end) => {
-        if (request !== undefined) this.recordUse(connection, request);
+        this.recordUse(connection, request);
         this.accept(target, connection, end);
       },
       recordFailed: () => this.context.metrics.count(Counter.DroppedFailed),
     };
   }
 
+  /** Makes the same for reports, whose ids are used once. */
+  makeReportKeeper(target: KeptTarget): ReportKeeper {
+    const {metrics, getNow} = this.context;
+    const hasReported = ({socket}: EndpointConnection) =>
+      this.reported.has(socket);
+    return {
+      take: () => this.take(target, undefined),
+      hasReported,
+      accept: (connection, end) => {
+        const canRepeat = isPast(this.keepsReportsFrom, getNow());
+        if (!canRepeat && !hasReported(connection)) connection.socket.destroy();
+        else this.accept(target, connection, end);
+        this.reported.add(connection.socket);
+      },
+      recordFailed: () => metrics.count(Counter.DroppedFailed),
+      recordUnechoed: () => {
+        this.keepsReportsFrom = getNow() + unechoedMilliseconds;
+      },
+    };
+  }
+
   /** Counts the idle connections, which are as many descriptors. */
   count(): number {
     return this.all.size;
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -1,7 +1,7 @@
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
 import type {Result, Unit} from 'true-myth';
 import type {EndpointError} from './errors.js';
-import type {ConnectionKeeper} from '../links/kept_connections.js';
+import type {ReportKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
 import type {HandleNotice} from './exchange.js';
 
@@ -93,7 +93,7 @@
     address: string,
     handleNotice: HandleNotice,
     openConnection?: OpenConnection,
-    keeper?: ConnectionKeeper,
+    keeper?: ReportKeeper,
   ): Promise<Result<EndpointReport, EndpointError>>;
   sendOrder(
     order: RangeOrder,
