fix(answers): a request that another endpoint has run does not count as not sent

What callers would see: a request that may run once only was answered 503, or sent again, though it had run, where the endpoint that answered stated another id than the one it was sent to.

Cause: any answer of another endpoint was taken for one of an endpoint that had not seen the request. A service that does not check for whom a request is may run it.

Change: only an answer that states that the request has not run counts so, and only if it came whole. Others end as before.

Evidence: "a request that another endpoint has run is not sent again" got 503 in place of 200 before, and passes now.

--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -155,7 +155,9 @@
       const stated = {...answer, callId: answer.attemptId ?? ''};
       const isRelayed = relay !== undefined;
       const answerer = findAnswerer({...call, isRelayed}, stated);
-      if (answerer === Answerer.Other) claims = stated;
+      // A process that does not check whom it is for may have run the request.
+      const hasNotRun = answerer === Answerer.Other && answer.isNotRun;
+      if (hasNotRun) claims = stated;
       acceptNotice(context, call, answer);
       if (!getUpstream().isFramed()) startCounts(server, parts);
       const {pauseMilliseconds: milliseconds} = answer;
@@ -173,7 +175,9 @@
     handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
     handleLastByte: () => listener.handleLastByte?.(),
     handleEnd: (end, detail) => {
-      if (claims === undefined) return listener.handleEnd(end, detail);
+      if (claims === undefined || end !== UpstreamEnd.Complete) {
+        return listener.handleEnd(end, detail);
+      }
       // Its own path is none that has to be left.
       listener.handleLastByte?.();
       server.prober.listeners.handleReplaced(target, {claims, source});
