fix(connections): a request does not close a connection that has just been opened

Cause: where a VM is at its bound of sockets, each request that is passed on makes room for the connection to its endpoint. A connection whose first request has not been read yet counts as one that never sent a request, which is closed first. So a request of a crowd, sent ahead and still open after its caller had left, reset the connection of an ordinary caller that had just been accepted.

Ruled out: a reset by the test's own endpoints, and a death of the process (its log goes on). The log names the bound "a connection is closed for another one" 34 to 49 ms before the reset.

Change: chooseClosed is told what room is made for. For a request, a connection that is newer than 250 ms and has sent nothing is not closed; the request is refused with 503 instead, as where all others are busy. New connections of clients make room as before.

--- a/packages/decisions/__tests__/connections.test.ts
+++ b/packages/decisions/__tests__/connections.test.ts
@@ -2,6 +2,7 @@
 import {test} from 'node:test';
 import {
   chooseClosed,
+  RoomFor,
   chooseUnread,
   decideReading,
   deriveClientMemory,
@@ -83,6 +84,7 @@
   assert.equal(decideReading(worst), ReadingStep.Take);
 });
 
+const {Connection, Request} = RoomFor;
 const now = 100_000;
 const busy = {
   ...{name: 'busy', hasSentRequest: true, openRequests: 1, idleSince: 0},
@@ -100,23 +102,40 @@
 
 test('connections are closed silent, then idle, receiving and unread ones', () => {
   const all = [busy, unread, receiving, idle, silent];
-  assert.equal(chooseClosed(all, now)?.name, 'silent');
-  assert.equal(chooseClosed([busy, unread, idle], now)?.name, 'idle');
-  assert.equal(chooseClosed([unread, receiving], now)?.name, 'receiving');
-  assert.equal(chooseClosed([busy, unread], now)?.name, 'unread');
-  assert.equal(chooseClosed([busy], now), undefined);
+  assert.equal(chooseClosed(all, now, Connection)?.name, 'silent');
+  assert.equal(
+    chooseClosed([busy, unread, idle], now, Connection)?.name,
+    'idle',
+  );
+  assert.equal(
+    chooseClosed([unread, receiving], now, Connection)?.name,
+    'receiving',
+  );
+  assert.equal(chooseClosed([busy, unread], now, Connection)?.name, 'unread');
+  assert.equal(chooseClosed([busy], now, Connection), undefined);
+});
+
+test('a request does not close a connection that may have one at once', () => {
+  const arriving = {...silent, name: 'arriving', idleSince: now - 40};
+  assert.equal(chooseClosed([busy, arriving], now, Request), undefined);
+  assert.equal(chooseClosed([unread, arriving], now, Request)?.name, 'unread');
+  assert.equal(chooseClosed([arriving, silent], now, Request)?.name, 'silent');
+  assert.equal(
+    chooseClosed([busy, arriving], now, Connection)?.name,
+    'arriving',
+  );
 });
 
 test('the connection that is idle longest is closed', () => {
   const recent = {...idle, name: 'recent', idleSince: now - 1};
-  assert.equal(chooseClosed([recent, idle], now)?.name, 'idle');
-  assert.equal(chooseClosed([idle, recent], now)?.name, 'idle');
+  assert.equal(chooseClosed([recent, idle], now, Connection)?.name, 'idle');
+  assert.equal(chooseClosed([idle, recent], now, Connection)?.name, 'idle');
 });
 
 test('a caller that has just taken or begun to send bytes is not closed', () => {
   const reading = {...unread, unreadSince: now - 10};
   const sending = {...receiving, receivingSince: now - 10};
-  assert.equal(chooseClosed([reading, sending], now), undefined);
+  assert.equal(chooseClosed([reading, sending], now, Connection), undefined);
 });
 
 test('unread answers within their bound are kept', () => {
--- a/packages/decisions/src/connections/choose_closed.ts
+++ b/packages/decisions/src/connections/choose_closed.ts
@@ -2,9 +2,19 @@
 
 /** A caller that reads takes bytes more often than this. */
 const unreadMilliseconds = 1000;
+/** A caller that opens a connection for a request has sent it by then. */
+const arrivingMilliseconds = 250;
 /** A caller that has begun a body sends it within this time. */
 const receivingMilliseconds = 1000;
 
+/** What a connection is closed for. */
+export enum RoomFor {
+  /** A new connection of a client. */
+  Connection = 'connection',
+  /** The connection to an endpoint that a request needs. */
+  Request = 'request',
+}
+
 /** How a connection is used. */
 export interface ConnectionUse {
   /** Whether a whole request, with its body, has come on it. */
@@ -33,18 +43,21 @@
 }
 
 /**
- * Chooses the connection to close for a new one: one that never sent a whole request,
+ * Chooses the connection to close for another one: one that never sent a whole request,
  * then the one that is idle longest, the one that waits longest for a body, and the one
- * whose answers are unread longest. Undefined if all have requests under way.
+ * whose answers are unread longest. Undefined if all have requests under way, or may
+ * have them at once where room is made for a request: that request can be refused, while
+ * the caller of a closed connection learns nothing.
  */
 export function chooseClosed<Use extends ConnectionUse>(
   connections: Iterable<Use>,
   now: Instant,
+  roomFor: RoomFor,
 ): Use | undefined {
   let chosen: Use | undefined;
   let best: ClosingGround = {rank: Infinity, since: Infinity};
   for (const connection of connections) {
-    const ground = findGround(connection, now);
+    const ground = findGround(connection, now, roomFor);
     if (ground === undefined || ground.rank > best.rank) continue;
     if (ground.rank === best.rank && ground.since >= best.since) continue;
     chosen = connection;
@@ -56,9 +69,16 @@
 function findGround(
   use: ConnectionUse,
   now: Instant,
+  roomFor: RoomFor,
 ): ClosingGround | undefined {
   const {idleSince, receivingSince, unreadSince} = use;
-  if (!use.hasSentRequest) return {rank: ClosingRank.Silent, since: idleSince};
+  if (!use.hasSentRequest) {
+    const mayClose =
+      roomFor === RoomFor.Connection ||
+      hasPassed(idleSince, arrivingMilliseconds, now);
+    if (!mayClose) return undefined;
+    return {rank: ClosingRank.Silent, since: idleSince};
+  }
   if (use.openRequests === 0) {
     return {rank: ClosingRank.Idle, since: idleSince};
   }
--- a/packages/gateway/src/connections/bounded_server.ts
+++ b/packages/gateway/src/connections/bounded_server.ts
@@ -2,6 +2,7 @@
 import net, {type Socket} from 'node:net';
 import {
   chooseClosed,
+  RoomFor,
   chooseUnread,
   decideReading,
   ReadingStep,
@@ -172,20 +173,11 @@
   }
 
   /**
-   * Makes room for a socket beside the connections, or for a connection among the
-   * spare ones; returns false if there is none and no connection may be closed.
+   * Makes room for the connection of a request to its endpoint; returns false if there
+   * is none and no connection may be closed.
    */
-  makeRoom(spare = 0): boolean {
-    const further = this.handler.countFurtherSockets?.() ?? 0;
-    const {connections} = this.limits;
-    if (this.connections.size + further < connections) return true;
-    const now = this.parts.getNow();
-    const chosen = chooseClosed(this.listUses(), now);
-    if (chosen === undefined) {
-      return this.connections.size + further < connections + spare;
-    }
-    this.closeConnection(chosen.connection, Bound.Evicted);
-    return true;
+  makeRoom(): boolean {
+    return this.makeRoomFor(RoomFor.Request, 0);
   }
 
   /** Closes connections whose answers are not read, where these exceed a bound. */
@@ -219,7 +211,8 @@
   }
 
   private addSocket(socket: Socket): void {
-    if (!this.makeRoom(this.limits.spareConnections)) {
+    const {spareConnections} = this.limits;
+    if (!this.makeRoomFor(RoomFor.Connection, spareConnections)) {
       this.record(Bound.Full, Counter.CallersTurnedAway);
       socket.destroy();
       return;
@@ -247,6 +240,19 @@
     this.handler.handleConnection?.(socket);
   }
 
+  private makeRoomFor(roomFor: RoomFor, spare: number): boolean {
+    const further = this.handler.countFurtherSockets?.() ?? 0;
+    const {connections} = this.limits;
+    if (this.connections.size + further < connections) return true;
+    const now = this.parts.getNow();
+    const chosen = chooseClosed(this.listUses(), now, roomFor);
+    if (chosen === undefined) {
+      return this.connections.size + further < connections + spare;
+    }
+    this.closeConnection(chosen.connection, Bound.Evicted);
+    return true;
+  }
+
   private removeSocket(connection: ClientConnection): void {
     if (!this.connections.delete(connection.socket)) return;
     this.parts.turns.remove(connection.reader.readOn);
