refactor(answers): one function handles the answer to a call for a report

The prober, the check of ended runs and that of ends of answers each found whose answer it was, read its claims and reported the end in turn; handleReply does so for all three. Another endpoint at an address is recorded through the prober, whose listeners are private again. OpenTarget and UpstreamTarget were CallTarget of the ports. No change of behaviour.

--- a/packages/gateway/src/fleet/end_check.ts
+++ b/packages/gateway/src/fleet/end_check.ts
@@ -1,11 +1,12 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
+import {isEndOfAsked} from '@zinniaspindle/decisions';
 import type {EndpointLinks} from '../links/endpoint_links.js';
 import {makeOpener} from '../links/make_opener.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import type {EndpointCalls} from '../ports/index.js';
-import {findReportAnswerer, getAsked, getClaims} from './asked_endpoint.js';
+import {getAsked} from './asked_endpoint.js';
 import type {EndpointTable} from './endpoint_table.js';
-import {reportEnd, type EndListeners} from './report_end.js';
+import {handleReply, type EndListeners} from './report_end.js';
 
 /** An endpoint that is ending may reset its connections before it stops listening. */
 const confirmDelayMilliseconds = 60;
@@ -56,8 +57,7 @@
       opener.open,
     );
     const isRelayed = opener.isRelayed();
-    const answerer = findReportAnswerer({asked, isRelayed}, report);
-    const claims = getClaims(report);
-    return reportEnd(this.listeners, asked, {answerer, claims, source});
+    const call = {asked, isRelayed};
+    return isEndOfAsked(handleReply(this.listeners, call, report, source));
   }
 }
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -9,6 +9,7 @@
   isOfOther,
   recordRefusal,
   type IntakeExcess,
+  type ProcessClaims,
   type StagePath,
 } from '@zinniaspindle/decisions';
 import {
@@ -32,15 +33,14 @@
   type HandleNotice,
 } from '../ports/index.js';
 import {
-  findReportAnswerer,
   getAsked,
-  getClaims,
+  type AskedEndpoint,
   type KnownEndpoint,
 } from './asked_endpoint.js';
 import {type EndpointFacts, type EndpointState} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
 import {OverrunLog} from './overrun_log.js';
-import {reportEnd, type EndListeners} from './report_end.js';
+import {handleReply, type EndListeners} from './report_end.js';
 
 /** Callbacks for the results of probes. */
 export interface ProbeListeners extends EndListeners {
@@ -109,7 +109,7 @@
   constructor(
     private readonly table: EndpointTable,
     private readonly calls: EndpointCalls,
-    readonly listeners: ProbeListeners,
+    private readonly listeners: ProbeListeners,
     private readonly metrics: Metrics,
     /** Whether this VM is one of the few that keep reporting on endpoints in a large fleet. */
     private readonly isVoter: () => boolean,
@@ -232,6 +232,15 @@
     this.listeners.sendSuspicion(id, state.bornAt, cause);
   }
 
+  /** Records that another endpoint has answered at the address of one. */
+  recordReplaced(
+    asked: AskedEndpoint,
+    claims: ProcessClaims,
+    source: string,
+  ): void {
+    this.listeners.handleReplaced(asked, {claims, source});
+  }
+
   /** Records that an endpoint answered a success that may not be used. */
   recordUnsealed(id: string, detail: string): void {
     const state = this.table.find(id);
@@ -318,9 +327,8 @@
     );
     if (this.table.find(id) !== state) return undefined;
     const isRelayed = opener.isRelayed();
-    const answerer = findReportAnswerer({asked, isRelayed}, report);
-    const claims = getClaims(report);
-    reportEnd(this.listeners, asked, {answerer, claims, source});
+    const call = {asked, isRelayed};
+    const answerer = handleReply(this.listeners, call, report, source);
     if (answerer === Answerer.Other) {
       const detail = `another endpoint answers at ${address}`;
       return Result.err(makeEndpointError(EndpointErrorCode.Replaced, detail));
--- a/packages/gateway/src/fleet/report_end.ts
+++ b/packages/gateway/src/fleet/report_end.ts
@@ -1,11 +1,18 @@
 import {
   Answerer,
   isEndOfAsked,
+  type EndpointCall,
   type ProcessClaims,
 } from '@zinniaspindle/decisions';
 import {GatewayEvent} from '@zinniaspindle/shared';
+import type {Result} from 'true-myth';
 import type {WriteEvent} from '../log/event_log.js';
-import type {AskedEndpoint} from './asked_endpoint.js';
+import type {EndpointError, EndpointReport} from '../ports/index.js';
+import {
+  findReportAnswerer,
+  getClaims,
+  type AskedEndpoint,
+} from './asked_endpoint.js';
 import type {EndpointTable} from './endpoint_table.js';
 import {EndReason} from './end_watch.js';
 import type {Incarnation} from './notice_table.js';
@@ -49,6 +56,19 @@
   return true;
 }
 
+/** Reports the end that the answer to a call for a report shows; finds whose it is. */
+export function handleReply(
+  listeners: EndListeners,
+  call: EndpointCall & {readonly asked: AskedEndpoint},
+  report: Result<EndpointReport, EndpointError>,
+  source: string,
+): Answerer {
+  const answerer = findReportAnswerer(call, report);
+  const claims = getClaims(report);
+  reportEnd(listeners, call.asked, {answerer, claims, source});
+  return answerer;
+}
+
 /**
  * Makes what removes endpoints whose address another one has. They come back with
  * their next entry, as after a start at another address.
--- a/packages/gateway/src/fleet/source_check.ts
+++ b/packages/gateway/src/fleet/source_check.ts
@@ -1,5 +1,10 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
-import {Answerer, isOfOther, SourceState} from '@zinniaspindle/decisions';
+import {
+  Answerer,
+  isEndOfAsked,
+  isOfOther,
+  SourceState,
+} from '@zinniaspindle/decisions';
 import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
 import type {Result} from 'true-myth';
 import type {EndpointLinks} from '../links/endpoint_links.js';
@@ -12,12 +17,8 @@
   type EndpointError,
   type EndpointReport,
 } from '../ports/index.js';
-import {
-  findReportAnswerer,
-  getClaims,
-  type AskedEndpoint,
-} from './asked_endpoint.js';
-import {reportEnd, type EndListeners} from './report_end.js';
+import type {AskedEndpoint} from './asked_endpoint.js';
+import {handleReply, type EndListeners} from './report_end.js';
 
 /** What came on a call to an endpoint. */
 interface SourceReply {
@@ -83,15 +84,14 @@
     source: AskedEndpoint,
     {report, isRelayed}: SourceReply,
   ): SourceState {
-    const answerer = findReportAnswerer({asked: source, isRelayed}, report);
-    const claims = getClaims(report);
-    const answer = {answerer, claims, source: purpose};
-    const hasEnded = reportEnd(this.context.listeners, source, answer);
-    if (hasEnded) return SourceState.Ended;
+    const {listeners} = this.context;
+    const call = {asked: source, isRelayed};
+    const answerer = handleReply(listeners, call, report, purpose);
+    if (isEndOfAsked(answerer)) return SourceState.Ended;
     if (answerer === Answerer.Asked) return SourceState.Alive;
     if (report.isOk || !isAnswer(report.error)) return SourceState.Unknown;
-    const isForeign =
-      claims !== undefined && isOfOther({asked: source}, claims);
+    const {claims} = report.error;
+    const isForeign = claims !== undefined && isOfOther(call, claims);
     return isForeign ? SourceState.Unknown : SourceState.Alive;
   }
 
--- a/packages/gateway/src/links/make_opener.ts
+++ b/packages/gateway/src/links/make_opener.ts
@@ -1,12 +1,7 @@
+import type {CallTarget} from '../ports/index.js';
 import type {EndpointLinks} from './endpoint_links.js';
 import type {OpenConnection} from './open_connection.js';
 
-/** An endpoint and its address. */
-interface OpenTarget {
-  readonly id: string;
-  readonly address: string;
-}
-
 /** Opens the connections of one call. */
 export interface CallOpener {
   /** Undefined without links, to connect to the address. */
@@ -18,7 +13,7 @@
 /** Makes what opens the connections of a call to an endpoint. */
 export function makeOpener(
   links: Pick<EndpointLinks, 'open'> | undefined,
-  {id, address}: OpenTarget,
+  {id, address}: CallTarget,
   purpose: string,
 ): CallOpener {
   let isRelayed = false;
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -210,7 +210,7 @@
     const isRelayed = opener.isRelayed();
     const answerer = findAnswerer({asked, isRelayed}, claims);
     if (answerer === Answerer.Other) {
-      return this.prober.listeners.handleReplaced(asked, {claims, source});
+      return this.prober.recordReplaced(asked, claims, source);
     }
     if (outcome !== OrderOutcome.Started) {
       await this.pollReport(state);
--- a/packages/gateway/src/requests/check_refusal.ts
+++ b/packages/gateway/src/requests/check_refusal.ts
@@ -14,14 +14,15 @@
   const address = answer.failedAddress ?? parts[0]!.endpoint.address;
   // Another endpoint that is listed with the address has not refused anything.
   const part = parts.find(({endpoint}) => endpoint.address === address);
-  const failedEndpoint = part && server.endpoints.find(part.endpoint.id);
   const reason = `status ${answer.status} at ${address}`;
+  if (part === undefined) return reason;
+  const {id} = part.endpoint;
+  const refusing = server.endpoints.find(id);
   // An endpoint that asks for a pause has said why it refuses.
   const isExplained =
-    failedEndpoint === undefined ||
-    server.endpoints.findPauseEnd(failedEndpoint) !== undefined;
+    refusing === undefined ||
+    server.endpoints.findPauseEnd(refusing) !== undefined;
   if (isExplained) return reason;
-  const {id} = failedEndpoint.entry;
-  void server.prober.checkRefusal(id, reason, part?.layers);
+  void server.prober.checkRefusal(id, reason, part.layers);
   return reason;
 }
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -6,7 +6,11 @@
   type ProcessClaims,
 } from '@zinniaspindle/decisions';
 import {Result} from 'true-myth';
-import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
+import type {
+  CallTarget,
+  EndpointAnswer,
+  ForwardingContext,
+} from '../ports/index.js';
 import {findAsked, type AskedEndpoint} from '../fleet/asked_endpoint.js';
 import type {ConnectionKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
@@ -27,12 +31,6 @@
   type UpstreamRequest,
 } from './upstream.js';
 
-/** The endpoint that a request is sent to. */
-export interface UpstreamTarget {
-  readonly id: string;
-  readonly address: string;
-}
-
 /** What a request is sent with, beside what its caller sent. */
 type UpstreamForwarding = Pick<
   ForwardingContext,
@@ -57,7 +55,7 @@
 /** Sends a caller's request to an endpoint. */
 export function openUpstream(
   context: RequestContext,
-  {id, address}: UpstreamTarget,
+  {id, address}: CallTarget,
   forwarding: UpstreamForwarding,
   listener: AttemptListener,
   opening = Opening.New,
@@ -180,7 +178,7 @@
       }
       // Its own path is none that has to be left.
       listener.handleLastByte?.();
-      server.prober.listeners.handleReplaced(target, {claims, source});
+      server.prober.recordReplaced(target, claims, source);
       const {endpointId = 'another endpoint'} = claims;
       const reason = `the address belongs to ${endpointId}`;
       listener.handleEnd(UpstreamEnd.NotSent, reason);
