--- a/packages/gateway/__tests__/orders.test.ts
+++ b/packages/gateway/__tests__/orders.test.ts
@@ -5,6 +5,7 @@
 import {EndpointTable} from '../src/fleet/endpoint_table.js';
 import {EndpointProber} from '../src/fleet/endpoint_prober.js';
 import {EraWatch} from '../src/following/era_watch.js';
+import {makeReplacedHandler} from '../src/fleet/report_end.js';
 import {Metrics} from '../src/log/metrics.js';
 import {OrderRunner} from '../src/orders/order_runner.js';
 import {Ownership} from '../src/orders/ownership.js';
@@ -226,12 +227,19 @@
   };
   const metrics = new Metrics();
   const getNow = () => clock.now;
+  const ended: string[] = [];
+  const handlers = {
+    handleDown: logNothing,
+    handleEnded: ({id}: {id: string}) => void ended.push(id),
+  };
   const listeners = {
+    ...handlers,
     sendFacts: logNothing,
     sendSuspicion: logNothing,
-    handleDown: logNothing,
-    handleEnded: logNothing,
-    handleReplaced: logNothing,
+    handleReplaced: makeReplacedHandler(table, {
+      ...handlers,
+      writeEvent: logNothing,
+    }),
   };
   const prober = new EndpointProber(
     table,
@@ -265,7 +273,7 @@
     runner.run(configuration);
     await runPending();
   };
-  return {table, orders, announced, reports, run, ownership, clock};
+  return {table, orders, announced, reports, run, ownership, clock, ended};
 }
 
 test('the fencing token rises when the generation falls in a new era', async () => {
@@ -368,6 +376,34 @@
   assert.deepEqual([...counts], [0]);
 });
 
+// Repeating it would move nothing, and the plan counted on its endpoint.
+test('an order that another endpoint refuses ends the one that it was for', async () => {
+  const {table, orders, run, ended, reports} = await makeRunner(
+    () => OrderOutcome.Misdirected,
+  );
+  await run(0);
+  await run(800);
+  const asked = reports.count;
+  assert.deepEqual(ended.toSorted(), ['e1', 'e2']);
+  assert.deepEqual(table.list(), []);
+  await run(500);
+  assert.equal(orders.length, 2);
+  assert.equal(reports.count, asked);
+});
+
+test('an endpoint that is listed again after such an order gets its own', async () => {
+  const {table, orders, run} = await makeRunner(() =>
+    orders.length > 2 ? OrderOutcome.Started : OrderOutcome.Misdirected,
+  );
+  await run(0);
+  await run(800);
+  table.applyEntry(makeEntry({address: '10.0.0.9:80', bornAt: 2}));
+  await run(800);
+  await run(800);
+  const {address, endpointId} = orders[2]!;
+  assert.deepEqual([endpointId, address], ['e1', '10.0.0.9:80']);
+});
+
 test('an owner that an endpoint fences off sends no more orders', async () => {
   const {orders, run, ownership} = await makeRunner(() => OrderOutcome.Fenced);
   await run(0);
--- a/packages/gateway/__tests__/silent_links.test.ts
+++ b/packages/gateway/__tests__/silent_links.test.ts
@@ -113,6 +113,22 @@
   assert.ok(await fleet.waitForAll(stabilityMilliseconds));
 });
 
+test('a VM at the address of one that has ended counts as itself', async context => {
+  const fleet = await startFleet(context);
+  const ended = fleet.vms[1]!;
+  ended.isFrozen = true;
+  ended.mesh.close();
+  const {address} = ended;
+  const successor = await fleet.addVmAt(address, [fleet.vms[0]!.address]);
+  await fleet.runFor(longMilliseconds);
+  for (const vm of fleet.vms) {
+    if (vm === ended || vm === successor) continue;
+    const live = fleet.listLive(vm);
+    assert.ok(live.includes(successor.name), `${vm.name}: ${live.join(' ')}`);
+    assert.ok(!live.includes(ended.name), `${vm.name}: ${live.join(' ')}`);
+  }
+});
+
 test('a VM that left is not tried again', async context => {
   const fleet = await startFleet(context);
   const left = fleet.vms[3]!;
