--- a/packages/decisions/src/answers/unframed_end.ts
+++ b/packages/decisions/src/answers/unframed_end.ts
@@ -1,14 +1,10 @@
-import {
-  hasAllLayers,
-  type Instant,
-  type LayerRange,
-} from '@zinniaspindle/shared';
+import {hasAllLayers, type LayerRange} from '@zinniaspindle/shared';
 
 /** What an endpoint shows of itself after the end of a connection to it. */
 export enum SourceState {
   /** The process that the request was sent to answers. */
   Alive = 'alive',
-  /** Nothing listens at its address, or it has started again. */
+  /** Nothing listens at its address, or another process does. */
   Ended = 'ended',
   /** It has not answered in time. */
   Unknown = 'unknown',
@@ -28,16 +24,6 @@
   Ordered = 'an order may have cut it off',
 }
 
-/** Finds whether an endpoint has started again, by the starts it states. */
-export function findSourceState(
-  sentTo: Instant | undefined,
-  stated: Instant | undefined,
-): SourceState {
-  const isLater =
-    sentTo !== undefined && stated !== undefined && stated > sentTo;
-  return isLater ? SourceState.Ended : SourceState.Alive;
-}
-
 /** An order to an endpoint, accepted or not, that this VM knows of. */
 export interface KnownOrder {
   /** The number that it has, or would have, among the endpoint's orders. */
--- a/packages/gateway/__tests__/kept_upstream.test.ts
+++ b/packages/gateway/__tests__/kept_upstream.test.ts
@@ -20,6 +20,7 @@
     attemptId: headers['attempt-id'] as string | undefined,
     hasSeal: true,
     isNotRun: headers['not-executed'] !== undefined,
+    isMisdirected: false,
     isLeaving: headers['server-leaving'] === '1',
     pauseMilliseconds: headers['retry-after'] === undefined ? undefined : 1000,
     endpointId: undefined,
--- a/packages/gateway/__tests__/overruns.test.ts
+++ b/packages/gateway/__tests__/overruns.test.ts
@@ -29,6 +29,7 @@
     sendSuspicion: (id: string) => suspected.push(id),
     handleDown: logNothing,
     handleEnded: logNothing,
+    handleReplaced: logNothing,
   };
   const metrics = new Metrics();
   const prober = new EndpointProber(
--- a/packages/gateway/__tests__/upstream.test.ts
+++ b/packages/gateway/__tests__/upstream.test.ts
@@ -21,6 +21,7 @@
     attemptId: String(message.headers['x-id']),
     hasSeal: true,
     isNotRun: false,
+    isMisdirected: false,
     isLeaving: false,
     pauseMilliseconds: undefined,
     endpointId: undefined,
--- a/packages/gateway/src/fleet/end_check.ts
+++ b/packages/gateway/src/fleet/end_check.ts
@@ -2,11 +2,10 @@
 import type {EndpointLinks} from '../links/endpoint_links.js';
 import {makeOpener} from '../links/make_opener.js';
 import {Counter, type Metrics} from '../log/metrics.js';
-import {EndpointErrorCode, type EndpointCalls} from '../ports/index.js';
-import {getIncarnation} from './endpoint_state.js';
+import type {EndpointCalls} from '../ports/index.js';
+import {findReportAnswerer, getAsked, getClaims} from './asked_endpoint.js';
 import type {EndpointTable} from './endpoint_table.js';
-import {EndReason} from './end_watch.js';
-import type {Incarnation} from './notice_table.js';
+import {reportEnd, type EndListeners} from './report_end.js';
 
 /** An endpoint that is ending may reset its connections before it stops listening. */
 const confirmDelayMilliseconds = 60;
@@ -17,19 +16,16 @@
 
   constructor(
     private readonly table: EndpointTable,
-    private readonly calls: Pick<EndpointCalls, 'checkListening'>,
-    private readonly handleEnded: (
-      ended: Incarnation,
-      reason: EndReason,
-    ) => void,
+    private readonly calls: Pick<EndpointCalls, 'fetchReport'>,
+    private readonly listeners: EndListeners,
     private readonly metrics: Metrics,
     /** Opens connections; undefined to connect to the addresses. */
     private readonly links?: Pick<EndpointLinks, 'open'>,
   ) {}
 
   /**
-   * Checks an endpoint, twice if something listens at its address; a check that
-   * is in progress is waited for.
+   * Checks an endpoint, twice unless it has ended; a check that is in progress is
+   * waited for.
    */
   check(id: string): Promise<void> {
     let check = this.checks.get(id);
@@ -46,19 +42,22 @@
     await this.findEnd(id);
   }
 
-  /** Returns whether nothing listens at the address of an endpoint. */
+  /** Returns whether an endpoint has ended. */
   private async findEnd(id: string): Promise<boolean> {
     const state = this.table.find(id);
     if (state === undefined) return true;
-    const asked = getIncarnation(state);
+    const asked = getAsked(state);
+    const source = 'check';
     this.metrics.count(Counter.Probes);
-    const result = await this.calls.checkListening(
-      state.entry.address,
-      makeOpener(this.links, state, 'check'),
+    const opener = makeOpener(this.links, asked, source);
+    const report = await this.calls.fetchReport(
+      asked,
+      () => undefined,
+      opener.open,
     );
-    const hasEnded =
-      result.isErr && result.error.code === EndpointErrorCode.NotListening;
-    if (hasEnded) this.handleEnded(asked, EndReason.NotListening);
-    return hasEnded;
+    const isRelayed = opener.isRelayed();
+    const answerer = findReportAnswerer({asked, isRelayed}, report);
+    const claims = getClaims(report);
+    return reportEnd(this.listeners, asked, {answerer, claims, source});
   }
 }
--- a/packages/gateway/src/fleet/end_watch.ts
+++ b/packages/gateway/src/fleet/end_watch.ts
@@ -6,6 +6,7 @@
 export enum EndReason {
   NotListening = 'nothing listens at its address',
   Restarted = 'it has started again',
+  Replaced = 'another endpoint has its address',
   Peer = 'a peer has found that',
 }
 
--- a/packages/gateway/src/fleet/endpoint_prober.ts
+++ b/packages/gateway/src/fleet/endpoint_prober.ts
@@ -1,21 +1,22 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
 import {
+  Answerer,
   computeMinProbeInterval,
   describeExcess,
   FailureCause,
   IntakeScope,
   isFailing,
+  isOfOther,
   recordRefusal,
   type IntakeExcess,
   type StagePath,
 } from '@zinniaspindle/decisions';
 import {
-  GatewayEvent,
   hasAllLayers,
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import type {EndpointLinks} from '../links/endpoint_links.js';
 import type {KeptConnections} from '../links/kept_connections.js';
 import {makeOpener} from '../links/make_opener.js';
@@ -23,22 +24,26 @@
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   EndpointErrorCode,
+  makeEndpointError,
   type EndpointCalls,
   type EndpointError,
   type EndpointNotice,
   type EndpointReport,
+  type HandleNotice,
 } from '../ports/index.js';
 import {
-  getIncarnation,
-  type EndpointFacts,
-  type EndpointState,
-} from './endpoint_state.js';
+  findReportAnswerer,
+  getAsked,
+  getClaims,
+  type KnownEndpoint,
+} from './asked_endpoint.js';
+import {type EndpointFacts, type EndpointState} from './endpoint_state.js';
 import type {EndpointTable} from './endpoint_table.js';
-import {EndReason} from './end_watch.js';
-import type {Incarnation} from './notice_table.js';
+import {OverrunLog} from './overrun_log.js';
+import {reportEnd, type EndListeners} from './report_end.js';
 
 /** Callbacks for the results of probes. */
-export interface ProbeListeners {
+export interface ProbeListeners extends EndListeners {
   /** An endpoint does not answer, or refuses requests although it has capacity. */
   readonly sendSuspicion: (
     id: string,
@@ -47,8 +52,6 @@
   ) => void;
   /** An endpoint is down: connections to its address fail. */
   readonly handleDown: (id: string) => void;
-  /** An incarnation of an endpoint has ended. */
-  readonly handleEnded: (ended: Incarnation, reason: EndReason) => void;
   /** An endpoint reported a state that was not known. */
   readonly sendFacts: (facts: EndpointFacts) => void;
 }
@@ -78,17 +81,19 @@
 const failingSuspicionMilliseconds = 2500;
 /** Time without an answer of a limited endpoint after which it is asked. */
 const unheardMilliseconds = 2000;
-/** Interval of the lines on an endpoint that sends more than is taken. */
-const overrunLineMilliseconds = 1000;
 /** Memory fill from which on refusals for lack of memory are justified. */
 const fullMemoryFill = 0.85;
 /** Reports show the memory of 200 ms ago (site files); includes a margin. */
 const reportLagMilliseconds = 260;
 
-/** How often an endpoint sent more than is taken from it. */
-interface Overruns {
-  count: number;
-  nextLineAt: Instant;
+/** How a report was heard. */
+interface HeardReport {
+  readonly answerer: Answerer;
+  /** Whether it came through a peer. */
+  readonly isRelayed: boolean;
+  /** What its head states; undefined if that was not applied. */
+  readonly notice: EndpointNotice | undefined;
+  readonly source: string;
 }
 
 /** Probes endpoints whose requests stall, fail or are refused. */
@@ -99,23 +104,25 @@
   private readonly checkingRefusal = new Set<string>();
   /** When each failing endpoint is probed next. */
   private readonly nextProbeAt = new Map<string, Instant>();
-  private readonly overruns = new Map<string, Overruns>();
+  private readonly overruns: OverrunLog;
 
   constructor(
     private readonly table: EndpointTable,
     private readonly calls: EndpointCalls,
-    private readonly listeners: ProbeListeners,
+    readonly listeners: ProbeListeners,
     private readonly metrics: Metrics,
     /** Whether this VM is one of the few that keep reporting on endpoints in a large fleet. */
     private readonly isVoter: () => boolean,
     private readonly countVms: () => number,
     private readonly getNow: () => Instant,
-    private readonly writeEvent: WriteEvent = () => undefined,
+    writeEvent: WriteEvent = () => undefined,
     /** Opens connections; undefined to connect to the addresses. */
     readonly links?: Pick<EndpointLinks, 'open'>,
     /** Keeps connections of reports; undefined to open one for each. */
     private readonly kept?: Pick<KeptConnections, 'makeReportKeeper'>,
-  ) {}
+  ) {
+    this.overruns = new OverrunLog(table, metrics, getNow, writeEvent);
+  }
 
   /**
    * Probes all endpoints of a path and returns whether all answered. Calls
@@ -166,6 +173,7 @@
     try {
       if (await this.probeOnce(state)) return true;
       await waitMilliseconds(confirmDelayMilliseconds);
+      if (this.table.find(id) !== state) return false;
       return await this.probeOnce(state);
     } finally {
       this.probing.delete(id);
@@ -213,7 +221,7 @@
   recordOverrun(id: string, excess: IntakeExcess, source: string): void {
     const state = this.table.find(id);
     if (state === undefined) return;
-    this.countOverrun(id, describeExcess(excess), source);
+    this.overruns.count(id, describeExcess(excess), source);
     if (excess.scope !== IntakeScope.Item) return;
     const now = this.getNow();
     recordRefusal(state.health, now);
@@ -232,23 +240,6 @@
     this.table.recordSuspicion(state, until, detail);
   }
 
-  /** Counts an answer that exceeded a bound, with a line a second at most. */
-  private countOverrun(id: string, reason: string, source: string): void {
-    this.metrics.count(Counter.Overruns);
-    for (const known of this.overruns.keys()) {
-      if (this.table.find(known) === undefined) this.overruns.delete(known);
-    }
-    const now = this.getNow();
-    const overruns = this.overruns.get(id) ?? {count: 0, nextLineAt: now};
-    this.overruns.set(id, overruns);
-    overruns.count += 1;
-    if (overruns.nextLineAt > now) return;
-    overruns.nextLineAt = now + overrunLineMilliseconds;
-    const {count} = overruns;
-    const fields = {endpoint: id, reason, source, count};
-    this.writeEvent(GatewayEvent.EndpointOverran, fields);
-  }
-
   /**
    * Tells whether an endpoint could have accepted the request that it refused.
    * Reports lag, so that an endpoint that has just filled up still reports
@@ -307,38 +298,66 @@
   async fetchReport(
     state: EndpointState,
   ): Promise<Result<EndpointReport, EndpointError> | undefined> {
-    const {id, address} = state.entry;
-    const asked = getIncarnation(state);
+    const asked = getAsked(state);
+    const {id, address, bornAt} = asked;
+    if (this.table.find(id) !== state) return undefined;
     const source = 'report';
     let notice: EndpointNotice | undefined;
     this.metrics.count(Counter.Probes);
-    const handleNotice = (stated: EndpointNotice) => {
+    const handleNotice: HandleNotice = (stated, claims) => {
+      if (claims !== undefined && isOfOther({asked}, claims)) return;
       notice = stated;
       this.table.acceptNotice(asked, stated, source);
     };
+    const opener = makeOpener(this.links, asked, source);
     const report = await this.calls.fetchReport(
-      address,
+      asked,
       handleNotice,
-      makeOpener(this.links, state, source),
-      this.kept?.makeReportKeeper({id, address, bornAt: asked.bornAt}),
+      opener.open,
+      this.kept?.makeReportKeeper({id, address, bornAt}),
     );
     if (this.table.find(id) !== state) return undefined;
+    const isRelayed = opener.isRelayed();
+    const answerer = findReportAnswerer({asked, isRelayed}, report);
+    const claims = getClaims(report);
+    reportEnd(this.listeners, asked, {answerer, claims, source});
+    if (answerer === Answerer.Other) {
+      const detail = `another endpoint answers at ${address}`;
+      return Result.err(makeEndpointError(EndpointErrorCode.Replaced, detail));
+    }
     if (report.isErr) {
       const {code, message} = report.error;
       const isExcess = code === EndpointErrorCode.Excessive;
-      if (isExcess) this.countOverrun(id, message, source);
+      if (isExcess) this.overruns.count(id, message, source);
       return report;
     }
-    const {bornAt, orderCount, held, pace} = report.value;
-    state.pace = pace === undefined ? undefined : {pace, at: this.getNow()};
-    const facts = {id, bornAt, orderCount, held};
-    if (bornAt > asked.bornAt) {
-      this.listeners.handleEnded(asked, EndReason.Restarted);
+    return this.applyReport(state, asked, report.value, {
+      ...{answerer, isRelayed, notice, source},
+    });
+  }
+
+  /** Applies a report, unless it cannot be told whose it is. */
+  private applyReport(
+    state: EndpointState,
+    asked: KnownEndpoint,
+    report: EndpointReport,
+    {answerer, isRelayed, notice, source}: HeardReport,
+  ): Result<EndpointReport, EndpointError> {
+    const {bornAt, orderCount, held, pace} = report;
+    if (answerer === Answerer.Unknown && bornAt > asked.bornAt) {
+      const detail = `${asked.address} reports for another endpoint`;
+      return Result.err(makeEndpointError(EndpointErrorCode.Malformed, detail));
     }
+    const isAtAddress = !isRelayed && state.entry.address === asked.address;
+    if (isAtAddress) {
+      state.addressBornAt = Math.max(state.addressBornAt, bornAt);
+    }
+    state.pace = pace === undefined ? undefined : {pace, at: this.getNow()};
+    const facts = {id: asked.id, bornAt, orderCount, held};
     // The report may be that of an incarnation which was not known.
     if (notice !== undefined) this.table.acceptNotice(facts, notice, source);
     if (this.table.applyReport(facts)) this.listeners.sendFacts(facts);
-    return report;
+    return Result.ok(report);
   }
 
   /** Tells whether this VM, rather than the endpoints, is partitioned. */
@@ -352,7 +371,8 @@
     const report = await this.fetchReport(state);
     if (report === undefined) return false;
     if (report.isErr) {
-      this.handleProbeFailure(state, report.error);
+      const isReplaced = report.error.code === EndpointErrorCode.Replaced;
+      if (!isReplaced) this.handleProbeFailure(state, report.error);
       return false;
     }
     this.nextProbeAt.delete(id);
@@ -374,12 +394,9 @@
       now + suspicionMilliseconds,
       error.message,
     );
-    const hasEnded = error.code === EndpointErrorCode.NotListening;
-    const isDown = hasEnded || error.code === EndpointErrorCode.Unreachable;
-    if (hasEnded) {
-      const ended = getIncarnation(state);
-      this.listeners.handleEnded(ended, EndReason.NotListening);
-    }
+    const isDown =
+      error.code === EndpointErrorCode.NotListening ||
+      error.code === EndpointErrorCode.Unreachable;
     if (isDown) this.listeners.handleDown(id);
     const isCertain = isDown || isFailing(state.health, now);
     const cause = isCertain ? FailureCause.Silent : FailureCause.Unanswered;
--- a/packages/gateway/src/fleet/endpoint_state.ts
+++ b/packages/gateway/src/fleet/endpoint_state.ts
@@ -36,6 +36,8 @@
 export interface EndpointState {
   entry: EndpointEntry;
   bornAt: Instant;
+  /** The latest start that its entry or a report to this VM has shown at its address. */
+  addressBornAt: Instant;
   /** Orders that the endpoint has accepted since its start, as far as known. */
   orderCount: number;
   /** The start of which a report or an order has shown that number. */
@@ -70,6 +72,7 @@
   return {
     entry,
     bornAt: entry.bornAt,
+    addressBornAt: entry.bornAt,
     orderCount: 0,
     countedFor: undefined,
     held: entry.held,
--- a/packages/gateway/src/fleet/endpoint_table.ts
+++ b/packages/gateway/src/fleet/endpoint_table.ts
@@ -29,6 +29,7 @@
   type EndpointFacts,
   type EndpointState,
 } from './endpoint_state.js';
+import type {AskedEndpoint} from './asked_endpoint.js';
 import {DepartedEndpoints} from './departed_endpoints.js';
 import {StageFinder} from './stage_finder.js';
 import {OrderHistory} from './order_history.js';
@@ -68,11 +69,6 @@
     return this.states.get(id);
   }
 
-  /** Finds an endpoint by its address. */
-  findByAddress(address: string): EndpointState | undefined {
-    return this.list().find(({entry}) => entry.address === address);
-  }
-
   /** Lists the endpoints of a service or of all, including draining ones. */
   list(service?: string): EndpointState[] {
     const found: EndpointState[] = [];
@@ -102,11 +98,15 @@
     }
     const was = state.entry;
     state.entry = entry;
+    const hasMoved = entry.address !== was.address;
+    state.addressBornAt = hasMoved
+      ? entry.bornAt
+      : Math.max(state.addressBornAt, entry.bornAt);
     state.removeAt = undefined;
     if (entry.isDraining && !was.isDraining) {
       this.writeEvent(GatewayEvent.EndpointDraining, {endpoint: entry.id});
     }
-    if (entry.isDraining !== was.isDraining || entry.address !== was.address) {
+    if (entry.isDraining !== was.isDraining || hasMoved) {
       this.revision += 1;
     }
     const isLagging =
@@ -139,6 +139,12 @@
     this.departed.remove(id);
   }
 
+  /** Tells whether what is known of an endpoint is still that to which a call was sent. */
+  isAsAsked({id, address, bornAt}: AskedEndpoint): boolean {
+    const state = this.states.get(id);
+    return state?.entry.address === address && state.bornAt === bornAt;
+  }
+
   /** Removes the endpoints whose deferred removal is due. */
   expireRemovals(): void {
     const now = this.getNow();
--- a/packages/gateway/src/fleet/source_check.ts
+++ b/packages/gateway/src/fleet/source_check.ts
@@ -1,31 +1,31 @@
 import {setTimeout as waitMilliseconds} from 'node:timers/promises';
-import {findSourceState, SourceState} from '@zinniaspindle/decisions';
+import {Answerer, isOfOther, SourceState} from '@zinniaspindle/decisions';
 import {isPast, type Deadline, type Instant} from '@zinniaspindle/shared';
-import {Result} from 'true-myth';
+import type {Result} from 'true-myth';
 import type {EndpointLinks} from '../links/endpoint_links.js';
+import {makeOpener} from '../links/make_opener.js';
 import {Counter, type Metrics} from '../log/metrics.js';
 import {
   EndpointErrorCode,
+  type CallTarget,
   type EndpointCalls,
+  type EndpointError,
   type EndpointReport,
 } from '../ports/index.js';
-import {EndReason} from './end_watch.js';
-import type {Incarnation} from './notice_table.js';
+import {
+  findReportAnswerer,
+  getClaims,
+  type AskedEndpoint,
+} from './asked_endpoint.js';
+import {reportEnd, type EndListeners} from './report_end.js';
 
-/** The endpoint that gave an answer. */
-export interface AnswerSource {
-  readonly id: string;
-  readonly address: string;
-  /** The start of the process that the request was sent to, if it was known. */
-  readonly bornAt: Instant | undefined;
+/** What came on a call to an endpoint. */
+interface SourceReply {
+  readonly report: Result<EndpointReport, EndpointError>;
+  /** Whether the call went through a peer. */
+  readonly isRelayed: boolean;
 }
 
-/** An endpoint's report, if its answer is one, or why there is no answer of it. */
-type SourceReply = Result<
-  EndpointReport | undefined,
-  SourceState.Ended | SourceState.Unknown
->;
-
 /** What an endpoint of a model has shown of itself. */
 export interface PartReply {
   readonly state: SourceState;
@@ -37,7 +37,7 @@
 export interface SourceCheckContext {
   readonly calls: Pick<EndpointCalls, 'fetchReport'>;
   readonly links: Pick<EndpointLinks, 'open'>;
-  readonly handleEnded: (ended: Incarnation, reason: EndReason) => void;
+  readonly listeners: EndListeners;
   readonly metrics: Metrics;
   readonly getNow: () => Instant;
 }
@@ -46,13 +46,15 @@
 const replyMilliseconds = 1200;
 /** Delay after a call without an answer. */
 const repeatMilliseconds = 60;
+/** What the calls are for, for the log. */
+const purpose = 'end of an answer';
 
 /**
  * Checks whether endpoints outlived the ends of their connections. Only the answer
  * to a call that was sent after an end shows that.
  */
 export class SourceCheck {
-  /** Calls in progress, by address; they were sent before ends that come now. */
+  /** Calls in progress, by endpoint and address; they were sent before ends that come now. */
   private readonly asking = new Map<string, Promise<SourceReply>>();
   /** Calls that begin once those in progress have ended. */
   private readonly waiting = new Map<string, Promise<SourceReply>>();
@@ -60,86 +62,100 @@
   constructor(private readonly context: SourceCheckContext) {}
 
   /** Checks an endpoint; ends of several of its connections share the calls. */
-  async check(source: AnswerSource): Promise<SourceState> {
+  async check(source: AskedEndpoint): Promise<SourceState> {
     return this.acceptReply(source, await this.ask(source));
   }
 
   /**
-   * Checks an endpoint of a model, which answers with a report. Any other answer is
-   * that of another process at its address.
+   * Checks an endpoint of a model, which answers with a report. Any other answer may
+   * be that of another process at its address.
    */
-  async checkPart(source: AnswerSource): Promise<PartReply> {
+  async checkPart(source: AskedEndpoint): Promise<PartReply> {
     const reply = await this.ask(source);
     const state = this.acceptReply(source, reply);
     if (state !== SourceState.Alive) return {state, report: undefined};
-    const report = reply.unwrapOr(undefined);
+    const report = reply.report.unwrapOr(undefined);
     return {state: report === undefined ? SourceState.Unknown : state, report};
   }
 
   /** Finds what a reply shows, and reports an end that it has found. */
   private acceptReply(
-    {id, bornAt}: AnswerSource,
-    reply: SourceReply,
+    source: AskedEndpoint,
+    {report, isRelayed}: SourceReply,
   ): SourceState {
-    const state = reply.isErr
-      ? reply.error
-      : findSourceState(bornAt, reply.value?.bornAt);
-    if (state !== SourceState.Ended || bornAt === undefined) return state;
-    const reason = reply.isErr ? EndReason.NotListening : EndReason.Restarted;
-    this.context.handleEnded({id, bornAt}, reason);
-    return state;
+    const answerer = findReportAnswerer({asked: source, isRelayed}, report);
+    const claims = getClaims(report);
+    const answer = {answerer, claims, source: purpose};
+    const hasEnded = reportEnd(this.context.listeners, source, answer);
+    if (hasEnded) return SourceState.Ended;
+    if (answerer === Answerer.Asked) return SourceState.Alive;
+    if (report.isOk || !isAnswer(report.error)) return SourceState.Unknown;
+    const isForeign =
+      claims !== undefined && isOfOther({asked: source}, claims);
+    return isForeign ? SourceState.Unknown : SourceState.Alive;
   }
 
-  private ask(source: AnswerSource): Promise<SourceReply> {
-    const {address} = source;
-    let reply = this.waiting.get(address);
+  private ask(source: AskedEndpoint): Promise<SourceReply> {
+    const key = getKey(source);
+    let reply = this.waiting.get(key);
     if (reply !== undefined) return reply;
     const until = this.context.getNow() + replyMilliseconds;
     reply = this.askLater(source, until);
-    this.waiting.set(address, reply);
+    this.waiting.set(key, reply);
     return reply;
   }
 
   private async askLater(
-    source: AnswerSource,
+    source: AskedEndpoint,
     until: Deadline,
   ): Promise<SourceReply> {
-    const {address} = source;
-    await this.asking.get(address);
-    this.waiting.delete(address);
+    const key = getKey(source);
+    await this.asking.get(key);
+    this.waiting.delete(key);
     const reply = this.poll(source, until);
-    this.asking.set(address, reply);
+    this.asking.set(key, reply);
     void reply.then(() => {
-      if (this.asking.get(address) === reply) this.asking.delete(address);
+      if (this.asking.get(key) === reply) this.asking.delete(key);
     });
     return reply;
   }
 
   /** Asks an endpoint until it answers or refuses connections. */
   private async poll(
-    {id, address}: AnswerSource,
+    target: CallTarget,
     until: Deadline,
   ): Promise<SourceReply> {
     const {calls, links, metrics, getNow} = this.context;
-    const purpose = 'end of an answer';
+    const opener = makeOpener(links, target, purpose);
     for (;;) {
       metrics.count(Counter.Probes);
       const report = await calls.fetchReport(
-        address,
+        target,
         () => undefined,
-        handle => links.open({id, address, purpose}, handle),
+        opener.open,
       );
-      if (report.isOk) return Result.ok(report.value);
-      switch (report.error.code) {
-        case EndpointErrorCode.NotListening:
-          return Result.err(SourceState.Ended);
-        case EndpointErrorCode.Malformed:
-        case EndpointErrorCode.Excessive:
-          return Result.ok(undefined);
-        default:
+      const hasReply = report.isOk || isAnswer(report.error);
+      const isOver = hasReply || isRefused(report.error);
+      if (isOver || isPast(until, getNow())) {
+        return {report, isRelayed: opener.isRelayed()};
       }
-      if (isPast(until, getNow())) return Result.err(SourceState.Unknown);
       await waitMilliseconds(repeatMilliseconds);
     }
   }
 }
+
+/** The call of one endpoint tells nothing of another one at its address. */
+function getKey({id, address}: CallTarget): string {
+  return `${id} ${address}`;
+}
+
+/** Tells whether an endpoint has answered, though not with a report. */
+function isAnswer({code}: EndpointError): boolean {
+  return (
+    code === EndpointErrorCode.Malformed || code === EndpointErrorCode.Excessive
+  );
+}
+
+function isRefused({code}: EndpointError): boolean {
+  return code === EndpointErrorCode.NotListening;
+}
--- a/packages/gateway/src/orders/order_runner.ts
+++ b/packages/gateway/src/orders/order_runner.ts
@@ -1,7 +1,10 @@
 import {
+  Answerer,
   createChangeWatch,
   defaultRangeOptions,
+  findAnswerer,
   isConfirmedFailed,
+  isOfOther,
   planRanges,
   recordMembers,
   type ChangeWatch,
@@ -16,6 +19,7 @@
   type Instant,
   type LayerRange,
 } from '@zinniaspindle/shared';
+import {getAsked} from '../fleet/asked_endpoint.js';
 import {isSameRange, type EndpointState} from '../fleet/endpoint_state.js';
 import type {EndpointTable} from '../fleet/endpoint_table.js';
 import type {EndpointProber} from '../fleet/endpoint_prober.js';
@@ -163,12 +167,15 @@
     {range, isUrgent, cutsStreams}: PlannedRange,
     fencingToken: number,
   ): Promise<void> {
-    const {id, address} = state.entry;
-    const {bornAt, orderCount} = state;
+    const asked = getAsked(state);
+    const {id, address, bornAt} = asked;
+    const {orderCount} = state;
     const order = {...{id, bornAt, range}, orderCount: orderCount + 1};
     this.announce({...order, cutsRequests: cutsStreams});
     this.metrics.count(Counter.Orders);
-    const outcome = await this.calls.sendOrder(
+    const source = 'order';
+    const opener = makeOpener(this.prober.links, asked, source);
+    const reply = await this.calls.sendOrder(
       {
         address,
         endpointId: id,
@@ -177,30 +184,35 @@
         fencingToken,
         expectedOrderCount: orderCount,
       },
-      notice => this.table.acceptNotice({id, bornAt}, notice, 'order'),
-      makeOpener(this.prober.links, state, 'order'),
+      (notice, claims) => {
+        if (claims !== undefined && isOfOther({asked}, claims)) return;
+        this.table.acceptNotice(asked, notice, source);
+      },
+      opener.open,
     );
     const layers = formatLayerRange(range);
-    if (outcome.isErr) {
+    if (reply.isErr) {
       // The order may still be executed; the report shows it.
-      const detail = outcome.error.message;
+      const detail = reply.error.message;
       this.writeEvent(GatewayEvent.OrderFailed, {endpoint: id, layers, detail});
       await this.pollReport(state);
       return;
     }
+    const {outcome, claims} = reply.value;
     this.writeEvent(GatewayEvent.OrderSent, {
       endpoint: id,
       layers,
-      outcome: outcome.value,
+      outcome,
       token: fencingToken,
       expected: orderCount,
     });
-    if (outcome.value === OrderOutcome.Fenced) this.ownership.handleFenced();
-    if (outcome.value === OrderOutcome.Misdirected) {
-      this.table.removeReplaced(id);
-      return;
+    if (outcome === OrderOutcome.Fenced) this.ownership.handleFenced();
+    const isRelayed = opener.isRelayed();
+    const answerer = findAnswerer({asked, isRelayed}, claims);
+    if (answerer === Answerer.Other) {
+      return this.prober.listeners.handleReplaced(asked, {claims, source});
     }
-    if (outcome.value !== OrderOutcome.Started) {
+    if (outcome !== OrderOutcome.Started) {
       await this.pollReport(state);
       this.busyUntil.delete(id);
       return;
--- a/packages/gateway/src/ports/endpoints.ts
+++ b/packages/gateway/src/ports/endpoints.ts
@@ -1,5 +1,6 @@
+import type {ProcessClaims} from '@zinniaspindle/decisions';
 import type {Instant, LayerRange} from '@zinniaspindle/shared';
-import type {Result, Unit} from 'true-myth';
+import type {Result} from 'true-myth';
 import type {EndpointError} from './errors.js';
 import type {ReportKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
@@ -25,11 +26,16 @@
   readonly bornAt: Instant;
   /** Name of its accelerator kind; undefined for services without a model. */
   readonly kind: string | undefined;
+  /** Names of its models; undefined if they are not stated. */
+  readonly models?: readonly string[] | undefined;
   readonly held: LayerRange | undefined;
 }
 
 /** An endpoint's answer to a direct status query. */
-export interface EndpointReport {
+export interface EndpointReport extends Pick<
+  ProcessClaims,
+  'endpointId' | 'kind' | 'models'
+> {
   readonly bornAt: Instant;
   /** Number of orders accepted since its start. */
   readonly orderCount: number;
@@ -58,6 +64,13 @@
   readonly expectedOrderCount: number;
 }
 
+/** The endpoint that a call is meant for, and the address that its entry names. */
+export interface CallTarget {
+  readonly id: string;
+  /** As host:port. */
+  readonly address: string;
+}
+
 /** The outcome of an order. */
 export enum OrderOutcome {
   /** The endpoint has started to execute it. */
@@ -68,29 +81,32 @@
   Conflict = 'conflict',
   /** A newer owner has sent orders. */
   Fenced = 'fenced',
-  /** Another endpoint uses the address. */
+  /** It was meant for another endpoint. */
   Misdirected = 'misdirected',
   /** The endpoint cannot execute it. */
   Refused = 'refused',
 }
 
+/** An endpoint's answer to an order. */
+export interface OrderReply {
+  readonly outcome: OrderOutcome;
+  /** What it states about the process that gave it. */
+  readonly claims: ProcessClaims;
+}
+
 /**
  * Direct calls from the gateway to endpoints, over connections that are opened
- * by the function given or, without one, to the address.
+ * by the function given or, without one, to the address. Each names the endpoint
+ * that it is meant for.
  */
 export interface EndpointCalls {
-  /** Opens a connection to an address and closes it. */
-  checkListening(
-    address: string,
-    openConnection?: OpenConnection,
-  ): Promise<Result<Unit, EndpointError>>;
   /**
    * Fetches a report. With a keeper, it goes over a kept connection first, if
    * there is one; what fails on that is repeated at once on a new connection, and
    * only the result of the latter counts.
    */
   fetchReport(
-    address: string,
+    target: CallTarget,
     handleNotice: HandleNotice,
     openConnection?: OpenConnection,
     keeper?: ReportKeeper,
@@ -99,5 +115,5 @@
     order: RangeOrder,
     handleNotice: HandleNotice,
     openConnection?: OpenConnection,
-  ): Promise<Result<OrderOutcome, EndpointError>>;
+  ): Promise<Result<OrderReply, EndpointError>>;
 }
--- a/packages/gateway/src/ports/errors.ts
+++ b/packages/gateway/src/ports/errors.ts
@@ -1,3 +1,4 @@
+import type {ProcessClaims} from '@zinniaspindle/decisions';
 import {CodedError} from '@zinniaspindle/shared';
 
 /** Why a call to the store failed. */
@@ -36,19 +37,32 @@
   Unreachable = 'unreachable',
   /** No answer before the timeout. */
   TimedOut = 'silent',
+  /** A process of another endpoint has the address. */
+  Replaced = 'replaced',
   Malformed = 'malformed',
   /** The answer exceeded a bound on its bytes. */
   Excessive = 'excessive',
 }
 
 /** An error of a direct call to an endpoint. */
-export type EndpointError = CodedError<EndpointErrorCode>;
+export class EndpointError extends CodedError<EndpointErrorCode> {
+  constructor(
+    code: EndpointErrorCode,
+    message: string,
+    cause?: unknown,
+    /** What an answer that is no report states; undefined without an answer. */
+    readonly claims?: ProcessClaims,
+  ) {
+    super(code, message, cause);
+  }
+}
 
 /** Makes an endpoint error. */
 export function makeEndpointError(
   code: EndpointErrorCode,
   detail: string,
   cause?: unknown,
+  claims?: ProcessClaims,
 ): EndpointError {
-  return new CodedError(code, `endpoint: ${detail}`, cause);
+  return new EndpointError(code, `endpoint: ${detail}`, cause, claims);
 }
--- a/packages/gateway/src/ports/exchange.ts
+++ b/packages/gateway/src/ports/exchange.ts
@@ -1,6 +1,10 @@
 import type {IncomingMessage} from 'node:http';
 import type {Deadline, Instant} from '@zinniaspindle/shared';
-import type {PathPart, PromptSegments} from '@zinniaspindle/decisions';
+import type {
+  PathPart,
+  ProcessClaims,
+  PromptSegments,
+} from '@zinniaspindle/decisions';
 
 /** Alternating header names and values, as in node:http's `rawHeaders`. */
 export type RawHeaders = readonly string[];
@@ -67,8 +71,14 @@
   readonly requestsPerSecond?: number | undefined;
 }
 
-/** Receives what an endpoint states, as soon as the headers are there. */
-export type HandleNotice = (notice: EndpointNotice) => void;
+/**
+ * Receives what an endpoint states, and what tells which one it is, as soon as the
+ * headers are there.
+ */
+export type HandleNotice = (
+  notice: EndpointNotice,
+  claims?: ProcessClaims,
+) => void;
 
 /** The decoded head of an endpoint's answer. */
 export interface EndpointAnswer extends EndpointNotice {
@@ -80,6 +90,8 @@
    * Whether the endpoint states that it has not executed the request and won't.
    */
   readonly isNotRun: boolean;
+  /** Whether it refuses the request because it was meant for another endpoint. */
+  readonly isMisdirected: boolean;
   /** Id of the endpoint that answered; undefined if it is not stated. */
   readonly endpointId: string | undefined;
   /** The endpoint of the path that failed, as host:port. */
--- a/packages/gateway/src/requests/check_refusal.ts
+++ b/packages/gateway/src/requests/check_refusal.ts
@@ -11,13 +11,10 @@
   {parts}: StagePath,
   answer: EndpointAnswer,
 ): string {
-  const first = parts[0]!.endpoint;
-  if (answer.endpointId !== undefined && answer.endpointId !== first.id) {
-    server.endpoints.removeReplaced(first.id);
-    return `the address belongs to ${answer.endpointId}`;
-  }
-  const address = answer.failedAddress ?? first.address;
-  const failedEndpoint = server.endpoints.findByAddress(address);
+  const address = answer.failedAddress ?? parts[0]!.endpoint.address;
+  // Another endpoint that is listed with the address has not refused anything.
+  const part = parts.find(({endpoint}) => endpoint.address === address);
+  const failedEndpoint = part && server.endpoints.find(part.endpoint.id);
   const reason = `status ${answer.status} at ${address}`;
   // An endpoint that asks for a pause has said why it refuses.
   const isExplained =
@@ -25,7 +22,6 @@
     server.endpoints.findPauseEnd(failedEndpoint) !== undefined;
   if (isExplained) return reason;
   const {id} = failedEndpoint.entry;
-  const part = parts.find(({endpoint}) => endpoint.id === id);
   void server.prober.checkRefusal(id, reason, part?.layers);
   return reason;
 }
--- a/packages/gateway/src/requests/open_upstream.ts
+++ b/packages/gateway/src/requests/open_upstream.ts
@@ -1,6 +1,13 @@
-import type {Instant} from '@zinniaspindle/shared';
+import {
+  Answerer,
+  findAnswerer,
+  isOfOther,
+  type EndpointCall,
+  type ProcessClaims,
+} from '@zinniaspindle/decisions';
 import {Result} from 'true-myth';
 import type {EndpointAnswer, ForwardingContext} from '../ports/index.js';
+import {findAsked, type AskedEndpoint} from '../fleet/asked_endpoint.js';
 import type {ConnectionKeeper} from '../links/kept_connections.js';
 import type {OpenConnection} from '../links/open_connection.js';
 import {openSettled} from '../links/open_settled.js';
@@ -15,6 +22,7 @@
 } from './verify_end.js';
 import {
   Upstream,
+  UpstreamEnd,
   type UpstreamListener,
   type UpstreamRequest,
 } from './upstream.js';
@@ -25,11 +33,6 @@
   readonly address: string;
 }
 
-/** That endpoint, and when it started as far as known. */
-interface KnownTarget extends UpstreamTarget {
-  readonly bornAt: Instant | undefined;
-}
-
 /** What a request is sent with, beside what its caller sent. */
 type UpstreamForwarding = Pick<
   ForwardingContext,
@@ -60,7 +63,7 @@
   opening = Opening.New,
 ): Upstream {
   const {server} = context;
-  const target = {id, address, bornAt: server.endpoints.find(id)?.bornAt};
+  const target = findAsked(server.endpoints, {id, address});
   const getUpstream = (): Upstream => upstream;
   const sent: SentPath = {
     source: target,
@@ -97,7 +100,7 @@
  */
 function makeKeeper(
   {server, request, route}: RequestContext,
-  {id, address, bornAt}: KnownTarget,
+  {id, address, bornAt}: AskedEndpoint,
 ): ConnectionKeeper | undefined {
   const {attemptId} = request;
   if (bornAt === undefined || attemptId === '') return undefined;
@@ -133,18 +136,28 @@
 /** Makes what applies the facts of an answer to its endpoint, and passes it on. */
 function makeListener(
   context: RequestContext,
-  target: KnownTarget,
+  target: AskedEndpoint,
   listener: AttemptListener,
   {parts}: SentPath,
   getUpstream: () => Upstream,
 ): UpstreamListener {
   const {server, request} = context;
   const {id, bornAt} = target;
+  const source = `request ${request.attemptId}`;
+  const call = {
+    ...{asked: target, callId: request.attemptId},
+    hasPath: parts.length > 0,
+  };
+  let claims: ProcessClaims | undefined;
   return {
     handleHead: answer => {
-      acceptNotice(context, target, answer);
-      if (!getUpstream().isFramed()) startCounts(server, parts);
       const relay = getUpstream().getRelay();
+      const stated = {...answer, callId: answer.attemptId ?? ''};
+      const isRelayed = relay !== undefined;
+      const answerer = findAnswerer({...call, isRelayed}, stated);
+      if (answerer === Answerer.Other) claims = stated;
+      acceptNotice(context, call, answer);
+      if (!getUpstream().isFramed()) startCounts(server, parts);
       const {pauseMilliseconds: milliseconds} = answer;
       if (relay === undefined || milliseconds === undefined) return;
       // The endpoint wants nothing of the VM that its connection came from.
@@ -155,12 +168,19 @@
     handleAnswer: answer => listener.handleAnswer(answer),
     handleChunk: chunk => listener.handleChunk(chunk),
     handleExcess: excess => {
-      const source = `request ${request.attemptId}`;
       server.prober.recordOverrun(id, excess, source);
     },
     handleUnsealed: detail => server.prober.recordUnsealed(id, detail),
     handleLastByte: () => listener.handleLastByte?.(),
-    handleEnd: (end, detail) => listener.handleEnd(end, detail),
+    handleEnd: (end, detail) => {
+      if (claims === undefined) return listener.handleEnd(end, detail);
+      // Its own path is none that has to be left.
+      listener.handleLastByte?.();
+      server.prober.listeners.handleReplaced(target, {claims, source});
+      const {endpointId = 'another endpoint'} = claims;
+      const reason = `the address belongs to ${endpointId}`;
+      listener.handleEnd(UpstreamEnd.NotSent, reason);
+    },
   };
 }
 
@@ -171,12 +191,13 @@
  */
 function acceptNotice(
   {server: {endpoints}, request}: RequestContext,
-  target: KnownTarget,
+  call: Pick<EndpointCall, 'asked' | 'hasPath'>,
   answer: EndpointAnswer,
 ): void {
-  const id = answer.endpointId ?? target.id;
-  const isTarget = id === target.id;
-  const bornAt = isTarget ? target.bornAt : endpoints.find(id)?.bornAt;
+  const isOther = isOfOther(call, answer);
+  const id = isOther ? answer.endpointId : call.asked.id;
+  if (id === undefined) return;
+  const bornAt = isOther ? endpoints.find(id)?.bornAt : call.asked.bornAt;
   if (bornAt === undefined) return;
   endpoints.acceptNotice({id, bornAt}, answer, `request ${request.attemptId}`);
 }
--- a/packages/gateway/src/requests/plain_request_handler.ts
+++ b/packages/gateway/src/requests/plain_request_handler.ts
@@ -156,7 +156,6 @@
     if (outcome === AttemptOutcome.Answered) return;
     if (end === UpstreamEnd.Complete) {
       attempt.logFailed(`status ${attempt.answer!.status}`);
-      if (outcome === AttemptOutcome.NotRun) this.removeReplaced(attempt);
       if (outcome === AttemptOutcome.Failed) this.lastFailure = attempt;
       return;
     }
@@ -167,14 +166,6 @@
     attempt.logFailed(detail);
   }
 
-  /** Removes an endpoint whose address another one has answered at. */
-  private removeReplaced({endpoint, answer}: PlainAttempt): void {
-    const {endpointId} = answer!;
-    const {id} = endpoint.entry;
-    if (endpointId === undefined || endpointId === id) return;
-    this.context.server.endpoints.removeReplaced(id);
-  }
-
   private sendAgain(ended: PlainAttempt): void {
     const denial = this.takeRetry();
     if (denial === undefined) return this.startNext();
--- a/packages/gateway/src/requests/verify_end.ts
+++ b/packages/gateway/src/requests/verify_end.ts
@@ -21,7 +21,8 @@
   isCounted,
   type EndpointFacts,
 } from '../fleet/endpoint_state.js';
-import type {AnswerSource, PartReply} from '../fleet/source_check.js';
+import {findAsked, type AskedEndpoint} from '../fleet/asked_endpoint.js';
+import type {PartReply} from '../fleet/source_check.js';
 import type {RequestContext, ServerContext} from './request_context.js';
 import type {UnframedEnd} from './upstream.js';
 
@@ -31,7 +32,7 @@
 const lagMarginMilliseconds = 30;
 
 /** An endpoint of a path, as it was known when the request was sent. */
-export interface SentPart extends AnswerSource {
+export interface SentPart extends AskedEndpoint {
   readonly layers: LayerRange;
   /** The orders that it had accepted; undefined until that has been shown. */
   sentAtCount: number | undefined;
@@ -42,7 +43,7 @@
 /** Where a request was sent. */
 export interface SentPath {
   /** The endpoint that gives the answer. */
-  readonly source: AnswerSource;
+  readonly source: AskedEndpoint;
   /** The endpoints of its path, the source included; none for a plain service. */
   readonly parts: readonly SentPart[];
 }
@@ -52,11 +53,11 @@
   endpoints: EndpointTable,
   parts: readonly PathPart[] = [],
 ): SentPart[] {
-  return parts.map(({endpoint: {id, address}, layers}) => {
-    const state = endpoints.find(id);
+  return parts.map(({endpoint, layers}) => {
+    const state = endpoints.find(endpoint.id);
     const isShown = state !== undefined && isCounted(state);
     const sentAtCount = isShown ? state.orderCount : undefined;
-    return {id, address, bornAt: state?.bornAt, layers, sentAtCount};
+    return {...findAsked(endpoints, endpoint), layers, sentAtCount};
   });
 }
 
--- a/packages/gateway/src/root/gateway_parts.ts
+++ b/packages/gateway/src/root/gateway_parts.ts
@@ -15,7 +15,7 @@
 import {PathTable} from '../fleet/path_table.js';
 import {WaiterTable} from '../fleet/waiter_table.js';
 import {PromptTable} from '../fleet/prompt_table.js';
-import {EndpointProber, type ProbeListeners} from '../fleet/endpoint_prober.js';
+import {EndpointProber} from '../fleet/endpoint_prober.js';
 import {SourceCheck} from '../fleet/source_check.js';
 import {EraWatch} from '../following/era_watch.js';
 import {StoreReplica} from '../following/store_replica.js';
@@ -51,10 +51,10 @@
 import {AnswersByRoute} from '../requests/answers_by_route.js';
 import {buildLimits} from './build_limits.js';
 import {buildLinks} from './build_links.js';
+import {buildListeners} from './build_listeners.js';
 import {applyOrder, buildOrders} from './build_orders.js';
 import {buildServers} from './build_servers.js';
 import {describeOwn} from './describe_own.js';
-import {buildSenders} from './probe_senders.js';
 import {buildQuarantine, type QuarantineParts} from './quarantine_parts.js';
 import {computeRefusingShare, listCallerAddresses} from './list_addresses.js';
 
@@ -182,15 +182,10 @@
     },
     message => getParts().mesh.sendAll(message),
   );
-  const listeners: ProbeListeners = {
-    ...buildSenders(() => getParts().mesh),
-    handleDown: id => paths.dropStreamsThrough(id),
-    handleEnded: (ended, reason) => {
-      const service = endpoints.find(ended.id)?.entry.service;
-      if (service === undefined) return;
-      quarantine.ends.recordEnd(ended, service, reason);
-    },
-  };
+  const listeners = buildListeners(
+    {endpoints, paths, ends: quarantine.ends, writeEvent: log.write},
+    () => getParts().mesh,
+  );
   const calls = ports.endpoints;
   const {links, kept} = buildLinks(
     {settings, log, getNow},
@@ -210,11 +205,10 @@
     kept,
   );
   const relays = new RelayServer(endpoints, links, metrics, log.write);
-  const {handleEnded} = listeners;
   return {
     ...{metrics, endpoints, loads, paths, prober, links, relays, kept},
-    endCheck: new EndCheck(endpoints, calls, handleEnded, metrics, links),
-    sourceCheck: new SourceCheck({calls, links, handleEnded, metrics, getNow}),
+    endCheck: new EndCheck(endpoints, calls, listeners, metrics, links),
+    sourceCheck: new SourceCheck({calls, links, listeners, metrics, getNow}),
     ...quarantine,
   };
 }
--- a/packages/shared/src/events/gateway_events.ts
+++ b/packages/shared/src/events/gateway_events.ts
@@ -48,6 +48,7 @@
   LinkRestored = 7220,
   ConnectionRelayed = 7221,
   EndpointMisfit = 7222,
+  EndpointReplaced = 7223,
   PathSlow = 7230,
   PathUsual = 7231,
   RequestOutranked = 7240,
@@ -142,6 +143,8 @@
     'endpoint {endpoint} exceeded a bound and its connection was closed: {reason}, heard from {source}, {count} times since its first',
   [GatewayEvent.EndpointEnded]:
     'endpoint {endpoint} has ended ({reason}); {broken} requests broke there early: {requests}',
+  [GatewayEvent.EndpointReplaced]:
+    'endpoint {endpoint} removed: {answerer} answers at its address {address}, heard from {source}',
   [GatewayEvent.PartsQuarantined]:
     'requests of service {service} with all of {parts} are refused from now on ({source}); {ends} endpoints ended under them: {endpoints}',
   [GatewayEvent.QuarantineLifted]:
